--- /dev/null
+++ b/include/flamingolatch/err.h
@@ -0,0 +1,83 @@
+/**
+ * @file err.h
+ * The closed list of error kinds and the answer that each kind gives.
+ *
+ * Every failure that reaches a caller or an operator is one of these kinds.
+ * err_info() maps a kind to its name, HTTP status, what it says about
+ * execution (enum err_ran), a retry hint and a process exit code.
+ * Inside the program a kind travels as the code of a GError in ERR_DOMAIN.
+ */
+#ifndef FLAMINGOLATCH_ERR_H
+#define FLAMINGOLATCH_ERR_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** What an answer states about the execution of the request. */
+enum err_ran {
+	ERR_RAN_NOT,	 /**< the request did not run and will not run */
+	ERR_RAN_YES,	 /**< the request ran */
+	ERR_RAN_UNKNOWN, /**< nobody can tell */
+};
+
+/** One error kind; ERR_OK is not an error. */
+enum err_kind {
+	ERR_OK,
+	ERR_BAD_REQUEST,
+	ERR_UNAUTHENTICATED,
+	ERR_FORBIDDEN,
+	ERR_NOT_FOUND,
+	ERR_UNKNOWN_SERVICE,
+	ERR_NO_PROFILE,
+	ERR_NOT_READY,
+	ERR_RATE_LIMITED,
+	ERR_OVERLOADED,
+	ERR_DEADLINE,
+	ERR_NO_UPSTREAM,
+	ERR_TABLE_UNAVAILABLE,
+	ERR_KEY_REUSED,
+	ERR_IN_PROGRESS,
+	ERR_OUTCOME_UNKNOWN,
+	ERR_GENERATION_LOST,
+	ERR_SUPERSEDED,
+	ERR_CONFLICT,
+	ERR_NOT_OBSERVED,
+	ERR_SETTINGS,
+	ERR_IO,
+	ERR_INTERNAL,
+	ERR_KIND_COUNT
+};
+
+/** The answer that belongs to an error kind. */
+struct err_info {
+	const char *name;	 /**< stable name, used in JSON and logs */
+	uint16_t http_status;	 /**< status of the HTTP answer */
+	enum err_ran ran;	 /**< what the answer states about execution */
+	uint32_t retry_after_ms; /**< retry hint; 0 when a retry does not help */
+	uint8_t exit_code;	 /**< exit code of a command that ends with this kind */
+	const char *meaning;	 /**< one sentence for the docs */
+};
+
+#define ERR_DOMAIN err_domain()
+
+/** Returns the GError domain of this program. */
+GQuark err_domain(void);
+
+/**
+ * Returns the answer that belongs to a kind.
+ * @param kind any value below ERR_KIND_COUNT
+ * @return a static record, never NULL
+ */
+const struct err_info *err_info(enum err_kind kind);
+
+/** Returns the stable name of an execution statement. */
+const char *err_ran_name(enum err_ran ran);
+
+/**
+ * Returns the kind carried by a GError.
+ * @param error may be NULL, which gives ERR_OK
+ * @return the code of an error in ERR_DOMAIN, else ERR_INTERNAL
+ */
+enum err_kind err_kind_of(const GError *error);
+
+#endif
--- /dev/null
+++ b/include/flamingolatch/metric.h
@@ -0,0 +1,83 @@
+/**
+ * @file metric.h
+ * Counters, gauges and histograms of one process.
+ *
+ * Every metric is one row of METRIC_COUNTERS, METRIC_GAUGES or
+ * METRIC_HISTOGRAMS. metric_create(), metric_add(), metric_set() and
+ * metric_observe() while running, metric_text() for a scrape,
+ * metric_destroy() last. Nothing allocates between create and text.
+ */
+#ifndef FLAMINGOLATCH_METRIC_H
+#define FLAMINGOLATCH_METRIC_H
+
+#include <glib.h>
+#include <stdint.h>
+
+// clang-format off
+#define METRIC_COUNTERS(X) \
+	X(METRIC_REQUESTS, "requests_total", "Requests taken on the caller port.") \
+	X(METRIC_GENERATIONS, "generations_total", "Generations admitted to an engine.") \
+	X(METRIC_GENERATIONS_DONE, "generations_done_total", "Generations whose whole answer was relayed.") \
+	X(METRIC_GENERATIONS_LOST, "generations_lost_total", "Generations that ended with generation_lost.") \
+	X(METRIC_TOKENS, "tokens_total", "Tokens relayed to callers.") \
+	X(METRIC_TOKENS_DROPPED, "tokens_dropped_total", "Tokens dropped as repeated or of an older epoch.") \
+	X(METRIC_RESUMES, "resumes_total", "Streams taken up again by this instance.") \
+	X(METRIC_STALLS, "stalls_total", "Streams without progress for the profile's bound.") \
+	X(METRIC_PREEMPTIONS, "preemptions_total", "Preemptions reported by engines on relayed streams.") \
+	X(METRIC_CALLS, "calls_total", "Plain-service calls answered by the service.") \
+	X(METRIC_CALLS_UNKNOWN, "calls_unknown_total", "Non-idempotent calls whose outcome is unknown.") \
+	X(METRIC_CALLS_REPLAYED, "calls_replayed_total", "Recorded answers given again.") \
+	X(METRIC_RETRIES, "retries_total", "Retries sent within the retry budget.") \
+	X(METRIC_REFUSED, "refused_total", "Requests refused with ran=not_run.") \
+	X(METRIC_TABLE_READS, "table_reads_total", "Reads sent to the table.") \
+	X(METRIC_TABLE_WRITES, "table_writes_total", "Conditional writes sent to the table.") \
+	X(METRIC_TABLE_ERRORS, "table_errors_total", "Table calls without a certain answer.") \
+	X(METRIC_BUS_SENT, "bus_sent_total", "Messages sent to peers.") \
+	X(METRIC_BUS_SENT_BYTES, "bus_sent_bytes_total", "Bytes sent to peers.") \
+	X(METRIC_BUS_RECEIVED, "bus_received_total", "Messages received from peers.") \
+	X(METRIC_BUS_BAD, "bus_bad_total", "Peer messages that did not decode.") \
+	X(METRIC_SPILLED, "spilled_total", "Generations sent to another availability zone.")
+#define METRIC_GAUGES(X) \
+	X(METRIC_OPEN, "open_requests", "Requests not answered in full.") \
+	X(METRIC_QUEUED, "queued_requests", "Generations waiting for an engine.") \
+	X(METRIC_MEMBERS, "members", "Entry instances considered live, this one included.") \
+	X(METRIC_UPSTREAMS, "upstreams", "Upstream instances known.") \
+	X(METRIC_REVISION, "config_revision", "Configuration revision in force here.") \
+	X(METRIC_REVISION_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as newest.") \
+	X(METRIC_TABLE_REACHABLE, "table_reachable", "1 when the last table call was answered.")
+#define METRIC_HISTOGRAMS(X) \
+	X(METRIC_FIRST_TOKEN_US, "first_token_us", "Time from request to first token.") \
+	X(METRIC_TOKEN_GAP_US, "token_gap_us", "Time between tokens of one stream.") \
+	X(METRIC_QUEUE_US, "queue_us", "Time in the admission queue.") \
+	X(METRIC_CALL_US, "call_us", "Time of plain-service calls.")
+// clang-format on
+
+enum metric_counter {
+#define METRIC_SYMBOL(sym, name, help) sym,
+	METRIC_COUNTERS(METRIC_SYMBOL) METRIC_COUNTER_COUNT
+};
+
+enum metric_gauge {
+	METRIC_GAUGES(METRIC_SYMBOL) METRIC_GAUGE_COUNT
+};
+
+enum metric_histogram {
+	METRIC_HISTOGRAMS(METRIC_SYMBOL) METRIC_HISTOGRAM_COUNT
+#undef METRIC_SYMBOL
+};
+
+struct metric;
+
+struct metric *metric_create(void);
+void metric_destroy(struct metric *metric);
+
+void metric_add(struct metric *metric, enum metric_counter id, uint64_t by);
+void metric_set(struct metric *metric, enum metric_gauge id, int64_t value);
+/** Counts a value into power-of-two buckets. */
+void metric_observe(struct metric *metric, enum metric_histogram id, uint64_t value_us);
+
+uint64_t metric_get(const struct metric *metric, enum metric_counter id);
+/** Appends all metrics in Prometheus' text form. */
+void metric_text(const struct metric *metric, GString *out);
+
+#endif
--- /dev/null
+++ b/include/flamingolatch/profile.h
@@ -0,0 +1,62 @@
+/**
+ * @file profile.h
+ * A profile: the named set of rules that a service runs under.
+ *
+ * prof_init() sets defaults, prof_parse() loads a YAML or JSON text on top of
+ * them, prof_to_json() writes it back, prof_clear() frees it.
+ */
+#ifndef FLAMINGOLATCH_PROFILE_H
+#define FLAMINGOLATCH_PROFILE_H
+
+#include "flamingolatch/conf.h"
+
+/** How far from its own availability zone an entry may send work. */
+enum prof_spill {
+	PROF_SPILL_NONE,
+	PROF_SPILL_ZONE,
+	PROF_SPILL_REGION
+};
+
+/** A part of an engine pool that an owner pays for, used or not. */
+struct prof_reservation {
+	char *owner;
+	uint64_t share_percent;
+};
+
+/** The rules of one profile. */
+struct prof {
+	char *name;
+	uint64_t priority;		    /**< 0 to 9, higher goes first */
+	uint64_t overflow_deviations_centi; /**< deviations kept free, in hundredths */
+	uint64_t queue_deadline_ms;	    /**< longest wait for an engine */
+	uint64_t queue_limit;		    /**< waiting requests per instance */
+	uint64_t stall_ms; /**< time without a token before the stream is taken up again */
+	uint64_t resume_deadline_ms;  /**< time to take up a broken stream */
+	uint64_t call_timeout_ms;     /**< longest time of a plain-service call */
+	uint64_t retry_percent;	      /**< retries per 100 successful requests */
+	uint64_t max_output_tokens;   /**< longest output that may be asked for */
+	uint64_t customer_rate_per_s; /**< requests a second and customer; 0 means no limit */
+	uint64_t customer_burst;      /**< requests above the rate at once */
+	uint64_t customer_streams;    /**< open requests per customer; 0 means no limit */
+	uint32_t spill;		      /**< enum prof_spill */
+	char **idempotent_methods;    /**< methods that may be sent again */
+	struct prof_reservation *reservations;
+	uint32_t reservation_count;
+};
+
+/** Schema of a profile, also for listing its keys. */
+extern const struct conf_schema prof_schema;
+
+/** Sets the defaults; @p prof may hold anything before. */
+void prof_init(struct prof *prof);
+void prof_clear(struct prof *prof);
+/**
+ * Loads a text over the defaults.
+ * @return true, or false with ERR_SETTINGS; @p prof is cleared then
+ */
+bool prof_parse(const char *file, const char *text, size_t len, struct prof *prof, GError **error);
+json_t *prof_to_json(const struct prof *prof);
+/** Tells whether a method may be sent more than once. */
+bool prof_is_idempotent(const struct prof *prof, const char *method);
+
+#endif
--- /dev/null
+++ b/include/flamingolatch/wire.h
@@ -0,0 +1,71 @@
+/**
+ * @file wire.h
+ * Messages between entry instances, in MessagePack.
+ *
+ * A message is an array: format version, type, sender, body. wire_encode_...()
+ * append to a buffer; wire_decode() checks every field and refuses what does
+ * not fit. A decoded message is freed with wire_clear().
+ */
+#ifndef FLAMINGOLATCH_WIRE_H
+#define FLAMINGOLATCH_WIRE_H
+
+#include "flamingolatch/load.h"
+#include "flamingolatch/member.h"
+
+#include <glib.h>
+
+#define WIRE_VERSION	  1
+#define WIRE_MEMBERS_MAX  64
+#define WIRE_LEAVING_MAX  64
+#define WIRE_SUMS_MAX	  64
+#define WIRE_SNAPSHOT_MAX (1 << 19)
+
+enum wire_type {
+	WIRE_GOSSIP,
+	WIRE_CONFIG_ASK,
+	WIRE_CONFIG,
+	WIRE_TYPE_COUNT
+};
+
+/** An upstream that is leaving; the address tells its incarnation. */
+struct wire_leaving {
+	char id[MEMB_ID_MAX];
+	char address[MEMB_ADDRESS_MAX];
+};
+
+/** The sender's own predicted load on an engine. */
+struct wire_sum {
+	char id[MEMB_ID_MAX];
+	struct load_sum sum;
+};
+
+/** Body of WIRE_GOSSIP. */
+struct wire_gossip {
+	uint32_t member_count;
+	struct memb_record members[WIRE_MEMBERS_MAX];
+	uint32_t leaving_count;
+	struct wire_leaving leaving[WIRE_LEAVING_MAX];
+	uint32_t sum_count;
+	struct wire_sum sums[WIRE_SUMS_MAX];
+};
+
+/** A decoded message. */
+struct wire_message {
+	enum wire_type type;
+	char from[MEMB_ID_MAX];
+	struct wire_gossip *gossip;	/**< WIRE_GOSSIP */
+	char address[MEMB_ADDRESS_MAX]; /**< WIRE_CONFIG_ASK: where to answer */
+	uint64_t revision;		/**< WIRE_CONFIG_ASK: revision that the asker has */
+	char *snapshot;			/**< WIRE_CONFIG: JSON text */
+};
+
+void wire_encode_gossip(GByteArray *out, const char *from, const struct wire_gossip *gossip);
+void wire_encode_config_ask(GByteArray *out, const char *from, const char *address,
+			    uint64_t revision);
+void wire_encode_config(GByteArray *out, const char *from, const char *snapshot);
+
+/** @return true, or false when the message is not valid; nothing to clear then */
+bool wire_decode(const void *buf, size_t len, struct wire_message *out);
+void wire_clear(struct wire_message *message);
+
+#endif
--- /dev/null
+++ b/src/command/profile_change.c
@@ -0,0 +1,247 @@
+#include "../entry/entry_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define CHANGE_DEADLINE_US (8ULL * 1000 * 1000)
+#define CHANGE_BACKOFF_MS  100
+
+/*
+ * One operator's change. It reads all rows, works out the new row, and commits
+ * it together with the next revision. A lost answer is followed by another
+ * read: the request token in the row tells whether the change took effect.
+ */
+struct change {
+	struct entry *entry;
+	struct hreq *req; /* NULL once the operator left */
+	enum cset_verb verb;
+	struct prof prof;
+	bool has_prof;
+	char *name;
+	char *token;
+	uint64_t expected_generation;
+	uint64_t generation;
+	uint64_t started_us;
+	uv_timer_t timer;
+};
+
+static const char *const change_verbs[] = { "publish", "change", "retire" };
+
+static void change_read(struct change *change);
+
+/* lifetime */
+
+static void change_on_closed(uv_handle_t *handle)
+{
+	struct change *change = handle->data;
+
+	if (change->has_prof)
+		prof_clear(&change->prof);
+	g_free(change->name);
+	g_free(change->token);
+	g_free(change);
+}
+
+static void change_end(struct change *change)
+{
+	change->entry->background--;
+	uv_close((uv_handle_t *)&change->timer, change_on_closed);
+}
+
+static void change_on_gone(void *ctx)
+{
+	struct change *change = ctx;
+
+	change->req = NULL;
+}
+
+/* helpers */
+
+static void change_fail(struct change *change, enum err_kind kind, const char *message)
+{
+	if (kind == ERR_CONFLICT)
+		log_event(LOG_PROFILE_CONFLICT, "profile", change->name, "reason", message, NULL);
+	if (change->req) {
+		hreq_set_callbacks(change->req, NULL, NULL, NULL);
+		answer_error(change->entry, change->req, kind, message);
+	}
+	change_end(change);
+}
+
+static void change_done(struct change *change, uint64_t revision)
+{
+	log_event(LOG_PROFILE_CHANGED, "profile", change->name, "verb", change_verbs[change->verb],
+		  "token", change->token, NULL);
+	watch_config_now(change->entry->watch);
+	if (change->req) {
+		hreq_set_callbacks(change->req, NULL, NULL, NULL);
+		answer_json(change->req, 200,
+			    json_pack("{s:s, s:I, s:I, s:s}", "name", change->name, "generation",
+				      (json_int_t)change->generation, "revision",
+				      (json_int_t)revision, "token", change->token));
+	}
+	change_end(change);
+}
+
+static void change_on_timer(uv_timer_t *timer)
+{
+	change_read(timer->data);
+}
+
+static void change_later(struct change *change)
+{
+	if (entry_now_us() - change->started_us > CHANGE_DEADLINE_US)
+		change_fail(change, ERR_IO,
+			    "the table gave no certain answer; repeat with the same token");
+	else
+		uv_timer_start(&change->timer, change_on_timer, CHANGE_BACKOFF_MS, 0);
+}
+
+static void change_on_commit(void *arg, enum table_result result, const struct table_row *rows,
+			     uint32_t count)
+{
+	struct change *change = arg;
+	json_t *value;
+
+	if (result != TABLE_OK) {
+		/* Lost or overtaken: the rows tell which. */
+		change_later(change);
+		return;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(rows[i].key, CSET_REVISION_KEY) != 0)
+			continue;
+		value = json_loads(rows[i].value, 0, NULL);
+		change_done(change,
+			    (uint64_t)json_integer_value(json_object_get(value, "revision")));
+		json_decref(value);
+		return;
+	}
+	change_later(change);
+}
+
+static void change_commit(struct change *change, const struct table_row *profile,
+			  const struct table_row *revision, uint64_t number, const json_t *row)
+{
+	struct entry *entry = change->entry;
+	g_autofree char *key = g_strconcat(CSET_PROFILE_KEY, change->name, NULL);
+	g_autofree char *next = g_strdup_printf("{\"revision\":%" G_GUINT64_FORMAT "}", number + 1);
+	char *text = json_dumps(row, JSON_COMPACT);
+	struct table_write writes[] = {
+		{ key, profile ? profile->version : 0, text },
+		{ CSET_REVISION_KEY, revision ? revision->version : 0, next },
+	};
+
+	entry->table->ops->commit(entry->table->ctx, writes, G_N_ELEMENTS(writes), change_on_commit,
+				  change);
+	free(text);
+}
+
+static json_t *change_value(const struct table_row *row)
+{
+	return row && row->value ? json_loads(row->value, 0, NULL) : NULL;
+}
+
+static void change_on_read(void *arg, enum table_result result, const struct table_row *rows,
+			   uint32_t count)
+{
+	struct change *change = arg;
+	const struct table_row *profile = NULL;
+	const struct table_row *revision = NULL;
+	struct cset_change plan = { change->verb, change->name,
+				    change->has_prof ? &change->prof : NULL, change->token,
+				    change->expected_generation };
+	g_autoptr(GError) error = NULL;
+	json_t *current;
+	json_t *head;
+	json_t *row = NULL;
+	uint64_t number;
+
+	if (result != TABLE_OK) {
+		change_later(change);
+		return;
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(rows[i].key, CSET_REVISION_KEY) == 0)
+			revision = &rows[i];
+		else if (strcmp(rows[i].key + strlen(CSET_PROFILE_KEY), change->name) == 0)
+			profile = &rows[i];
+	}
+	current = change_value(profile);
+	head = change_value(revision);
+	number = (uint64_t)json_integer_value(json_object_get(head, "revision"));
+	if (!cset_plan(&plan, current, number, &row, &change->generation, &error))
+		change_fail(change, err_kind_of(error), error->message);
+	else if (row)
+		change_commit(change, profile, revision, number, row);
+	else
+		change_done(change, number);
+	json_decref(row);
+	json_decref(current);
+	json_decref(head);
+}
+
+static void change_read(struct change *change)
+{
+	struct entry *entry = change->entry;
+
+	entry->table->ops->range(entry->table->ctx, CSET_PREFIX, change_on_read, change);
+}
+
+static bool change_parse(struct change *change, const json_t *root, GError **error)
+{
+	const char *name = json_string_value(json_object_get(root, "name"));
+	const char *token = json_string_value(json_object_get(root, "token"));
+	const json_t *spec = json_object_get(root, "spec");
+	char *text;
+
+	change->expected_generation =
+		(uint64_t)json_integer_value(json_object_get(root, "expected_generation"));
+	if (!name || !token || strlen(token) > 128) {
+		g_set_error(error, ERR_DOMAIN, ERR_BAD_REQUEST,
+			    "the fields name and token are required");
+		return false;
+	}
+	change->name = g_strdup(name);
+	change->token = g_strdup(token);
+	if (change->verb == CSET_RETIRE)
+		return true;
+	text = json_dumps(spec, JSON_COMPACT | JSON_ENCODE_ANY);
+	change->has_prof = text && prof_parse("spec", text, strlen(text), &change->prof, error);
+	free(text);
+	if (!change->has_prof) {
+		if (error && !*error)
+			g_set_error(error, ERR_DOMAIN, ERR_BAD_REQUEST,
+				    "the field spec is required");
+		return false;
+	}
+	if (strcmp(change->prof.name, name) == 0)
+		return true;
+	g_set_error(error, ERR_DOMAIN, ERR_BAD_REQUEST, "name and spec.name differ");
+	return false;
+}
+
+/* commands */
+
+void profile_change(struct entry *entry, struct hreq *req, enum cset_verb verb)
+{
+	struct change *change = g_new0(struct change, 1);
+	g_autoptr(GError) error = NULL;
+	size_t len;
+	const char *body = hreq_body(req, &len);
+	json_t *root = json_loadb(body, len, 0, NULL);
+
+	change->entry = entry;
+	change->req = req;
+	change->verb = verb;
+	change->started_us = entry_now_us();
+	entry->background++;
+	uv_timer_init(entry->loop, &change->timer);
+	change->timer.data = change;
+	hreq_set_callbacks(req, change_on_gone, NULL, change);
+	if (change_parse(change, root, &error))
+		change_read(change);
+	else
+		change_fail(change, ERR_BAD_REQUEST, error->message);
+	json_decref(root);
+}
--- /dev/null
+++ b/src/core/member.c
@@ -0,0 +1,299 @@
+#include "flamingolatch/member.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define MEMB_SUSPECT_US	  (3ULL * 1000 * 1000)
+#define MEMB_DEAD_US	  (8ULL * 1000 * 1000)
+#define MEMB_FORGET_US	  (3600ULL * 1000 * 1000)
+#define MEMB_ZONE_PEERS	  3
+#define MEMB_PROBE_PERIOD 8 /* every so many picks one dead member is tried */
+
+struct memb_peer {
+	struct memb_record record;
+	enum memb_state state;
+	uint64_t heard_us; /* when the heartbeat last moved */
+	uint64_t sent;	   /* turn in which the record was last passed on */
+	uint64_t hash;	   /* rendezvous hash with the own id */
+};
+
+struct memb {
+	struct memb_record self;
+	memb_cb changed;
+	void *ctx;
+	GPtrArray *peers; /* struct memb_peer */
+	uint64_t turn;
+	uint64_t picks;
+};
+
+static const char *const memb_state_names[MEMB_STATE_COUNT] = { "alive", "suspect", "dead",
+								"left" };
+
+/* lifetime */
+
+struct memb *memb_create(const struct memb_record *self, memb_cb changed, void *ctx)
+{
+	struct memb *memb = g_new0(struct memb, 1);
+
+	memb->self = *self;
+	memb->changed = changed;
+	memb->ctx = ctx;
+	memb->peers = g_ptr_array_new_with_free_func(g_free);
+	return memb;
+}
+
+void memb_destroy(struct memb *memb)
+{
+	if (!memb)
+		return;
+	g_ptr_array_free(memb->peers, TRUE);
+	g_free(memb);
+}
+
+/* helpers */
+
+static uint64_t memb_hash(const char *a, const char *b)
+{
+	return XXH64(a, strlen(a), XXH64(b, strlen(b), 0));
+}
+
+static struct memb_peer *memb_find(const struct memb *memb, const char *id)
+{
+	for (guint i = 0; i < memb->peers->len; i++) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+
+		if (strcmp(peer->record.id, id) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static void memb_set_state(struct memb *memb, struct memb_peer *peer, enum memb_state state)
+{
+	if (peer->state == state)
+		return;
+	peer->state = state;
+	if (memb->changed)
+		memb->changed(memb->ctx, &peer->record, state);
+}
+
+static bool memb_newer(const struct memb_record *a, const struct memb_record *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	return a->heartbeat > b->heartbeat;
+}
+
+static gint memb_by_hash(gconstpointer a, gconstpointer b)
+{
+	const struct memb_peer *const *left = a;
+	const struct memb_peer *const *right = b;
+
+	if ((*left)->hash != (*right)->hash)
+		return (*left)->hash < (*right)->hash ? 1 : -1;
+	return strcmp((*left)->record.id, (*right)->record.id);
+}
+
+static struct memb_peer *memb_new_peer(struct memb *memb, const struct memb_record *record)
+{
+	struct memb_peer *peer = g_new0(struct memb_peer, 1);
+
+	peer->record = *record;
+	peer->state = MEMB_DEAD;
+	peer->hash = memb_hash(memb->self.id, record->id);
+	g_ptr_array_add(memb->peers, peer);
+	g_ptr_array_sort(memb->peers, memb_by_hash);
+	return peer;
+}
+
+/* commands */
+
+void memb_seed(struct memb *memb, const char *id, const char *zone, const char *address,
+	       uint64_t now_us)
+{
+	struct memb_record record = { 0 };
+	struct memb_peer *peer;
+
+	if (strcmp(id, memb->self.id) == 0)
+		return;
+	peer = memb_find(memb, id);
+	if (!peer) {
+		g_strlcpy(record.id, id, sizeof(record.id));
+		g_strlcpy(record.zone, zone, sizeof(record.zone));
+		g_strlcpy(record.address, address, sizeof(record.address));
+		peer = memb_new_peer(memb, &record);
+		peer->heard_us = now_us;
+	} else if (peer->state == MEMB_DEAD) {
+		/* The list may know a new address of a restarted instance. */
+		g_strlcpy(peer->record.address, address, sizeof(peer->record.address));
+	}
+}
+
+bool memb_merge(struct memb *memb, const struct memb_record *record, uint64_t now_us)
+{
+	struct memb_peer *peer;
+
+	if (strcmp(record->id, memb->self.id) == 0)
+		return false;
+	peer = memb_find(memb, record->id);
+	if (!peer)
+		peer = memb_new_peer(memb, record);
+	else if (!memb_newer(record, &peer->record))
+		return false;
+	peer->record = *record;
+	peer->heard_us = now_us;
+	memb_set_state(memb, peer, record->leaving ? MEMB_LEFT : MEMB_ALIVE);
+	return true;
+}
+
+void memb_tick(struct memb *memb, uint64_t now_us)
+{
+	memb->self.heartbeat++;
+	for (guint i = memb->peers->len; i-- > 0;) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+		uint64_t silent_us = now_us - MIN(peer->heard_us, now_us);
+
+		if (silent_us > MEMB_FORGET_US)
+			g_ptr_array_remove_index(memb->peers, i);
+		else if (silent_us > MEMB_DEAD_US)
+			memb_set_state(memb, peer, MEMB_DEAD);
+		else if (silent_us > MEMB_SUSPECT_US && peer->state == MEMB_ALIVE)
+			memb_set_state(memb, peer, MEMB_SUSPECT);
+	}
+}
+
+void memb_set_revision(struct memb *memb, uint64_t revision)
+{
+	memb->self.revision = revision;
+}
+
+void memb_set_leaving(struct memb *memb)
+{
+	memb->self.leaving = true;
+}
+
+static gint memb_by_sent(gconstpointer a, gconstpointer b)
+{
+	const struct memb_peer *left = *(const struct memb_peer *const *)a;
+	const struct memb_peer *right = *(const struct memb_peer *const *)b;
+
+	if (left->sent != right->sent)
+		return left->sent < right->sent ? -1 : 1;
+	return strcmp(left->record.id, right->record.id);
+}
+
+uint32_t memb_digest(struct memb *memb, struct memb_record *out, uint32_t max)
+{
+	g_autoptr(GPtrArray) order = g_ptr_array_copy(memb->peers, NULL, NULL);
+	uint32_t count = 0;
+
+	if (max == 0)
+		return 0;
+	g_ptr_array_set_free_func(order, NULL);
+	g_ptr_array_sort(order, memb_by_sent);
+	memb->turn++;
+	out[count++] = memb->self;
+	for (guint i = 0; i < order->len && count < max; i++) {
+		struct memb_peer *peer = order->pdata[i];
+
+		/* A member that was only listed has no heartbeat to pass on. */
+		if (peer->record.incarnation == 0 || peer->state == MEMB_DEAD)
+			continue;
+		peer->sent = memb->turn;
+		out[count++] = peer->record;
+	}
+	return count;
+}
+
+static bool memb_zone_taken(const struct memb_record *out, uint32_t count, const char *zone)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(out[i].zone, zone) == 0)
+			return true;
+	}
+	return false;
+}
+
+uint32_t memb_peers(struct memb *memb, struct memb_record *out, uint32_t max)
+{
+	uint32_t count = 0;
+	uint32_t zone_count = 0;
+	guint dead = 0;
+
+	for (guint i = 0; i < memb->peers->len && count < max; i++) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+		bool same = strcmp(peer->record.zone, memb->self.zone) == 0;
+
+		if (peer->state == MEMB_DEAD) {
+			dead++;
+			continue;
+		}
+		if (same ? zone_count >= MEMB_ZONE_PEERS
+			 : memb_zone_taken(out, count, peer->record.zone))
+			continue;
+		zone_count += same;
+		out[count++] = peer->record;
+	}
+	memb->picks++;
+	if (dead == 0 || count >= max || (count > 0 && memb->picks % MEMB_PROBE_PERIOD != 0))
+		return count;
+	dead = (guint)((memb->picks / MEMB_PROBE_PERIOD + memb->picks) % dead);
+	for (guint i = 0; i < memb->peers->len; i++) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+
+		if (peer->state == MEMB_DEAD && dead-- == 0) {
+			out[count++] = peer->record;
+			break;
+		}
+	}
+	return count;
+}
+
+/* queries */
+
+uint32_t memb_live(const struct memb *memb)
+{
+	uint32_t live = 1;
+
+	for (guint i = 0; i < memb->peers->len; i++) {
+		const struct memb_peer *peer = memb->peers->pdata[i];
+
+		live += peer->state == MEMB_ALIVE || peer->state == MEMB_SUSPECT;
+	}
+	return live;
+}
+
+bool memb_is_delegate(const struct memb *memb, const char *task)
+{
+	uint64_t own = memb_hash(memb->self.id, task);
+
+	if (memb->self.leaving)
+		return false;
+	for (guint i = 0; i < memb->peers->len; i++) {
+		const struct memb_peer *peer = memb->peers->pdata[i];
+
+		if (peer->state == MEMB_ALIVE && strcmp(peer->record.zone, memb->self.zone) == 0 &&
+		    memb_hash(peer->record.id, task) > own)
+			return false;
+	}
+	return true;
+}
+
+void memb_each(const struct memb *memb,
+	       void (*each)(void *ctx, const struct memb_record *record, enum memb_state state),
+	       void *ctx)
+{
+	each(ctx, &memb->self, memb->self.leaving ? MEMB_LEFT : MEMB_ALIVE);
+	for (guint i = 0; i < memb->peers->len; i++) {
+		const struct memb_peer *peer = memb->peers->pdata[i];
+
+		each(ctx, &peer->record, peer->state);
+	}
+}
+
+const char *memb_state_name(enum memb_state state)
+{
+	return memb_state_names[state];
+}
--- /dev/null
+++ b/src/core/once.c
@@ -0,0 +1,429 @@
+#include "flamingolatch/once.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ONCE_BACKOFF_FIRST_US 20000
+#define ONCE_BACKOFF_MAX_US   1000000
+#define ONCE_UNTIL_SLACK_MS   2000
+
+/* What the attempt is doing. */
+enum once_step {
+	ONCE_STEP_NEW,
+	ONCE_STEP_CLAIM,
+	ONCE_STEP_SEND,
+	ONCE_STEP_RECORD,
+	ONCE_STEP_RELEASE,
+	ONCE_STEP_FINISHED,
+};
+
+struct once {
+	const struct once_ops *ops;
+	void *ctx;
+	char *key;
+	char *token;
+	char *fingerprint;
+	struct once_conf conf;
+	enum once_step step;
+	uint64_t started_us;
+	uint64_t settle_from_us;
+	uint64_t backoff_us;
+	uint64_t version;    /* row version that the next commit expects */
+	char *value;	     /* value that the next commit writes */
+	bool claim_in_doubt; /* a claim commit was lost and may still take effect */
+	bool answered;
+};
+
+/* A stored row, decoded. */
+struct once_row {
+	enum once_state state;
+	uint64_t version;
+	bool own;
+	bool same_request;
+	uint64_t until_ms;
+	struct once_answer answer;
+	json_t *root;
+};
+
+static const char *const once_state_names[ONCE_STATE_COUNT] = { "absent", "sending", "done",
+								"unknown", "released" };
+
+static void once_claim(struct once *once);
+static void once_settle(struct once *once, uint64_t now_us, enum once_step step);
+static void once_finish(struct once *once, bool certain);
+static void once_retry_later(struct once *once);
+
+/* lifetime */
+
+struct once *once_create(const struct once_conf *conf, const struct once_ops *ops, void *ctx)
+{
+	struct once *once = g_new0(struct once, 1);
+
+	once->ops = ops;
+	once->ctx = ctx;
+	once->conf = *conf;
+	once->key = g_strdup(conf->key);
+	once->token = g_strdup(conf->token);
+	once->fingerprint = g_strdup(conf->fingerprint);
+	once->backoff_us = ONCE_BACKOFF_FIRST_US;
+	return once;
+}
+
+void once_destroy(struct once *once)
+{
+	if (!once)
+		return;
+	g_free(once->key);
+	g_free(once->token);
+	g_free(once->fingerprint);
+	free(once->value);
+	g_free(once);
+}
+
+/* helpers */
+
+static void once_set_value(struct once *once, enum once_state state, uint64_t until_ms,
+			   const struct once_answer *answer)
+{
+	json_t *root = json_pack("{s:s, s:s, s:s, s:I}", "state", once_state_names[state], "token",
+				 once->token, "fingerprint", once->fingerprint, "until_ms",
+				 (json_int_t)until_ms);
+
+	if (answer) {
+		g_autofree char *body =
+			g_base64_encode((const guchar *)answer->body, answer->body_len);
+
+		json_object_set_new(root, "status", json_integer(answer->status));
+		json_object_set_new(root, "type", json_string(answer->type));
+		json_object_set_new(root, "body", json_string(body));
+	}
+	free(once->value);
+	once->value = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+}
+
+static enum once_state once_state_of(const char *name)
+{
+	for (uint32_t i = 0; name && i < ONCE_STATE_COUNT; i++) {
+		if (strcmp(name, once_state_names[i]) == 0)
+			return (enum once_state)i;
+	}
+	/* An unreadable row must never be claimed. */
+	return ONCE_UNKNOWN;
+}
+
+static void once_decode(const struct once *once, const struct table_row *row, struct once_row *out)
+{
+	const char *token;
+	const char *fingerprint;
+	const char *body;
+	gsize len = 0;
+
+	*out = (struct once_row){ .state = ONCE_ABSENT };
+	if (!row || row->version == 0 || !row->value)
+		return;
+	out->root = json_loads(row->value, 0, NULL);
+	out->version = row->version;
+	out->state = once_state_of(json_string_value(json_object_get(out->root, "state")));
+	token = json_string_value(json_object_get(out->root, "token"));
+	fingerprint = json_string_value(json_object_get(out->root, "fingerprint"));
+	out->own = token && strcmp(token, once->token) == 0;
+	out->same_request = fingerprint && strcmp(fingerprint, once->fingerprint) == 0;
+	out->until_ms = (uint64_t)json_integer_value(json_object_get(out->root, "until_ms"));
+	body = json_string_value(json_object_get(out->root, "body"));
+	out->answer.status = (uint16_t)json_integer_value(json_object_get(out->root, "status"));
+	out->answer.type = json_string_value(json_object_get(out->root, "type"));
+	out->answer.replayed = true;
+	if (body) {
+		out->answer.body = (const char *)g_base64_decode(body, &len);
+		out->answer.body_len = len;
+	}
+}
+
+static void once_row_clear(struct once_row *row)
+{
+	g_free((char *)row->answer.body);
+	json_decref(row->root);
+}
+
+static void once_answer(struct once *once, enum err_kind kind, const struct once_answer *answer)
+{
+	if (once->answered)
+		return;
+	once->answered = true;
+	once->ops->answer(once->ctx, kind, answer);
+}
+
+static void once_commit(struct once *once)
+{
+	struct table_write write = { once->key, once->version, once->value };
+
+	once->ops->commit(once->ctx, &write);
+}
+
+static void once_claim(struct once *once)
+{
+	once->step = ONCE_STEP_CLAIM;
+	once_commit(once);
+}
+
+static void once_retry_later(struct once *once)
+{
+	uint64_t delay_us = once->backoff_us;
+
+	once->backoff_us = MIN(once->backoff_us * 2, ONCE_BACKOFF_MAX_US);
+	once->ops->wait(once->ctx, delay_us);
+}
+
+static void once_finish(struct once *once, bool certain)
+{
+	once->step = ONCE_STEP_FINISHED;
+	once->ops->finished(once->ctx, certain);
+}
+
+/* Starts to write the outcome; the row's version is known. */
+static void once_settle(struct once *once, uint64_t now_us, enum once_step step)
+{
+	once->step = step;
+	once->settle_from_us = now_us;
+	once->backoff_us = ONCE_BACKOFF_FIRST_US;
+	once_commit(once);
+}
+
+/* Gives up before sending. A lost claim is fenced off by a row of our own. */
+static void once_release(struct once *once, uint64_t now_us, enum err_kind kind)
+{
+	bool in_doubt = once->claim_in_doubt;
+
+	once_set_value(once, ONCE_RELEASED, 0, NULL);
+	once->step = ONCE_STEP_RELEASE;
+	once->settle_from_us = now_us;
+	once->backoff_us = ONCE_BACKOFF_FIRST_US;
+	once_answer(once, kind, NULL);
+	if (in_doubt)
+		once->ops->read(once->ctx, once->key);
+	else
+		once_commit(once);
+}
+
+static void once_send(struct once *once, uint64_t now_us, uint64_t version)
+{
+	once->version = version;
+	once->claim_in_doubt = false;
+	if (!once_may_send(once, now_us)) {
+		once_release(once, now_us, ERR_DEADLINE);
+		return;
+	}
+	once->step = ONCE_STEP_SEND;
+	once->ops->send(once->ctx);
+}
+
+/* Another attempt holds the key: says what is known of it. */
+static void once_answer_other(struct once *once, uint64_t wall_ms, const struct once_row *row)
+{
+	if (!row->same_request)
+		once_answer(once, ERR_KEY_REUSED, NULL);
+	else if (row->state == ONCE_DONE)
+		once_answer(once, ERR_OK, &row->answer);
+	else if (row->state == ONCE_SENDING && wall_ms < row->until_ms)
+		once_answer(once, ERR_IN_PROGRESS, NULL);
+	else
+		once_answer(once, ERR_OUTCOME_UNKNOWN, NULL);
+	once_finish(once, true);
+}
+
+static void once_claim_conflict(struct once *once, uint64_t now_us, uint64_t wall_ms,
+				const struct table_row *present)
+{
+	struct once_row row;
+
+	once_decode(once, present, &row);
+	if (row.state == ONCE_SENDING && row.own) {
+		once_send(once, now_us, row.version);
+	} else if (once_may_replace(row.state, ONCE_SENDING, row.own)) {
+		/* Free to claim under the version that now stands. */
+		if (row.state == ONCE_RELEASED && !row.same_request) {
+			once_answer_other(once, wall_ms, &row);
+		} else {
+			once->version = row.version;
+			once_claim(once);
+		}
+	} else {
+		once_answer_other(once, wall_ms, &row);
+	}
+	once_row_clear(&row);
+}
+
+static void once_claim_lost(struct once *once, uint64_t now_us, enum table_result result)
+{
+	if (result == TABLE_LOST)
+		once->claim_in_doubt = true;
+	if (now_us - once->started_us < once->conf.claim_deadline_us) {
+		once_retry_later(once);
+	} else if (once->claim_in_doubt) {
+		once_release(once, now_us, ERR_TABLE_UNAVAILABLE);
+	} else {
+		once_answer(once, ERR_TABLE_UNAVAILABLE, NULL);
+		once_finish(once, true);
+	}
+}
+
+static void once_settle_lost(struct once *once, uint64_t now_us)
+{
+	if (now_us - once->settle_from_us < once->conf.settle_deadline_us)
+		once_retry_later(once);
+	else
+		once_finish(once, false);
+}
+
+/* Brings the row of a given-up claim to a released row of our own. */
+static void once_release_seen(struct once *once, const struct table_row *present)
+{
+	struct once_row row;
+
+	once_decode(once, present, &row);
+	if (row.own && row.state == ONCE_RELEASED) {
+		once_finish(once, true);
+	} else if (once_may_replace(row.state, ONCE_RELEASED, row.own)) {
+		once->version = row.version;
+		once_commit(once);
+	} else {
+		once_finish(once, true);
+	}
+	once_row_clear(&row);
+}
+
+static void once_record_conflict(struct once *once, const struct table_row *present)
+{
+	struct once_row row;
+	bool own;
+
+	once_decode(once, present, &row);
+	own = row.own;
+	if (own && row.state == ONCE_SENDING) {
+		once->version = row.version;
+		once_commit(once);
+	} else {
+		once_finish(once, own);
+	}
+	once_row_clear(&row);
+}
+
+/* commands */
+
+void once_start(struct once *once, uint64_t now_us, uint64_t wall_ms)
+{
+	uint64_t open_us = once->conf.send_window_us + once->conf.call_timeout_us;
+
+	once->started_us = now_us;
+	once_set_value(once, ONCE_SENDING, wall_ms + open_us / 1000 + ONCE_UNTIL_SLACK_MS, NULL);
+	once_claim(once);
+}
+
+void once_on_commit(struct once *once, uint64_t now_us, uint64_t wall_ms, enum table_result result,
+		    const struct table_row *row)
+{
+	bool certain = result == TABLE_OK || result == TABLE_CONFLICT;
+
+	switch (once->step) {
+	case ONCE_STEP_CLAIM:
+		if (result == TABLE_OK)
+			once_send(once, now_us, row->version);
+		else if (certain)
+			once_claim_conflict(once, now_us, wall_ms, row);
+		else
+			once_claim_lost(once, now_us, result);
+		break;
+	case ONCE_STEP_RECORD:
+		if (result == TABLE_OK)
+			once_finish(once, true);
+		else if (certain)
+			once_record_conflict(once, row);
+		else
+			once_settle_lost(once, now_us);
+		break;
+	case ONCE_STEP_RELEASE:
+		if (result == TABLE_OK)
+			once_finish(once, true);
+		else if (certain)
+			once_release_seen(once, row);
+		else
+			once_settle_lost(once, now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+void once_on_read(struct once *once, uint64_t now_us, uint64_t wall_ms, enum table_result result,
+		  const struct table_row *row)
+{
+	(void)wall_ms;
+	if (once->step != ONCE_STEP_RELEASE)
+		return;
+	if (result == TABLE_OK)
+		once_release_seen(once, row);
+	else
+		once_settle_lost(once, now_us);
+}
+
+void once_on_answer(struct once *once, uint64_t now_us, const struct once_answer *answer)
+{
+	once_set_value(once, ONCE_DONE, 0, answer);
+	once_answer(once, ERR_OK, answer);
+	once_settle(once, now_us, ONCE_STEP_RECORD);
+}
+
+void once_on_not_sent(struct once *once, uint64_t now_us, bool others)
+{
+	if (others && once_may_send(once, now_us))
+		once->ops->send(once->ctx);
+	else
+		once_release(once, now_us, ERR_NO_UPSTREAM);
+}
+
+void once_on_lost(struct once *once, uint64_t now_us)
+{
+	once_set_value(once, ONCE_UNKNOWN, 0, NULL);
+	once_answer(once, ERR_OUTCOME_UNKNOWN, NULL);
+	once_settle(once, now_us, ONCE_STEP_RECORD);
+}
+
+void once_on_timer(struct once *once, uint64_t now_us, uint64_t wall_ms)
+{
+	(void)now_us;
+	(void)wall_ms;
+	if (once->step == ONCE_STEP_RELEASE && once->claim_in_doubt)
+		once->ops->read(once->ctx, once->key);
+	else if (once->step != ONCE_STEP_FINISHED)
+		once_commit(once);
+}
+
+/* queries */
+
+bool once_may_send(const struct once *once, uint64_t now_us)
+{
+	return now_us - once->started_us <= once->conf.send_window_us;
+}
+
+const char *once_state_name(enum once_state state)
+{
+	return once_state_names[state];
+}
+
+bool once_may_replace(enum once_state from, enum once_state to, bool own)
+{
+	switch (to) {
+	case ONCE_SENDING:
+		return from == ONCE_ABSENT || from == ONCE_RELEASED;
+	case ONCE_DONE:
+	case ONCE_UNKNOWN:
+		return from == ONCE_SENDING && own;
+	case ONCE_RELEASED:
+		return from == ONCE_ABSENT || from == ONCE_RELEASED ||
+		       (from == ONCE_SENDING && own);
+	default:
+		return false;
+	}
+}
--- /dev/null
+++ b/src/core/wfq.c
@@ -0,0 +1,159 @@
+#include "flamingolatch/wfq.h"
+
+#include <glib.h>
+
+struct wfq_flow {
+	GQueue items;  /* oldest first */
+	double finish; /* virtual finish time of the newest item */
+	double weight;
+};
+
+struct wfq_item {
+	struct wfq_flow *flow;
+	GList *by_deadline;
+	double start;
+	double finish;
+	uint64_t deadline_us;
+	void *user;
+};
+
+struct wfq {
+	GHashTable *flows; /* "customer/priority" to struct wfq_flow */
+	GPtrArray *active; /* flows with items */
+	GQueue deadlines;  /* items by deadline, soonest first */
+	double virtual_time;
+	uint32_t length;
+};
+
+/* lifetime */
+
+struct wfq *wfq_create(void)
+{
+	struct wfq *queue = g_new0(struct wfq, 1);
+
+	queue->flows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	queue->active = g_ptr_array_new();
+	g_queue_init(&queue->deadlines);
+	return queue;
+}
+
+void wfq_destroy(struct wfq *queue)
+{
+	if (!queue)
+		return;
+	g_ptr_array_free(queue->active, TRUE);
+	g_hash_table_destroy(queue->flows);
+	g_free(queue);
+}
+
+/* helpers */
+
+static struct wfq_flow *wfq_flow(struct wfq *queue, const char *customer, uint64_t priority)
+{
+	g_autofree char *key = g_strdup_printf("%s/%u", customer, (unsigned int)priority);
+	struct wfq_flow *flow = g_hash_table_lookup(queue->flows, key);
+
+	if (flow)
+		return flow;
+	flow = g_new0(struct wfq_flow, 1);
+	g_queue_init(&flow->items);
+	flow->weight = 1.0 + (double)priority;
+	g_hash_table_insert(queue->flows, g_steal_pointer(&key), flow);
+	return flow;
+}
+
+static GList *wfq_insert_deadline(struct wfq *queue, struct wfq_item *item)
+{
+	GList *at = queue->deadlines.tail;
+
+	while (at && ((struct wfq_item *)at->data)->deadline_us > item->deadline_us)
+		at = at->prev;
+	if (!at) {
+		g_queue_push_head(&queue->deadlines, item);
+		return queue->deadlines.head;
+	}
+	g_queue_insert_after(&queue->deadlines, at, item);
+	return at->next;
+}
+
+static double wfq_flow_key(const struct wfq_flow *flow)
+{
+	return ((const struct wfq_item *)flow->items.head->data)->finish;
+}
+
+/* commands */
+
+struct wfq_item *wfq_push(struct wfq *queue, const char *customer, uint64_t priority, double cost,
+			  uint64_t deadline_us, void *user)
+{
+	struct wfq_flow *flow = wfq_flow(queue, customer, priority);
+	struct wfq_item *item = g_new0(struct wfq_item, 1);
+
+	item->flow = flow;
+	item->deadline_us = deadline_us;
+	item->user = user;
+	item->start = MAX(queue->virtual_time, flow->finish);
+	item->finish = item->start + cost / flow->weight;
+	flow->finish = item->finish;
+	if (g_queue_is_empty(&flow->items))
+		g_ptr_array_add(queue->active, flow);
+	g_queue_push_tail(&flow->items, item);
+	item->by_deadline = wfq_insert_deadline(queue, item);
+	queue->length++;
+	return item;
+}
+
+void wfq_remove(struct wfq *queue, struct wfq_item *item, int served)
+{
+	struct wfq_flow *flow = item->flow;
+
+	if (served)
+		queue->virtual_time = MAX(queue->virtual_time, item->start);
+	g_queue_remove(&flow->items, item);
+	g_queue_delete_link(&queue->deadlines, item->by_deadline);
+	if (g_queue_is_empty(&flow->items))
+		g_ptr_array_remove_fast(queue->active, flow);
+	queue->length--;
+	g_free(item);
+}
+
+/* queries */
+
+struct wfq_item *wfq_at(struct wfq *queue, uint32_t rank)
+{
+	double above = -1.0;
+	struct wfq_flow *best = NULL;
+
+	/* Few flows are active and few ranks are asked for. */
+	for (uint32_t step = 0; step <= rank; step++) {
+		best = NULL;
+		for (guint i = 0; i < queue->active->len; i++) {
+			struct wfq_flow *flow = queue->active->pdata[i];
+			double key = wfq_flow_key(flow);
+
+			if (key > above && (!best || key < wfq_flow_key(best)))
+				best = flow;
+		}
+		if (!best)
+			return NULL;
+		above = wfq_flow_key(best);
+	}
+	return best->items.head->data;
+}
+
+struct wfq_item *wfq_expired(struct wfq *queue, uint64_t now_us)
+{
+	struct wfq_item *item = g_queue_peek_head(&queue->deadlines);
+
+	return item && item->deadline_us <= now_us ? item : NULL;
+}
+
+void *wfq_user(const struct wfq_item *item)
+{
+	return item->user;
+}
+
+uint32_t wfq_length(const struct wfq *queue)
+{
+	return queue->length;
+}
--- /dev/null
+++ b/src/entry/entry_internal.h
@@ -0,0 +1,142 @@
+/**
+ * @file entry_internal.h
+ * Private parts of an entry instance, shared by its commands and queries.
+ *
+ * entry.c owns the lifetime, watch.c follows the platform and the engines,
+ * gossip.c talks with the peers, router.c hands requests to src/command and
+ * src/query. All of it runs on one loop and one thread.
+ */
+#ifndef FLAMINGOLATCH_SRC_ENTRY_INTERNAL_H
+#define FLAMINGOLATCH_SRC_ENTRY_INTERNAL_H
+
+#include "flamingolatch/bus.h"
+#include "flamingolatch/cset.h"
+#include "flamingolatch/entry.h"
+#include "flamingolatch/err.h"
+#include "flamingolatch/http_client.h"
+#include "flamingolatch/http_server.h"
+#include "flamingolatch/limit.h"
+#include "flamingolatch/log.h"
+#include "flamingolatch/member.h"
+#include "flamingolatch/metric.h"
+#include "flamingolatch/pool.h"
+#include "flamingolatch/retry.h"
+#include "flamingolatch/settings.h"
+#include "flamingolatch/table.h"
+#include "flamingolatch/wfq.h"
+
+struct watch;
+struct gossip;
+struct genreq;
+
+/** What an instance keeps for one service. */
+struct entry_service {
+	const struct set_service *set;
+	struct retry retry;
+	struct len *len;
+	GHashTable *len_by_customer; /* customer to struct len */
+};
+
+/** One entry instance. */
+struct entry {
+	uv_loop_t *loop;
+	struct settings *set;
+	struct metric *metric;
+	struct hcli *cli;
+	struct table *table;
+	struct hsrv *callers;
+	struct hsrv *operators;
+	struct bus *bus;
+	struct cset *cset;
+	struct pool *pool;
+	struct wfq *queue;
+	struct lim *lim;
+	struct memb *memb;
+	struct watch *watch;
+	struct gossip *gossip;
+	GHashTable *services;	 /* name to struct entry_service */
+	GHashTable *generations; /* set of struct genreq */
+	char *bus_address;
+	uint64_t incarnation;
+	uint64_t config_confirmed_us; /* when the revision was last seen as newest */
+	uint32_t background;	      /* work that goes on after its answer */
+	uv_timer_t tick;
+	uv_timer_t drain;
+	uv_signal_t terminate;
+	uv_signal_t interrupt;
+	uint64_t drain_from_us;
+	bool ready;
+	bool stopping;
+	bool drain_warned;
+};
+
+/** Monotonic time in microseconds. */
+uint64_t entry_now_us(void);
+/** Wall clock in milliseconds. */
+uint64_t entry_wall_ms(void);
+
+/** Returns the service of a name, or NULL. */
+struct entry_service *entry_service(struct entry *entry, const char *name);
+/** Returns the length estimate of a service's customer. */
+struct len *entry_len(struct entry_service *service, const char *customer);
+/** Puts a snapshot in force when it is newer and tells the peers. */
+void entry_apply_config(struct entry *entry, const json_t *snapshot, const char *source);
+/** Marks an upstream as leaving and tells the peers. */
+void entry_upstream_leaving(struct entry *entry, struct upstream *up, const char *source);
+
+/** @name answer.c
+ * @{ */
+/** Answers with an error kind; @p message may be NULL. */
+void answer_error(struct entry *entry, struct hreq *req, enum err_kind kind, const char *message);
+/** Answers with JSON; takes the reference. */
+void answer_json(struct hreq *req, uint16_t status, json_t *root);
+/** Returns the body of an error answer. */
+json_t *answer_error_json(enum err_kind kind, const char *message);
+/** @} */
+
+/** @name router.c
+ * @{ */
+void router_caller(void *ctx, struct hreq *req);
+void router_operator(void *ctx, struct hreq *req);
+/** @} */
+
+/** @name watch.c: the platform's lists, the configuration and engine reports
+ * @{ */
+struct watch *watch_create(struct entry *entry);
+void watch_destroy(struct watch *watch);
+/** Reads the configuration from the table soon. */
+void watch_config_now(struct watch *watch);
+/** @} */
+
+/** @name gossip.c: exchange with peers
+ * @{ */
+struct gossip *gossip_create(struct entry *entry);
+void gossip_destroy(struct gossip *gossip);
+/** Sends to the peers at once instead of at the next round. */
+void gossip_urgent(struct gossip *gossip);
+/** Remembers an upstream that is leaving, to pass it on. */
+void gossip_leaving(struct gossip *gossip, const char *id, const char *address);
+void gossip_receive(void *ctx, const void *buf, size_t len);
+/** @} */
+
+/** @name src/command
+ * @{ */
+void generate_start(struct entry *entry, struct hreq *req, const struct set_customer *customer,
+		    bool chat);
+void generate_resume(struct entry *entry, struct hreq *req, const struct set_customer *customer);
+/** Looks at deadlines and stalls, and admits what fits. */
+void generate_tick(struct entry *entry);
+void call_start(struct entry *entry, struct hreq *req, const struct set_customer *customer);
+void profile_change(struct entry *entry, struct hreq *req, enum cset_verb verb);
+/** @} */
+
+/** @name src/query
+ * @{ */
+void query_state(struct entry *entry, struct hreq *req);
+void query_metrics(struct entry *entry, struct hreq *req);
+void query_profiles(struct entry *entry, struct hreq *req, const char *name);
+/** Adds a generation to the state dump. */
+json_t *genreq_state(const struct genreq *gen, uint64_t now_us);
+/** @} */
+
+#endif
--- /dev/null
+++ b/src/entry/gossip.c
@@ -0,0 +1,269 @@
+#include "entry_internal.h"
+#include "flamingolatch/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GOSSIP_ROUND_MS	       500
+#define GOSSIP_URGENT_MS       10
+#define GOSSIP_PEERS_MAX       8
+#define GOSSIP_RECORD_BYTES    110
+#define GOSSIP_SUM_BYTES       120
+#define GOSSIP_LEAVING_BYTES   70
+#define GOSSIP_LEAVING_KEEP_US (60ULL * 1000 * 1000)
+#define GOSSIP_ASK_EVERY_US    (300ULL * 1000)
+/* Half of the budget is for sending; what peers send takes the other half. */
+#define GOSSIP_SEND_SHARE 2
+
+struct gossip_notice {
+	struct wire_leaving leaving;
+	uint64_t until_us;
+};
+
+struct gossip {
+	struct entry *entry;
+	uv_timer_t round;
+	uv_timer_t urgent;
+	GArray *notices;    /* struct gossip_notice */
+	uint32_t sums_from; /* where the next round goes on */
+	uint64_t asked_us;
+};
+
+static void gossip_on_round(uv_timer_t *timer);
+static void gossip_on_urgent(uv_timer_t *timer);
+
+/* lifetime */
+
+struct gossip *gossip_create(struct entry *entry)
+{
+	struct gossip *gossip = g_new0(struct gossip, 1);
+
+	gossip->entry = entry;
+	gossip->notices = g_array_new(FALSE, TRUE, sizeof(struct gossip_notice));
+	uv_timer_init(entry->loop, &gossip->round);
+	uv_timer_init(entry->loop, &gossip->urgent);
+	gossip->round.data = gossip;
+	gossip->urgent.data = gossip;
+	uv_timer_start(&gossip->round, gossip_on_round, GOSSIP_ROUND_MS, GOSSIP_ROUND_MS);
+	return gossip;
+}
+
+static void gossip_on_closed(uv_handle_t *handle)
+{
+	struct gossip *gossip = handle->data;
+
+	g_array_free(gossip->notices, TRUE);
+	g_free(gossip);
+}
+
+void gossip_destroy(struct gossip *gossip)
+{
+	if (!gossip)
+		return;
+	uv_close((uv_handle_t *)&gossip->round, NULL);
+	uv_close((uv_handle_t *)&gossip->urgent, gossip_on_closed);
+}
+
+/* helpers */
+
+static void gossip_add_sum(void *ctx, struct upstream *up)
+{
+	GPtrArray *list = ctx;
+
+	if (upstream_open(up) > 0)
+		g_ptr_array_add(list, up);
+}
+
+/* Sums of engines with own work, by turns when they do not all fit. */
+static void gossip_fill_sums(struct gossip *gossip, struct wire_gossip *out, uint32_t max)
+{
+	g_autoptr(GPtrArray) list = g_ptr_array_new();
+
+	pool_each(gossip->entry->pool, gossip_add_sum, list);
+	max = MIN(MIN(max, WIRE_SUMS_MAX), list->len);
+	for (uint32_t i = 0; i < max; i++) {
+		struct upstream *up = list->pdata[(gossip->sums_from + i) % list->len];
+		struct wire_sum *sum = &out->sums[out->sum_count++];
+
+		g_strlcpy(sum->id, upstream_id(up), sizeof(sum->id));
+		sum->sum = *upstream_own(up);
+		for (uint32_t h = 0; h < LOAD_HORIZONS; h++) {
+			sum->sum.mean[h] = MAX(sum->sum.mean[h], 0.0);
+			sum->sum.var[h] = MAX(sum->sum.var[h], 0.0);
+		}
+	}
+	gossip->sums_from += max;
+}
+
+static void gossip_fill_leaving(struct gossip *gossip, struct wire_gossip *out, uint64_t now_us)
+{
+	for (guint i = gossip->notices->len; i-- > 0;) {
+		struct gossip_notice *notice =
+			&g_array_index(gossip->notices, struct gossip_notice, i);
+
+		if (notice->until_us < now_us)
+			g_array_remove_index_fast(gossip->notices, i);
+		else if (out->leaving_count < WIRE_LEAVING_MAX)
+			out->leaving[out->leaving_count++] = notice->leaving;
+	}
+}
+
+/* Leaving notices go first, then membership, then loads, within the budget. */
+static void gossip_send(struct gossip *gossip)
+{
+	struct entry *entry = gossip->entry;
+	struct memb_record peers[GOSSIP_PEERS_MAX];
+	uint32_t peer_count = memb_peers(entry->memb, peers, GOSSIP_PEERS_MAX);
+	struct wire_gossip *out;
+	GByteArray *buf;
+	uint64_t budget;
+	uint64_t left;
+
+	if (peer_count == 0)
+		return;
+	out = g_new0(struct wire_gossip, 1);
+	budget = entry->set->bus_bytes_per_s / GOSSIP_SEND_SHARE * GOSSIP_ROUND_MS / 1000 /
+		 peer_count;
+	gossip_fill_leaving(gossip, out, entry_now_us());
+	left = budget - MIN(budget, out->leaving_count * GOSSIP_LEAVING_BYTES);
+	out->member_count =
+		memb_digest(entry->memb, out->members,
+			    (uint32_t)CLAMP(left / 2 / GOSSIP_RECORD_BYTES, 2, WIRE_MEMBERS_MAX));
+	left -= MIN(left, out->member_count * GOSSIP_RECORD_BYTES);
+	gossip_fill_sums(gossip, out, (uint32_t)(left / GOSSIP_SUM_BYTES));
+	buf = g_byte_array_new();
+	wire_encode_gossip(buf, entry->set->instance, out);
+	for (uint32_t i = 0; i < peer_count; i++) {
+		if (!bus_send(entry->bus, peers[i].address, buf->data, buf->len))
+			continue;
+		metric_add(entry->metric, METRIC_BUS_SENT, 1);
+		metric_add(entry->metric, METRIC_BUS_SENT_BYTES, buf->len);
+	}
+	g_byte_array_free(buf, TRUE);
+	g_free(out);
+}
+
+static void gossip_on_round(uv_timer_t *timer)
+{
+	struct gossip *gossip = timer->data;
+
+	memb_tick(gossip->entry->memb, entry_now_us());
+	metric_set(gossip->entry->metric, METRIC_MEMBERS, memb_live(gossip->entry->memb));
+	gossip_send(gossip);
+}
+
+static void gossip_on_urgent(uv_timer_t *timer)
+{
+	struct gossip *gossip = timer->data;
+
+	/* A higher heartbeat makes the peers take the record at once. */
+	memb_tick(gossip->entry->memb, entry_now_us());
+	gossip_send(gossip);
+}
+
+/* A peer has a newer configuration: asks it, so that the table is not asked by all. */
+static void gossip_ask_config(struct gossip *gossip, const struct memb_record *from)
+{
+	struct entry *entry = gossip->entry;
+	uint64_t now_us = entry_now_us();
+	g_autoptr(GByteArray) buf = g_byte_array_new();
+
+	if (now_us - gossip->asked_us < GOSSIP_ASK_EVERY_US)
+		return;
+	gossip->asked_us = now_us;
+	wire_encode_config_ask(buf, entry->set->instance, entry->bus_address,
+			       cset_revision(entry->cset));
+	bus_send(entry->bus, from->address, buf->data, buf->len);
+}
+
+static void gossip_answer_config(struct gossip *gossip, const struct wire_message *msg)
+{
+	struct entry *entry = gossip->entry;
+	g_autoptr(GByteArray) buf = g_byte_array_new();
+	char *text;
+
+	if (cset_revision(entry->cset) <= msg->revision)
+		return;
+	text = json_dumps(cset_snapshot(entry->cset), JSON_COMPACT);
+	wire_encode_config(buf, entry->set->instance, text);
+	bus_send(entry->bus, msg->address, buf->data, buf->len);
+	free(text);
+}
+
+static void gossip_take_leaving(struct entry *entry, const struct wire_leaving *leaving)
+{
+	struct upstream *up = pool_find(entry->pool, leaving->id);
+
+	if (up && strcmp(upstream_address(up), leaving->address) == 0)
+		entry_upstream_leaving(entry, up, "peer");
+}
+
+static void gossip_take(struct gossip *gossip, const struct wire_message *msg)
+{
+	struct entry *entry = gossip->entry;
+	const struct wire_gossip *in = msg->gossip;
+	uint64_t now_us = entry_now_us();
+
+	for (uint32_t i = 0; i < in->member_count; i++) {
+		const struct memb_record *record = &in->members[i];
+
+		memb_merge(entry->memb, record, now_us);
+		if (strcmp(record->id, msg->from) == 0 &&
+		    record->revision > cset_revision(entry->cset))
+			gossip_ask_config(gossip, record);
+	}
+	for (uint32_t i = 0; i < in->leaving_count; i++)
+		gossip_take_leaving(entry, &in->leaving[i]);
+	for (uint32_t i = 0; i < in->sum_count; i++) {
+		struct upstream *up = pool_find(entry->pool, in->sums[i].id);
+
+		if (up)
+			upstream_set_peer(up, msg->from, &in->sums[i].sum, now_us);
+	}
+}
+
+/* commands */
+
+void gossip_urgent(struct gossip *gossip)
+{
+	if (gossip && !uv_is_active((uv_handle_t *)&gossip->urgent))
+		uv_timer_start(&gossip->urgent, gossip_on_urgent, GOSSIP_URGENT_MS, 0);
+}
+
+void gossip_leaving(struct gossip *gossip, const char *id, const char *address)
+{
+	struct gossip_notice notice = { .until_us = entry_now_us() + GOSSIP_LEAVING_KEEP_US };
+
+	g_strlcpy(notice.leaving.id, id, sizeof(notice.leaving.id));
+	g_strlcpy(notice.leaving.address, address, sizeof(notice.leaving.address));
+	g_array_append_val(gossip->notices, notice);
+}
+
+void gossip_receive(void *ctx, const void *buf, size_t len)
+{
+	struct entry *entry = ctx;
+	struct wire_message msg;
+	json_t *snapshot;
+
+	metric_add(entry->metric, METRIC_BUS_RECEIVED, 1);
+	if (!wire_decode(buf, len, &msg)) {
+		metric_add(entry->metric, METRIC_BUS_BAD, 1);
+		log_event(LOG_BUS_BAD_FRAME, NULL);
+		return;
+	}
+	switch (msg.type) {
+	case WIRE_GOSSIP:
+		gossip_take(entry->gossip, &msg);
+		break;
+	case WIRE_CONFIG_ASK:
+		gossip_answer_config(entry->gossip, &msg);
+		break;
+	default:
+		snapshot = json_loads(msg.snapshot, 0, NULL);
+		if (snapshot)
+			entry_apply_config(entry, snapshot, "peer");
+		json_decref(snapshot);
+		break;
+	}
+	wire_clear(&msg);
+}
--- /dev/null
+++ b/src/entry/router.c
@@ -0,0 +1,105 @@
+#include "entry_internal.h"
+
+#include <string.h>
+
+#define ROUTER_BEARER "Bearer "
+
+/* helpers */
+
+static const char *router_token(struct hreq *req)
+{
+	const char *value = hreq_header(req, "authorization");
+
+	if (!value || strncmp(value, ROUTER_BEARER, strlen(ROUTER_BEARER)) != 0)
+		return NULL;
+	return value + strlen(ROUTER_BEARER);
+}
+
+static bool router_is(struct hreq *req, const char *method, const char *path)
+{
+	return strcmp(hreq_method(req), method) == 0 && strcmp(hreq_path(req), path) == 0;
+}
+
+/* Compares in a time that does not depend on where the texts differ. */
+static bool router_same_secret(const char *a, const char *b)
+{
+	size_t len = strlen(b);
+	uint8_t diff = strlen(a) != len;
+
+	for (size_t i = 0; i < len && a[0] && i < strlen(a); i++)
+		diff |= (uint8_t)(a[i] ^ b[i]);
+	return diff == 0;
+}
+
+static void router_health(struct entry *entry, struct hreq *req, bool ok)
+{
+	const char *text = ok ? "ok\n" : "not ready\n";
+
+	(void)entry;
+	hreq_reply(req, ok ? 200 : 503, "text/plain", text, strlen(text));
+}
+
+/* commands */
+
+void router_caller(void *ctx, struct hreq *req)
+{
+	struct entry *entry = ctx;
+	const struct set_customer *customer = NULL;
+	const char *token = router_token(req);
+
+	metric_add(entry->metric, METRIC_REQUESTS, 1);
+	if (token)
+		customer = set_find_customer(entry->set, token);
+	if (!customer) {
+		answer_error(entry, req, ERR_UNAUTHENTICATED, NULL);
+		return;
+	}
+	if (!entry->ready)
+		answer_error(entry, req, ERR_NOT_READY, NULL);
+	else if (router_is(req, "POST", "/v1/completions"))
+		generate_start(entry, req, customer, false);
+	else if (router_is(req, "POST", "/v1/chat/completions"))
+		generate_start(entry, req, customer, true);
+	else if (router_is(req, "GET", "/v1/completions"))
+		generate_resume(entry, req, customer);
+	else if (g_str_has_prefix(hreq_path(req), "/s/"))
+		call_start(entry, req, customer);
+	else
+		answer_error(entry, req, ERR_NOT_FOUND, NULL);
+}
+
+void router_operator(void *ctx, struct hreq *req)
+{
+	struct entry *entry = ctx;
+	const char *token = router_token(req);
+	const char *path = hreq_path(req);
+
+	if (router_is(req, "GET", "/healthz")) {
+		router_health(entry, req, true);
+		return;
+	}
+	if (router_is(req, "GET", "/readyz")) {
+		router_health(entry, req, entry->ready && !entry->stopping);
+		return;
+	}
+	if (!token || !router_same_secret(token, entry->set->operator_token)) {
+		answer_error(entry, req, ERR_UNAUTHENTICATED, NULL);
+		return;
+	}
+	if (router_is(req, "GET", "/state"))
+		query_state(entry, req);
+	else if (router_is(req, "GET", "/metrics"))
+		query_metrics(entry, req);
+	else if (router_is(req, "GET", "/profiles"))
+		query_profiles(entry, req, NULL);
+	else if (strcmp(hreq_method(req), "GET") == 0 && g_str_has_prefix(path, "/profiles/"))
+		query_profiles(entry, req, path + strlen("/profiles/"));
+	else if (router_is(req, "POST", "/profiles/publish"))
+		profile_change(entry, req, CSET_PUBLISH);
+	else if (router_is(req, "POST", "/profiles/change"))
+		profile_change(entry, req, CSET_CHANGE);
+	else if (router_is(req, "POST", "/profiles/retire"))
+		profile_change(entry, req, CSET_RETIRE);
+	else
+		answer_error(entry, req, ERR_NOT_FOUND, NULL);
+}
--- /dev/null
+++ b/src/io/bus.c
@@ -0,0 +1,309 @@
+#include "flamingolatch/bus.h"
+#include "flamingolatch/err.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define BUS_HIGH_WATER	    256
+#define BUS_MAX_MESSAGE	    (1 << 20)
+#define BUS_SWEEP_MS	    200
+#define BUS_IDLE_US	    (30ULL * 1000 * 1000)
+#define BUS_ZAP_ENDPOINT    "inproc://zeromq.zap.01"
+#define BUS_ZAP_FRAMES	    8
+#define BUS_CURVE_KEY_BYTES 32
+
+struct bus_peer {
+	void *socket;
+	uint64_t used_us;
+};
+
+struct bus {
+	uv_loop_t *loop;
+	void *zmq;
+	void *pull;
+	void *zap; /* NULL without CURVE */
+	uv_poll_t pull_poll;
+	uv_poll_t zap_poll;
+	uv_timer_t sweep;
+	GHashTable *peers; /* "IP:port" to struct bus_peer */
+	char *public_key;
+	char *secret_key;
+	uint8_t public_raw[BUS_CURVE_KEY_BYTES];
+	bus_cb cb;
+	void *ctx;
+	uint32_t closing;
+	uint16_t port;
+};
+
+static void bus_on_pull(uv_poll_t *poll, int status, int events);
+static void bus_on_zap(uv_poll_t *poll, int status, int events);
+static void bus_on_sweep(uv_timer_t *timer);
+
+/* lifetime */
+
+static void bus_peer_free(gpointer data)
+{
+	struct bus_peer *peer = data;
+
+	zmq_close(peer->socket);
+	g_free(peer);
+}
+
+static void bus_poll_start(struct bus *bus, uv_poll_t *poll, void *socket, uv_poll_cb cb)
+{
+	int fd;
+	size_t size = sizeof(fd);
+
+	zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+	uv_poll_init(bus->loop, poll, fd);
+	poll->data = bus;
+	uv_poll_start(poll, UV_READABLE, cb);
+}
+
+static void bus_common_options(void *socket)
+{
+	int high_water = BUS_HIGH_WATER;
+	int linger = 0;
+	int64_t max_size = BUS_MAX_MESSAGE;
+
+	zmq_setsockopt(socket, ZMQ_RCVHWM, &high_water, sizeof(high_water));
+	zmq_setsockopt(socket, ZMQ_SNDHWM, &high_water, sizeof(high_water));
+	zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof(linger));
+	zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size, sizeof(max_size));
+}
+
+static bool bus_bind(struct bus *bus, const struct bus_conf *conf)
+{
+	g_autofree char *endpoint = NULL;
+	char bound[128];
+	size_t bound_len = sizeof(bound);
+	int server = 1;
+
+	bus_common_options(bus->pull);
+	if (bus->public_key) {
+		zmq_setsockopt(bus->pull, ZMQ_CURVE_SERVER, &server, sizeof(server));
+		if (zmq_setsockopt(bus->pull, ZMQ_CURVE_SECRETKEY, bus->secret_key,
+				   strlen(bus->secret_key)) != 0)
+			return false;
+	}
+	if (conf->port)
+		endpoint = g_strdup_printf("tcp://%s:%u", conf->address, conf->port);
+	else
+		endpoint = g_strdup_printf("tcp://%s:*", conf->address);
+	if (zmq_bind(bus->pull, endpoint) != 0)
+		return false;
+	zmq_getsockopt(bus->pull, ZMQ_LAST_ENDPOINT, bound, &bound_len);
+	bus->port = (uint16_t)strtoul(strrchr(bound, ':') + 1, NULL, 10);
+	return true;
+}
+
+struct bus *bus_create(uv_loop_t *loop, const struct bus_conf *conf, bus_cb cb, void *ctx,
+		       GError **error)
+{
+	struct bus *bus = g_new0(struct bus, 1);
+
+	bus->loop = loop;
+	bus->cb = cb;
+	bus->ctx = ctx;
+	bus->zmq = zmq_ctx_new();
+	bus->public_key = g_strdup(conf->public_key);
+	bus->secret_key = g_strdup(conf->secret_key);
+	bus->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, bus_peer_free);
+	if (bus->public_key) {
+		bus->zap = zmq_socket(bus->zmq, ZMQ_REP);
+		zmq_bind(bus->zap, BUS_ZAP_ENDPOINT);
+		if (!zmq_z85_decode(bus->public_raw, bus->public_key)) {
+			g_set_error(error, ERR_DOMAIN, ERR_SETTINGS,
+				    "the bus's public key is not Z85");
+			goto fail;
+		}
+	}
+	bus->pull = zmq_socket(bus->zmq, ZMQ_PULL);
+	if (!bus_bind(bus, conf)) {
+		g_set_error(error, ERR_DOMAIN, ERR_IO, "cannot bind the bus to %s:%u: %s",
+			    conf->address, conf->port, zmq_strerror(errno));
+		goto fail;
+	}
+	bus_poll_start(bus, &bus->pull_poll, bus->pull, bus_on_pull);
+	if (bus->zap)
+		bus_poll_start(bus, &bus->zap_poll, bus->zap, bus_on_zap);
+	uv_timer_init(loop, &bus->sweep);
+	bus->sweep.data = bus;
+	uv_timer_start(&bus->sweep, bus_on_sweep, BUS_SWEEP_MS, BUS_SWEEP_MS);
+	return bus;
+fail:
+	if (bus->pull)
+		zmq_close(bus->pull);
+	if (bus->zap)
+		zmq_close(bus->zap);
+	zmq_ctx_term(bus->zmq);
+	g_hash_table_destroy(bus->peers);
+	g_free(bus->public_key);
+	g_free(bus->secret_key);
+	g_free(bus);
+	return NULL;
+}
+
+static void bus_on_closed(uv_handle_t *handle)
+{
+	struct bus *bus = handle->data;
+
+	if (--bus->closing > 0)
+		return;
+	g_hash_table_destroy(bus->peers);
+	zmq_close(bus->pull);
+	if (bus->zap)
+		zmq_close(bus->zap);
+	zmq_ctx_term(bus->zmq);
+	g_free(bus->public_key);
+	g_free(bus->secret_key);
+	g_free(bus);
+}
+
+void bus_destroy(struct bus *bus)
+{
+	if (!bus)
+		return;
+	bus->closing = bus->zap ? 3 : 2;
+	uv_close((uv_handle_t *)&bus->pull_poll, bus_on_closed);
+	uv_close((uv_handle_t *)&bus->sweep, bus_on_closed);
+	if (bus->zap)
+		uv_close((uv_handle_t *)&bus->zap_poll, bus_on_closed);
+}
+
+/* commands */
+
+static struct bus_peer *bus_connect(struct bus *bus, const char *address)
+{
+	g_autofree char *endpoint = g_strdup_printf("tcp://%s", address);
+	struct bus_peer *peer = g_new0(struct bus_peer, 1);
+	int immediate = 1;
+
+	peer->socket = zmq_socket(bus->zmq, ZMQ_PUSH);
+	bus_common_options(peer->socket);
+	/* Messages of the time before the connection stands would be stale. */
+	zmq_setsockopt(peer->socket, ZMQ_IMMEDIATE, &immediate, sizeof(immediate));
+	if (bus->public_key) {
+		zmq_setsockopt(peer->socket, ZMQ_CURVE_SERVERKEY, bus->public_key,
+			       strlen(bus->public_key));
+		zmq_setsockopt(peer->socket, ZMQ_CURVE_PUBLICKEY, bus->public_key,
+			       strlen(bus->public_key));
+		zmq_setsockopt(peer->socket, ZMQ_CURVE_SECRETKEY, bus->secret_key,
+			       strlen(bus->secret_key));
+	}
+	zmq_connect(peer->socket, endpoint);
+	g_hash_table_insert(bus->peers, g_strdup(address), peer);
+	return peer;
+}
+
+bool bus_send(struct bus *bus, const char *address, const void *buf, size_t len)
+{
+	struct bus_peer *peer = g_hash_table_lookup(bus->peers, address);
+
+	if (!peer)
+		peer = bus_connect(bus, address);
+	peer->used_us = uv_hrtime() / 1000;
+	return zmq_send(peer->socket, buf, len, ZMQ_DONTWAIT) >= 0;
+}
+
+/* queries */
+
+uint16_t bus_port(const struct bus *bus)
+{
+	return bus->port;
+}
+
+/* helpers */
+
+static void bus_drain(struct bus *bus)
+{
+	zmq_msg_t msg;
+
+	for (;;) {
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, bus->pull, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&msg);
+			return;
+		}
+		bus->cb(bus->ctx, zmq_msg_data(&msg), zmq_msg_size(&msg));
+		zmq_msg_close(&msg);
+	}
+}
+
+static void bus_zap_reply(struct bus *bus, const char *request_id, size_t id_len, bool known)
+{
+	zmq_send(bus->zap, "1.0", 3, ZMQ_SNDMORE);
+	zmq_send(bus->zap, request_id, id_len, ZMQ_SNDMORE);
+	zmq_send(bus->zap, known ? "200" : "400", 3, ZMQ_SNDMORE);
+	zmq_send(bus->zap, "", 0, ZMQ_SNDMORE);
+	zmq_send(bus->zap, known ? "peer" : "", known ? 4 : 0, ZMQ_SNDMORE);
+	zmq_send(bus->zap, "", 0, 0);
+}
+
+/* Answers ZeroMQ's own question whether a client key may connect:
+ * version, request id, domain, address, identity, mechanism, key. */
+static bool bus_zap_one(struct bus *bus)
+{
+	char request_id[64];
+	uint8_t key[BUS_CURVE_KEY_BYTES];
+	size_t id_len = 0;
+	size_t key_len = 0;
+	int more = 1;
+	size_t size = sizeof(more);
+
+	for (uint32_t frame = 0; more && frame < BUS_ZAP_FRAMES; frame++) {
+		char buf[256];
+		int len = zmq_recv(bus->zap, buf, sizeof(buf), ZMQ_DONTWAIT);
+
+		if (len < 0)
+			return false;
+		if (frame == 1) {
+			id_len = MIN((size_t)len, sizeof(request_id));
+			memcpy(request_id, buf, id_len);
+		} else if (frame == 6 && len == BUS_CURVE_KEY_BYTES) {
+			key_len = (size_t)len;
+			memcpy(key, buf, key_len);
+		}
+		zmq_getsockopt(bus->zap, ZMQ_RCVMORE, &more, &size);
+	}
+	bus_zap_reply(bus, request_id, id_len,
+		      key_len == sizeof(key) && memcmp(key, bus->public_raw, sizeof(key)) == 0);
+	return true;
+}
+
+static void bus_on_pull(uv_poll_t *poll, int status, int events)
+{
+	(void)status;
+	(void)events;
+	bus_drain(poll->data);
+}
+
+static void bus_on_zap(uv_poll_t *poll, int status, int events)
+{
+	struct bus *bus = poll->data;
+
+	(void)status;
+	(void)events;
+	while (bus_zap_one(bus))
+		;
+}
+
+/* ZMQ_FD is edge-triggered: a regular look catches an edge that was missed. */
+static void bus_on_sweep(uv_timer_t *timer)
+{
+	struct bus *bus = timer->data;
+	uint64_t now_us = uv_hrtime() / 1000;
+	GHashTableIter iter;
+	struct bus_peer *peer;
+
+	bus_drain(bus);
+	while (bus->zap && bus_zap_one(bus))
+		;
+	g_hash_table_iter_init(&iter, bus->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (now_us - peer->used_us > BUS_IDLE_US)
+			g_hash_table_iter_remove(&iter);
+	}
+}
--- /dev/null
+++ b/src/io/table_http.c
@@ -0,0 +1,170 @@
+#include "flamingolatch/table.h"
+#include "flamingolatch/fetch.h"
+#include "flamingolatch/log.h"
+#include "flamingolatch/metric.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TABLE_TIMEOUT_MS 1000
+#define TABLE_MAX_BYTES	 (16U << 20)
+
+struct table_http {
+	struct table super; /* must be first */
+	struct hcli *cli;
+	struct metric *metric;
+	char *address;
+	bool reachable;
+	bool ever;
+};
+
+struct table_call {
+	struct table_http *table;
+	table_cb cb;
+	void *arg;
+};
+
+static void table_commit(void *ctx, const struct table_write *writes, uint32_t count, table_cb cb,
+			 void *arg);
+static void table_range(void *ctx, const char *prefix, table_cb cb, void *arg);
+static void table_on_answer(void *ctx, const struct fetch_answer *answer);
+
+static const struct table_ops table_http_ops = { table_commit, table_range };
+
+/* lifetime */
+
+struct table *table_http_create(struct hcli *cli, const char *address, struct metric *metric)
+{
+	struct table_http *table = g_new0(struct table_http, 1);
+
+	table->super.ops = &table_http_ops;
+	table->super.ctx = table;
+	table->cli = cli;
+	table->metric = metric;
+	table->address = g_strdup(address);
+	return &table->super;
+}
+
+void table_http_destroy(struct table *table)
+{
+	struct table_http *self = (struct table_http *)table;
+
+	if (!self)
+		return;
+	g_free(self->address);
+	g_free(self);
+}
+
+/* commands */
+
+static void table_call(struct table_http *table, const char *method, const char *path,
+		       const char *body, table_cb cb, void *arg)
+{
+	struct table_call *call = g_new0(struct table_call, 1);
+	struct hcall_req req = { .address = table->address,
+				 .method = method,
+				 .path = path,
+				 .headers = "content-type: application/json\r\n",
+				 .body = body,
+				 .body_len = body ? strlen(body) : 0,
+				 .timeout_ms = TABLE_TIMEOUT_MS };
+
+	call->table = table;
+	call->cb = cb;
+	call->arg = arg;
+	fetch_start(table->cli, &req, TABLE_MAX_BYTES, NULL, table_on_answer, call);
+}
+
+static void table_commit(void *ctx, const struct table_write *writes, uint32_t count, table_cb cb,
+			 void *arg)
+{
+	struct table_http *table = ctx;
+	json_t *list = json_array();
+	json_t *root = json_pack("{s:o}", "writes", list);
+	char *text;
+
+	for (uint32_t i = 0; i < count; i++)
+		json_array_append_new(list,
+				      json_pack("{s:s, s:I, s:s?}", "key", writes[i].key,
+						"if_version", (json_int_t)writes[i].if_version,
+						"value", writes[i].value));
+	text = json_dumps(root, JSON_COMPACT);
+	metric_add(table->metric, METRIC_TABLE_WRITES, 1);
+	table_call(table, "POST", "/table/commit", text, cb, arg);
+	free(text);
+	json_decref(root);
+}
+
+static void table_range(void *ctx, const char *prefix, table_cb cb, void *arg)
+{
+	struct table_http *table = ctx;
+	g_autofree char *escaped = g_uri_escape_string(prefix, NULL, FALSE);
+	g_autofree char *path = g_strdup_printf("/table/range?prefix=%s", escaped);
+
+	metric_add(table->metric, METRIC_TABLE_READS, 1);
+	table_call(table, "GET", path, NULL, cb, arg);
+}
+
+/* queries */
+
+bool table_http_reachable(const struct table *table)
+{
+	return ((const struct table_http *)table)->reachable;
+}
+
+/* helpers */
+
+static void table_note_reachable(struct table_http *table, bool reachable)
+{
+	if (table->ever && table->reachable == reachable)
+		return;
+	if (table->ever || !reachable)
+		log_event(reachable ? LOG_TABLE_UP : LOG_TABLE_DOWN, "address", table->address,
+			  NULL);
+	table->ever = true;
+	table->reachable = reachable;
+	metric_set(table->metric, METRIC_TABLE_REACHABLE, reachable);
+}
+
+static void table_report(struct table_call *call, enum table_result result,
+			 const struct fetch_answer *answer)
+{
+	json_t *root = json_loadb(answer->body, answer->body_len, 0, NULL);
+	json_t *list = json_object_get(root, "rows");
+	uint32_t count = (uint32_t)json_array_size(list);
+	struct table_row *rows = g_new0(struct table_row, MAX(count, 1));
+
+	for (uint32_t i = 0; i < count; i++) {
+		json_t *item = json_array_get(list, i);
+
+		rows[i].key = (char *)json_string_value(json_object_get(item, "key"));
+		rows[i].value = (char *)json_string_value(json_object_get(item, "value"));
+		rows[i].version = (uint64_t)json_integer_value(json_object_get(item, "version"));
+	}
+	/* An answer that cannot be read tells nothing. */
+	if (!json_is_array(list))
+		result = TABLE_LOST;
+	call->cb(call->arg, result, rows, count);
+	g_free(rows);
+	json_decref(root);
+}
+
+static void table_on_answer(void *ctx, const struct fetch_answer *answer)
+{
+	struct table_call *call = ctx;
+	bool answered = answer->result == HCALL_OK && answer->status < 500;
+
+	table_note_reachable(call->table, answered);
+	if (!answered) {
+		metric_add(call->table->metric, METRIC_TABLE_ERRORS, 1);
+		call->cb(call->arg, answer->sent ? TABLE_LOST : TABLE_REFUSED, NULL, 0);
+	} else if (answer->status == 409) {
+		table_report(call, TABLE_CONFLICT, answer);
+	} else if (answer->status == 200) {
+		table_report(call, TABLE_OK, answer);
+	} else {
+		call->cb(call->arg, TABLE_REFUSED, NULL, 0);
+	}
+	g_free(call);
+}
--- /dev/null
+++ b/src/main/profile.c
@@ -0,0 +1,425 @@
+#include "cli.h"
+#include "flamingolatch/profile.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROFILE_WAIT_STEP_US  200000
+#define PROFILE_SEND_ATTEMPTS 5
+
+/* Options of all profile verbs. */
+struct profile_options {
+	struct cli_target target;
+	char *path; /* file or directory */
+	gint64 generation;
+	gint64 timeout_s;
+	gboolean wait;
+	gboolean json;
+	gboolean prune;
+};
+
+/* A difference between a declaration and what is published. */
+struct profile_step {
+	const char *verb; /* publish, change or retire */
+	char *name;
+	json_t *spec;	     /* NULL for retire */
+	uint64_t generation; /* the one that was compared */
+};
+
+/* helpers */
+
+static json_t *profile_read_file(const char *path, char **name, GError **error)
+{
+	struct prof prof;
+	g_autofree char *text = NULL;
+	g_autoptr(GError) cause = NULL;
+	json_t *spec;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &cause)) {
+		g_set_error(error, ERR_DOMAIN, ERR_SETTINGS, "%s", cause->message);
+		return NULL;
+	}
+	if (!prof_parse(path, text, len, &prof, error))
+		return NULL;
+	spec = prof_to_json(&prof);
+	*name = g_strdup(prof.name);
+	prof_clear(&prof);
+	return spec;
+}
+
+static void profile_step_free(gpointer data)
+{
+	struct profile_step *step = data;
+
+	json_decref(step->spec);
+	g_free(step->name);
+	g_free(step);
+}
+
+static bool profile_is_active(const json_t *row)
+{
+	const char *state = json_string_value(json_object_get(row, "state"));
+
+	return state && strcmp(state, "active") == 0;
+}
+
+static const json_t *profile_find_row(const json_t *rows, const char *name)
+{
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+
+		if (strcmp(json_string_value(json_object_get(row, "name")), name) == 0)
+			return row;
+	}
+	return NULL;
+}
+
+static void profile_add_step(GPtrArray *steps, const char *verb, const char *name, json_t *spec,
+			     const json_t *row)
+{
+	struct profile_step *step = g_new0(struct profile_step, 1);
+
+	step->verb = verb;
+	step->name = g_strdup(name);
+	step->spec = json_incref(spec);
+	step->generation = (uint64_t)json_integer_value(json_object_get(row, "generation"));
+	g_ptr_array_add(steps, step);
+}
+
+static bool profile_declared(const char *dir, json_t *specs, GError **error)
+{
+	g_autoptr(GError) cause = NULL;
+	g_autoptr(GDir) handle = g_dir_open(dir, 0, &cause);
+	const char *entry;
+
+	if (!handle) {
+		g_set_error(error, ERR_DOMAIN, ERR_SETTINGS, "%s", cause->message);
+		return false;
+	}
+	while ((entry = g_dir_read_name(handle))) {
+		g_autofree char *path = g_build_filename(dir, entry, NULL);
+		g_autofree char *name = NULL;
+		json_t *spec;
+
+		if (!g_str_has_suffix(entry, ".yaml"))
+			continue;
+		spec = profile_read_file(path, &name, error);
+		if (!spec)
+			return false;
+		if (json_object_get(specs, name)) {
+			g_set_error(error, ERR_DOMAIN, ERR_SETTINGS,
+				    "%s: profile %s is declared twice", path, name);
+			json_decref(spec);
+			return false;
+		}
+		json_object_set_new(specs, name, spec);
+	}
+	return true;
+}
+
+/* Compares declarations with what is published; steps come in order of names. */
+static GPtrArray *profile_diff(const json_t *specs, const json_t *rows, bool prune)
+{
+	GPtrArray *steps = g_ptr_array_new_with_free_func(profile_step_free);
+	const char *name;
+	json_t *spec;
+
+	json_object_foreach((json_t *)specs, name, spec)
+	{
+		const json_t *row = profile_find_row(rows, name);
+
+		if (!profile_is_active(row))
+			profile_add_step(steps, "publish", name, spec, row);
+		else if (!json_equal(json_object_get(row, "spec"), spec))
+			profile_add_step(steps, "change", name, spec, row);
+	}
+	for (size_t i = 0; prune && i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+
+		name = json_string_value(json_object_get(row, "name"));
+		if (profile_is_active(row) && !json_object_get(specs, name))
+			profile_add_step(steps, "retire", name, NULL, row);
+	}
+	return steps;
+}
+
+static void profile_print_step(const struct profile_step *step, const json_t *rows)
+{
+	const json_t *old = json_object_get(profile_find_row(rows, step->name), "spec");
+	const char *key;
+	json_t *value;
+
+	printf("%s %s\n", step->verb, step->name);
+	if (strcmp(step->verb, "change") != 0)
+		return;
+	json_object_foreach(step->spec, key, value)
+	{
+		const json_t *was = json_object_get(old, key);
+		char *from = json_dumps(was, JSON_ENCODE_ANY | JSON_COMPACT);
+		char *to = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+		if (!json_equal(was, value))
+			printf("  %s: %s -> %s\n", key, from ? from : "(absent)", to);
+		free(from);
+		free(to);
+	}
+}
+
+/* Sends a change; a lost answer is repeated with the same request token. */
+static json_t *profile_send(const struct profile_options *opt, const char *verb, const char *name,
+			    json_t *spec, uint64_t generation, GError **error)
+{
+	g_autofree char *path = g_strdup_printf("/profiles/%s", verb);
+	g_autofree char *token = g_uuid_string_random();
+	json_t *body = json_pack("{s:s, s:s, s:I}", "name", name, "token", token,
+				 "expected_generation", (json_int_t)generation);
+	json_t *answer = NULL;
+
+	if (spec)
+		json_object_set(body, "spec", spec);
+	for (uint32_t i = 0; i < PROFILE_SEND_ATTEMPTS && !answer; i++) {
+		g_clear_error(error);
+		answer = cli_ask(&opt->target, path, body, error);
+		if (!answer && err_kind_of(*error) != ERR_IO)
+			break;
+	}
+	json_decref(body);
+	return answer;
+}
+
+/* Prints members that have not reported the revision themselves.
+ * @return how many */
+static uint32_t profile_missing(const json_t *answer, uint64_t revision, bool print)
+{
+	const json_t *members = json_object_get(answer, "members");
+	uint32_t missing = 0;
+
+	for (size_t i = 0; i < json_array_size(members); i++) {
+		const json_t *member = json_array_get(members, i);
+		const char *state = json_string_value(json_object_get(member, "state"));
+		uint64_t have = (uint64_t)json_integer_value(json_object_get(member, "revision"));
+
+		if (have >= revision || strcmp(state, "left") == 0)
+			continue;
+		missing++;
+		if (print)
+			fprintf(stderr,
+				"not observed: %s (%s), last reported revision %" PRIu64 "\n",
+				json_string_value(json_object_get(member, "id")), state, have);
+	}
+	return missing;
+}
+
+static int profile_wait(const struct profile_options *opt, uint64_t revision)
+{
+	gint64 until = g_get_monotonic_time() + opt->timeout_s * G_USEC_PER_SEC;
+
+	for (;;) {
+		g_autoptr(GError) error = NULL;
+		json_t *answer = cli_ask(&opt->target, "/profiles", NULL, &error);
+		bool late = g_get_monotonic_time() >= until;
+		uint32_t missing = answer ? profile_missing(answer, revision, late) : 1;
+
+		json_decref(answer);
+		if (missing == 0) {
+			printf("revision %" PRIu64 " is in force on every member\n", revision);
+			return 0;
+		}
+		if (late)
+			return err_info(ERR_NOT_OBSERVED)->exit_code;
+		g_usleep(PROFILE_WAIT_STEP_US);
+	}
+}
+
+static int profile_apply_one(const struct profile_options *opt, const char *verb, const char *name,
+			     json_t *spec, uint64_t generation, uint64_t *revision)
+{
+	g_autoptr(GError) error = NULL;
+	json_t *answer = profile_send(opt, verb, name, spec, generation, &error);
+
+	if (!answer)
+		return cli_fail(error);
+	*revision = (uint64_t)json_integer_value(json_object_get(answer, "revision"));
+	if (opt->json) {
+		json_dumpf(answer, stdout, JSON_COMPACT);
+		printf("\n");
+	} else {
+		printf("%s %s: generation %" JSON_INTEGER_FORMAT ", revision %" PRIu64 "\n", verb,
+		       name, json_integer_value(json_object_get(answer, "generation")), *revision);
+	}
+	json_decref(answer);
+	return 0;
+}
+
+/* verbs */
+
+static int profile_plan(const struct profile_options *opt, bool apply)
+{
+	g_autoptr(GError) error = NULL;
+	json_t *specs = json_object();
+	json_t *answer = NULL;
+	const json_t *rows;
+	g_autoptr(GPtrArray) steps = NULL;
+	uint64_t revision = 0;
+	int code = 0;
+
+	if (profile_declared(opt->path ? opt->path : ".", specs, &error))
+		answer = cli_ask(&opt->target, "/profiles", NULL, &error);
+	if (!answer) {
+		json_decref(specs);
+		return cli_fail(error);
+	}
+	rows = json_object_get(answer, "profiles");
+	steps = profile_diff(specs, rows, opt->prune);
+	if (steps->len == 0)
+		printf("nothing to change\n");
+	for (guint i = 0; i < steps->len && code == 0; i++) {
+		struct profile_step *step = steps->pdata[i];
+
+		if (!apply)
+			profile_print_step(step, rows);
+		else
+			code = profile_apply_one(opt, step->verb, step->name, step->spec,
+						 step->generation, &revision);
+	}
+	if (apply && code == 0 && opt->wait && revision)
+		code = profile_wait(opt, revision);
+	json_decref(specs);
+	json_decref(answer);
+	return code;
+}
+
+static int profile_single(const struct profile_options *opt, const char *verb, const char *name)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *read_name = NULL;
+	json_t *spec = NULL;
+	uint64_t revision = 0;
+	int code;
+
+	if (strcmp(verb, "retire") != 0) {
+		spec = profile_read_file(opt->path ? opt->path : "", &read_name, &error);
+		if (!spec)
+			return cli_fail(error);
+		name = read_name;
+	}
+	if (!name) {
+		fprintf(stderr, "flamingolatch: a profile name is required\n");
+		return err_info(ERR_BAD_REQUEST)->exit_code;
+	}
+	code = profile_apply_one(opt, verb, name, spec, (uint64_t)opt->generation, &revision);
+	json_decref(spec);
+	if (code == 0 && opt->wait)
+		code = profile_wait(opt, revision);
+	return code;
+}
+
+static void profile_print_rows(const json_t *rows)
+{
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		const json_t *row = json_array_get(rows, i);
+
+		printf("%-32s %-8s generation %" JSON_INTEGER_FORMAT "\n",
+		       json_string_value(json_object_get(row, "name")),
+		       json_string_value(json_object_get(row, "state")),
+		       json_integer_value(json_object_get(row, "generation")));
+	}
+}
+
+static void profile_print_members(const json_t *members)
+{
+	for (size_t i = 0; i < json_array_size(members); i++) {
+		const json_t *member = json_array_get(members, i);
+
+		printf("%-32s %-8s revision %" JSON_INTEGER_FORMAT "\n",
+		       json_string_value(json_object_get(member, "id")),
+		       json_string_value(json_object_get(member, "state")),
+		       json_integer_value(json_object_get(member, "revision")));
+	}
+}
+
+static int profile_show(const struct profile_options *opt, const char *name, bool members)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *path =
+		name ? g_strdup_printf("/profiles/%s", name) : g_strdup("/profiles");
+	json_t *answer = cli_ask(&opt->target, path, NULL, &error);
+	uint64_t revision;
+	int code = 0;
+
+	if (!answer)
+		return cli_fail(error);
+	revision = (uint64_t)json_integer_value(json_object_get(answer, "revision"));
+	if (opt->json) {
+		json_dumpf(answer, stdout, JSON_INDENT(2));
+		printf("\n");
+	} else {
+		printf("revision %" PRIu64 "\n", revision);
+		if (members)
+			profile_print_members(json_object_get(answer, "members"));
+		else
+			profile_print_rows(json_object_get(answer, "profiles"));
+	}
+	json_decref(answer);
+	if (members && opt->wait)
+		code = profile_wait(opt, revision);
+	return code;
+}
+
+/* commands */
+
+static int profile_run(const struct profile_options *opt, const char *verb, const char *name)
+{
+	if (strcmp(verb, "plan") == 0)
+		return profile_plan(opt, false);
+	if (strcmp(verb, "apply") == 0)
+		return profile_plan(opt, true);
+	if (strcmp(verb, "show") == 0)
+		return profile_show(opt, name, false);
+	if (strcmp(verb, "status") == 0)
+		return profile_show(opt, NULL, true);
+	if (strcmp(verb, "publish") == 0 || strcmp(verb, "change") == 0 ||
+	    strcmp(verb, "retire") == 0)
+		return profile_single(opt, verb, name);
+	fprintf(stderr, "flamingolatch: unknown profile command %s\n", verb);
+	return err_info(ERR_BAD_REQUEST)->exit_code;
+}
+
+int cmd_profile(int argc, char **argv)
+{
+	struct profile_options opt = { .timeout_s = 10 };
+	g_autoptr(GError) error = NULL;
+	const GOptionEntry options[] = {
+		CLI_TARGET_OPTIONS(&opt.target),
+		{ "file", 'f', 0, G_OPTION_ARG_FILENAME, &opt.path,
+		  "Profile file, or directory of *.yaml for plan and apply", "PATH" },
+		{ "generation", 'g', 0, G_OPTION_ARG_INT64, &opt.generation,
+		  "Change only this generation", "N" },
+		{ "wait", 'w', 0, G_OPTION_ARG_NONE, &opt.wait,
+		  "End only when every member reported the revision", NULL },
+		{ "timeout", 0, 0, G_OPTION_ARG_INT64, &opt.timeout_s, "Longest wait", "SECONDS" },
+		{ "prune", 0, 0, G_OPTION_ARG_NONE, &opt.prune,
+		  "plan and apply: retire profiles that are not declared", NULL },
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &opt.json, "Print JSON", NULL },
+		{ 0 }
+	};
+	int code = cli_options("plan, apply, publish, change, retire, show or status.",
+			       "VERB [NAME]", options, &argc, &argv);
+
+	if (code >= 0)
+		return code;
+	if (argc < 2) {
+		fprintf(stderr, "flamingolatch: a profile command is required; see --help\n");
+		code = err_info(ERR_BAD_REQUEST)->exit_code;
+	} else if (!cli_target_open(&opt.target, &error)) {
+		code = cli_fail(error);
+	} else {
+		code = profile_run(&opt, argv[1], argc > 2 ? argv[2] : NULL);
+	}
+	cli_target_clear(&opt.target);
+	g_free(opt.path);
+	return code;
+}
--- /dev/null
+++ b/src/query/profiles.c
@@ -0,0 +1,36 @@
+#include "../entry/entry_internal.h"
+
+#include <string.h>
+
+static void profiles_add_member(void *ctx, const struct memb_record *record, enum memb_state state)
+{
+	json_array_append_new(ctx, json_pack("{s:s, s:s, s:s, s:I}", "id", record->id, "zone",
+					     record->zone, "state", memb_state_name(state),
+					     "revision", (json_int_t)record->revision));
+}
+
+/* Lists the profiles in force here, and the revision that each member reported itself. */
+void query_profiles(struct entry *entry, struct hreq *req, const char *name)
+{
+	const json_t *rows = json_object_get(cset_snapshot(entry->cset), "profiles");
+	json_t *found = json_array();
+	json_t *members = json_array();
+
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		json_t *row = json_array_get(rows, i);
+		const char *have = json_string_value(json_object_get(row, "name"));
+
+		if (!name || (have && strcmp(have, name) == 0))
+			json_array_append(found, row);
+	}
+	memb_each(entry->memb, profiles_add_member, members);
+	if (name && json_array_size(found) == 0) {
+		json_decref(found);
+		json_decref(members);
+		answer_error(entry, req, ERR_NOT_FOUND, NULL);
+		return;
+	}
+	answer_json(req, 200,
+		    json_pack("{s:I, s:o, s:o}", "revision", (json_int_t)cset_revision(entry->cset),
+			      "profiles", found, "members", members));
+}
--- /dev/null
+++ b/test/fake/engine.c
@@ -0,0 +1,471 @@
+/**
+ * @file engine.c
+ * Stand-in of a model engine over HTTP and server-sent events.
+ *
+ * POST /v1/generate starts a stream; GET /v1/streams/ID?offset&epoch&takeover
+ * attaches to it again; DELETE /v1/streams/ID?epoch cancels it.
+ * GET /v1/load?cache_after reports load, as old as the lag, and cache events.
+ * POST /v1/orders {"order", "fence"} takes an order to load or change role.
+ * POST /fault {"stall_ms", "leave", "break", "forget"}.
+ *
+ * Token i of a generation depends on its seed alone, so that a reader can
+ * tell which generation a token belongs to.
+ */
+#include "engine_model.h"
+#include "fake.h"
+#include "flamingolatch/pool.h"
+#include "token.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ENGINE_PREFIX_MAX      32
+#define ENGINE_BYTES_PER_TOKEN 4
+#define ENGINE_REPORT_MS       100
+#define ENGINE_REPORTS_KEPT    64
+#define ENGINE_CACHE_KEPT      256
+
+struct engine_stream {
+	struct engine *engine;
+	struct emodel_job *job; /* NULL once whole */
+	struct hreq *req;	/* attached client, or NULL */
+	char *id;
+	char *request;
+	uint64_t seed;
+	uint64_t epoch;
+	uint64_t produced;
+	uint64_t first_offset;
+	uint64_t sent; /* next offset for the attached client */
+	bool whole;
+};
+
+struct engine {
+	struct fake fake;
+	struct emodel *model;
+	GHashTable *streams; /* id to struct engine_stream */
+	uv_timer_t step;
+	uv_timer_t report;
+	json_t *reports[ENGINE_REPORTS_KEPT];
+	uint64_t report_count;
+	json_t *cache_events; /* newest last */
+	uint64_t cache_seq;
+	uint64_t stream_seq;
+	uint64_t stall_until_ms;
+	uint64_t fence;
+	gint kv_tokens;
+	gint max_batch;
+	gint step_us;
+	gint lag_ms;
+	gint median_tokens;
+	gboolean check_fence;
+	gboolean exact;
+	gint cache_gap_every;
+	char *name;
+	bool leaving;
+	bool stepping;
+};
+
+static void engine_kick(struct engine *engine);
+
+/* helpers */
+
+static void engine_event(struct hreq *req, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	g_autofree char *event = g_strdup_printf("data: %s\n\n", text);
+
+	hreq_stream_write(req, event, strlen(event));
+	free(text);
+	json_decref(root);
+}
+
+static void engine_log_stream(struct engine_stream *stream, const char *what)
+{
+	fake_log(&stream->engine->fake,
+		 json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "ev", what, "engine",
+			   stream->engine->name, "stream", stream->id, "request", stream->request,
+			   "seed", (json_int_t)stream->seed, "produced",
+			   (json_int_t)stream->produced, "epoch", (json_int_t)stream->epoch));
+}
+
+/* Sends what the attached client has not seen. */
+static void engine_flush(struct engine_stream *stream)
+{
+	char text[TOKEN_TEXT_MAX];
+
+	while (stream->req && stream->sent < stream->produced) {
+		token_text(stream->seed, stream->sent, text);
+		engine_event(stream->req,
+			     json_pack("{s:I, s:s}", "o", (json_int_t)stream->sent, "t", text));
+		stream->sent++;
+	}
+	if (stream->req && stream->whole) {
+		engine_event(stream->req,
+			     json_pack("{s:{s:I, s:s}}", "end", "total",
+				       (json_int_t)stream->produced, "reason", "stop"));
+		hreq_stream_end(stream->req);
+		stream->req = NULL;
+	}
+}
+
+static void engine_on_gone(void *ctx)
+{
+	struct engine_stream *stream = ctx;
+
+	stream->req = NULL;
+}
+
+static void engine_attach(struct engine_stream *stream, struct hreq *req, uint64_t offset)
+{
+	if (stream->req) {
+		engine_event(stream->req, json_pack("{s:b}", "fenced", 1));
+		hreq_stream_end(stream->req);
+	}
+	stream->req = req;
+	stream->sent = offset;
+	hreq_stream_begin(req, 200, "text/event-stream");
+	hreq_set_callbacks(req, engine_on_gone, NULL, stream);
+	engine_event(req, json_pack("{s:{s:s, s:I, s:b}}", "open", "stream", stream->id, "epoch",
+				    (json_int_t)stream->epoch, "exact", stream->engine->exact));
+	engine_flush(stream);
+}
+
+static void engine_stream_free(gpointer data)
+{
+	struct engine_stream *stream = data;
+
+	if (stream->job)
+		emodel_cancel(stream->engine->model, stream->job);
+	if (stream->req) {
+		hreq_set_callbacks(stream->req, NULL, NULL, NULL);
+		hreq_stream_abort(stream->req);
+	}
+	g_free(stream->id);
+	g_free(stream->request);
+	g_free(stream);
+}
+
+/* the model's events */
+
+static void engine_on_token(void *ctx, void *user, uint64_t offset, bool last)
+{
+	struct engine_stream *stream = user;
+
+	(void)ctx;
+	stream->produced = offset + 1;
+	if (last) {
+		stream->whole = true;
+		stream->job = NULL;
+		engine_log_stream(stream, "end");
+	}
+	engine_flush(stream);
+}
+
+static void engine_on_preempted(void *ctx, void *user, bool preempted)
+{
+	struct engine_stream *stream = user;
+
+	(void)ctx;
+	engine_log_stream(stream, preempted ? "preempt" : "take_back");
+	if (stream->req)
+		engine_event(stream->req, json_pack("{s:b}", "preempted", preempted));
+}
+
+static void engine_on_cache(void *ctx, uint64_t block, bool stored)
+{
+	struct engine *engine = ctx;
+	g_autofree char *hex = g_strdup_printf("%016" G_GINT64_MODIFIER "x", block);
+
+	engine->cache_seq++;
+	if (engine->cache_gap_every && engine->cache_seq % (uint64_t)engine->cache_gap_every == 0)
+		return;
+	json_array_append_new(engine->cache_events,
+			      json_pack("{s:I, s:s, s:b}", "seq", (json_int_t)engine->cache_seq,
+					"block", hex, "stored", stored));
+	while (json_array_size(engine->cache_events) > ENGINE_CACHE_KEPT)
+		json_array_remove(engine->cache_events, 0);
+}
+
+static const struct emodel_ops engine_model_ops = { engine_on_token, engine_on_preempted,
+						    engine_on_cache };
+
+/* time */
+
+static void engine_on_step(uv_timer_t *timer)
+{
+	struct engine *engine = timer->data;
+	uint64_t now_ms = fake_now_ms();
+	uint64_t took_us;
+
+	engine->stepping = false;
+	if (now_ms < engine->stall_until_ms) {
+		engine->stepping = true;
+		uv_timer_start(timer, engine_on_step, engine->stall_until_ms - now_ms, 0);
+		return;
+	}
+	took_us = emodel_run(engine->model);
+	if (took_us == 0)
+		return;
+	engine->stepping = true;
+	uv_timer_start(timer, engine_on_step, took_us / 1000, 0);
+}
+
+static void engine_kick(struct engine *engine)
+{
+	if (engine->stepping)
+		return;
+	engine->stepping = true;
+	uv_timer_start(&engine->step, engine_on_step, 0, 0);
+}
+
+static void engine_on_report(uv_timer_t *timer)
+{
+	struct engine *engine = timer->data;
+	uint64_t slot = engine->report_count++ % ENGINE_REPORTS_KEPT;
+	struct emodel_report report;
+
+	emodel_report(engine->model, &report);
+	json_decref(engine->reports[slot]);
+	engine->reports[slot] = json_pack(
+		"{s:I, s:I, s:I, s:I, s:I}", "kv_capacity", (json_int_t)report.kv_tokens, "kv_used",
+		(json_int_t)report.kv_used, "running", (json_int_t)report.running, "waiting",
+		(json_int_t)report.waiting, "preemptions", (json_int_t)report.preemptions);
+}
+
+/* requests */
+
+static uint64_t engine_draw_length(const struct engine *engine, uint64_t seed, uint64_t max)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed((guint32)(seed * 2654435761u + 17));
+	double u = g_rand_double_range(rand, 1e-9, 1.0);
+	double v = g_rand_double(rand);
+	double normal = sqrt(-2.0 * log(u)) * cos(2.0 * G_PI * v);
+	double length = engine->median_tokens * exp(normal);
+
+	return CLAMP((uint64_t)length, 1, max);
+}
+
+static void engine_generate(struct engine *engine, struct hreq *req)
+{
+	json_t *root = fake_body(req);
+	const char *prompt = json_string_value(json_object_get(root, "prompt"));
+	const char *request = json_string_value(json_object_get(root, "request"));
+	uint64_t blocks[ENGINE_PREFIX_MAX];
+	struct emodel_need need = { 0 };
+	struct engine_stream *stream;
+
+	if (engine->leaving || !prompt || !request) {
+		fake_log(&engine->fake,
+			 json_pack("{s:s, s:s}", "ev", "refuse", "engine", engine->name));
+		fake_reply(req, prompt ? 503 : 400, json_pack("{s:s}", "error", "leaving"));
+		json_decref(root);
+		return;
+	}
+	stream = g_new0(struct engine_stream, 1);
+	stream->engine = engine;
+	stream->seed = (uint64_t)fake_int(root, "seed", 0);
+	stream->first_offset = (uint64_t)fake_int(root, "continue_at", 0);
+	stream->produced = stream->first_offset;
+	stream->epoch = 1;
+	stream->request = g_strdup(request);
+	stream->id = g_strdup_printf("%s-%" G_GUINT64_FORMAT, engine->name, ++engine->stream_seq);
+	g_hash_table_insert(engine->streams, stream->id, stream);
+	need.prompt_tokens = strlen(prompt) / ENGINE_BYTES_PER_TOKEN + 1;
+	need.output_tokens = engine_draw_length(engine, stream->seed,
+						(uint64_t)fake_int(root, "max_tokens", 1000));
+	need.first_offset = stream->first_offset;
+	need.priority = (uint64_t)fake_int(root, "priority", 0);
+	need.block_count = pool_prefix_blocks(prompt, strlen(prompt), blocks, ENGINE_PREFIX_MAX);
+	need.blocks = blocks;
+	need.user = stream;
+	engine_log_stream(stream, "open");
+	if (stream->first_offset >= need.output_tokens)
+		stream->whole = true;
+	else
+		stream->job = emodel_submit(engine->model, &need);
+	engine_attach(stream, req, stream->first_offset);
+	engine_kick(engine);
+	json_decref(root);
+}
+
+static void engine_resume(struct engine *engine, struct hreq *req, struct engine_stream *stream)
+{
+	uint64_t epoch = (uint64_t)fake_query_int(req, "epoch", 0);
+	uint64_t offset = (uint64_t)fake_query_int(req, "offset", 0);
+	bool takeover = fake_query_int(req, "takeover", 0) != 0;
+
+	(void)engine;
+	if (!takeover && epoch != stream->epoch) {
+		fake_reply(req, 409, json_pack("{s:s}", "error", "fenced"));
+		return;
+	}
+	if (offset > stream->produced || offset < stream->first_offset) {
+		fake_reply(req, 404, json_pack("{s:s}", "error", "offset"));
+		return;
+	}
+	if (takeover)
+		stream->epoch++;
+	engine_log_stream(stream, "attach");
+	engine_attach(stream, req, offset);
+}
+
+static void engine_cancel(struct engine *engine, struct hreq *req, struct engine_stream *stream)
+{
+	if ((uint64_t)fake_query_int(req, "epoch", 0) != stream->epoch) {
+		fake_reply(req, 409, json_pack("{s:s}", "error", "fenced"));
+		return;
+	}
+	engine_log_stream(stream, "cancel");
+	g_hash_table_remove(engine->streams, stream->id);
+	fake_reply(req, 200, json_pack("{s:b}", "ok", 1));
+}
+
+static void engine_on_stream(struct engine *engine, struct hreq *req)
+{
+	struct engine_stream *stream =
+		g_hash_table_lookup(engine->streams, hreq_path(req) + strlen("/v1/streams/"));
+
+	if (!stream)
+		fake_reply(req, 404, json_pack("{s:s}", "error", "stream"));
+	else if (strcmp(hreq_method(req), "DELETE") == 0)
+		engine_cancel(engine, req, stream);
+	else
+		engine_resume(engine, req, stream);
+}
+
+static void engine_load(struct engine *engine, struct hreq *req)
+{
+	uint64_t behind = (uint64_t)engine->lag_ms / ENGINE_REPORT_MS;
+	uint64_t last = engine->report_count - 1;
+	json_t *report = engine->reports[(last - MIN(behind, last)) % ENGINE_REPORTS_KEPT];
+	json_t *answer = json_copy(report);
+	json_t *events = json_array();
+	int64_t after = fake_query_int(req, "cache_after", 0);
+
+	for (size_t i = 0; i < json_array_size(engine->cache_events); i++) {
+		json_t *event = json_array_get(engine->cache_events, i);
+
+		if (fake_int(event, "seq", 0) > after)
+			json_array_append(events, event);
+	}
+	json_object_set_new(answer, "cache_events", events);
+	json_object_set_new(answer, "leaving", json_boolean(engine->leaving));
+	fake_reply(req, 200, answer);
+}
+
+static void engine_order(struct engine *engine, struct hreq *req)
+{
+	json_t *root = fake_body(req);
+	uint64_t fence = (uint64_t)fake_int(root, "fence", 0);
+	bool refused = engine->check_fence && fence < engine->fence;
+
+	if (!refused)
+		engine->fence = MAX(fence, engine->fence);
+	fake_log(&engine->fake, json_pack("{s:s, s:s, s:I, s:b, s:O}", "ev", "order", "engine",
+					  engine->name, "fence", (json_int_t)fence, "refused",
+					  refused, "order", json_object_get(root, "order")));
+	fake_reply(req, refused ? 409 : 200,
+		   json_pack("{s:I}", "fence", (json_int_t)engine->fence));
+	json_decref(root);
+}
+
+static void engine_break_all(struct engine *engine)
+{
+	GHashTableIter iter;
+	struct engine_stream *stream;
+
+	g_hash_table_iter_init(&iter, engine->streams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&stream)) {
+		if (stream->req)
+			hreq_stream_abort(stream->req);
+		stream->req = NULL;
+	}
+}
+
+static void engine_fault(struct engine *engine, struct hreq *req)
+{
+	json_t *root = fake_body(req);
+
+	if (fake_int(root, "stall_ms", 0) > 0)
+		engine->stall_until_ms = fake_now_ms() + (uint64_t)fake_int(root, "stall_ms", 0);
+	if (json_is_true(json_object_get(root, "leave"))) {
+		engine->leaving = true;
+		fake_log(&engine->fake,
+			 json_pack("{s:s, s:s}", "ev", "leave", "engine", engine->name));
+	}
+	if (json_is_true(json_object_get(root, "break")))
+		engine_break_all(engine);
+	if (json_is_true(json_object_get(root, "forget")))
+		g_hash_table_remove_all(engine->streams);
+	json_decref(root);
+	fake_reply(req, 200, json_pack("{s:b}", "ok", 1));
+}
+
+static void engine_on_request(void *ctx, struct hreq *req)
+{
+	struct engine *engine = ctx;
+	const char *path = hreq_path(req);
+
+	if (strcmp(path, "/v1/generate") == 0)
+		engine_generate(engine, req);
+	else if (g_str_has_prefix(path, "/v1/streams/"))
+		engine_on_stream(engine, req);
+	else if (strcmp(path, "/v1/load") == 0)
+		engine_load(engine, req);
+	else if (strcmp(path, "/v1/orders") == 0)
+		engine_order(engine, req);
+	else if (strcmp(path, "/fault") == 0)
+		engine_fault(engine, req);
+	else
+		fake_reply(req, 404, json_pack("{s:s}", "error", "path"));
+}
+
+int main(int argc, char **argv)
+{
+	struct engine engine = { .kv_tokens = 120000,
+				 .max_batch = 256,
+				 .step_us = 10000,
+				 .lag_ms = 500,
+				 .median_tokens = 60 };
+	const GOptionEntry options[] = {
+		{ "name", 0, 0, G_OPTION_ARG_STRING, &engine.name, "Name in logs", "NAME" },
+		{ "kv-tokens", 0, 0, G_OPTION_ARG_INT, &engine.kv_tokens, "Memory", "N" },
+		{ "max-batch", 0, 0, G_OPTION_ARG_INT, &engine.max_batch, "Running at once", "N" },
+		{ "step-us", 0, 0, G_OPTION_ARG_INT, &engine.step_us, "Time per token", "N" },
+		{ "lag-ms", 0, 0, G_OPTION_ARG_INT, &engine.lag_ms, "Age of load reports", "N" },
+		{ "median-tokens", 0, 0, G_OPTION_ARG_INT, &engine.median_tokens, "Median output",
+		  "N" },
+		{ "cache-gap-every", 0, 0, G_OPTION_ARG_INT, &engine.cache_gap_every,
+		  "Leave out every n-th cache event", "N" },
+		{ "check-fence", 0, 0, G_OPTION_ARG_NONE, &engine.check_fence,
+		  "Refuse orders with an old fencing number", NULL },
+		{ "exact", 0, 0, G_OPTION_ARG_NONE, &engine.exact,
+		  "Continue another engine's output exactly", NULL },
+		{ 0 }
+	};
+	struct emodel_conf conf = { 0 };
+
+	engine.streams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_stream_free);
+	engine.cache_events = json_array();
+	fake_start(&engine.fake, argc, argv, options, engine_on_request, &engine);
+	if (!engine.name)
+		engine.name = g_strdup("engine");
+	conf = (struct emodel_conf){ .kv_tokens = (uint64_t)engine.kv_tokens,
+				     .max_batch = (uint32_t)engine.max_batch,
+				     .step_base_us = (uint64_t)engine.step_us,
+				     .step_job_ns = 1000,
+				     .prefill_token_ns = 1000,
+				     .prefill_chunk_tokens = 2048,
+				     .margin_percent = 2,
+				     .cache_blocks = 1024,
+				     .block_tokens = 64 };
+	engine.model = emodel_create(&conf, &engine_model_ops, &engine);
+	uv_timer_init(engine.fake.loop, &engine.step);
+	uv_timer_init(engine.fake.loop, &engine.report);
+	engine.step.data = &engine;
+	engine.report.data = &engine;
+	engine_on_report(&engine.report);
+	uv_timer_start(&engine.report, engine_on_report, ENGINE_REPORT_MS, ENGINE_REPORT_MS);
+	return uv_run(engine.fake.loop, UV_RUN_DEFAULT);
+}
--- /dev/null
+++ b/test/fake/engine_model.c
@@ -0,0 +1,296 @@
+#include "engine_model.h"
+
+#include <glib.h>
+
+struct emodel_job {
+	uint64_t prompt_tokens;
+	uint64_t output_tokens;
+	uint64_t produced;
+	uint64_t priority;
+	uint64_t arrival;    /* order of submission */
+	uint64_t to_compute; /* prompt tokens (and lost output) left to compute */
+	uint64_t held;	     /* KV tokens */
+	uint64_t *blocks;
+	uint32_t block_count;
+	bool running;
+	bool was_preempted;
+	void *user;
+};
+
+struct emodel {
+	struct emodel_conf conf;
+	const struct emodel_ops *ops;
+	void *ctx;
+	GPtrArray *running;
+	GPtrArray *waiting;	 /* highest priority first, then oldest */
+	GQueue cache;		 /* uint64_t *, least recently used first */
+	GHashTable *cache_index; /* block to its link */
+	uint64_t kv_used;
+	uint64_t arrivals;
+	uint64_t preemptions;
+	uint64_t produced;
+};
+
+/* lifetime */
+
+static void emodel_job_free(gpointer data)
+{
+	struct emodel_job *job = data;
+
+	g_free(job->blocks);
+	g_free(job);
+}
+
+struct emodel *emodel_create(const struct emodel_conf *conf, const struct emodel_ops *ops,
+			     void *ctx)
+{
+	struct emodel *model = g_new0(struct emodel, 1);
+
+	model->conf = *conf;
+	model->ops = ops;
+	model->ctx = ctx;
+	model->running = g_ptr_array_new();
+	model->waiting = g_ptr_array_new();
+	g_queue_init(&model->cache);
+	model->cache_index = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return model;
+}
+
+void emodel_destroy(struct emodel *model)
+{
+	if (!model)
+		return;
+	for (guint i = 0; i < model->running->len; i++)
+		emodel_job_free(model->running->pdata[i]);
+	for (guint i = 0; i < model->waiting->len; i++)
+		emodel_job_free(model->waiting->pdata[i]);
+	g_ptr_array_free(model->running, TRUE);
+	g_ptr_array_free(model->waiting, TRUE);
+	g_hash_table_destroy(model->cache_index);
+	g_queue_clear_full(&model->cache, g_free);
+	g_free(model);
+}
+
+/* helpers */
+
+static void emodel_cache_store(struct emodel *model, uint64_t block)
+{
+	GList *link = g_hash_table_lookup(model->cache_index, &block);
+	uint64_t *item;
+
+	if (link) {
+		g_queue_unlink(&model->cache, link);
+		g_queue_push_tail_link(&model->cache, link);
+		return;
+	}
+	if (model->conf.cache_blocks == 0)
+		return;
+	if (g_queue_get_length(&model->cache) >= model->conf.cache_blocks) {
+		item = g_queue_pop_head(&model->cache);
+		g_hash_table_remove(model->cache_index, item);
+		if (model->ops->cache)
+			model->ops->cache(model->ctx, *item, false);
+		g_free(item);
+	}
+	item = g_memdup2(&block, sizeof(block));
+	g_queue_push_tail(&model->cache, item);
+	g_hash_table_insert(model->cache_index, item, model->cache.tail);
+	if (model->ops->cache)
+		model->ops->cache(model->ctx, block, true);
+}
+
+/* Prompt tokens that need no computing because their blocks are cached. */
+static uint64_t emodel_cached_tokens(struct emodel *model, const struct emodel_job *job)
+{
+	uint32_t hits = 0;
+
+	while (hits < job->block_count &&
+	       g_hash_table_contains(model->cache_index, &job->blocks[hits]))
+		hits++;
+	return MIN((uint64_t)hits * model->conf.block_tokens, job->prompt_tokens);
+}
+
+static bool emodel_goes_before(const struct emodel_job *a, const struct emodel_job *b)
+{
+	if (a->priority != b->priority)
+		return a->priority > b->priority;
+	return a->arrival < b->arrival;
+}
+
+static void emodel_enqueue(struct emodel *model, struct emodel_job *job)
+{
+	guint at = 0;
+
+	while (at < model->waiting->len && emodel_goes_before(model->waiting->pdata[at], job))
+		at++;
+	g_ptr_array_insert(model->waiting, (gint)at, job);
+}
+
+static bool emodel_fits(const struct emodel *model, const struct emodel_job *job)
+{
+	uint64_t need = job->prompt_tokens + job->produced;
+	uint64_t limit = model->conf.kv_tokens;
+
+	if (model->running->len >= model->conf.max_batch)
+		return false;
+	if (model->running->len == 0)
+		return true;
+	if (job->was_preempted)
+		limit -= limit * model->conf.margin_percent / 100;
+	return model->kv_used + need + 1 <= limit;
+}
+
+static void emodel_start_waiting(struct emodel *model)
+{
+	while (model->waiting->len > 0) {
+		struct emodel_job *job = model->waiting->pdata[0];
+
+		if (!emodel_fits(model, job))
+			return;
+		g_ptr_array_remove_index(model->waiting, 0);
+		g_ptr_array_add(model->running, job);
+		job->running = true;
+		job->held = job->prompt_tokens + job->produced;
+		job->to_compute = job->held - emodel_cached_tokens(model, job);
+		model->kv_used += job->held;
+		if (job->was_preempted && model->ops->preempted)
+			model->ops->preempted(model->ctx, job->user, false);
+	}
+}
+
+static void emodel_stop_running(struct emodel *model, struct emodel_job *job)
+{
+	g_ptr_array_remove(model->running, job);
+	model->kv_used -= job->held;
+	job->held = 0;
+	job->running = false;
+}
+
+static void emodel_preempt_one(struct emodel *model)
+{
+	struct emodel_job *victim = model->running->pdata[0];
+
+	for (guint i = 1; i < model->running->len; i++) {
+		struct emodel_job *job = model->running->pdata[i];
+
+		if (emodel_goes_before(victim, job))
+			victim = job;
+	}
+	emodel_stop_running(model, victim);
+	victim->was_preempted = true;
+	model->preemptions++;
+	emodel_enqueue(model, victim);
+	if (model->ops->preempted)
+		model->ops->preempted(model->ctx, victim->user, true);
+}
+
+/* Computes prompts, oldest first, within the chunk.
+ * @return tokens computed */
+static uint64_t emodel_prefill(struct emodel *model)
+{
+	uint64_t left = model->conf.prefill_chunk_tokens;
+	uint64_t done = 0;
+
+	for (guint i = 0; i < model->running->len && left > 0; i++) {
+		struct emodel_job *job = model->running->pdata[i];
+		uint64_t part = MIN(job->to_compute, left);
+
+		if (part == 0)
+			continue;
+		job->to_compute -= part;
+		left -= part;
+		done += part;
+		for (uint32_t b = 0; job->to_compute == 0 && b < job->block_count; b++)
+			emodel_cache_store(model, job->blocks[b]);
+	}
+	return done;
+}
+
+static void emodel_produce(struct emodel *model, GPtrArray *ready)
+{
+	for (guint i = 0; i < ready->len; i++) {
+		struct emodel_job *job = ready->pdata[i];
+		uint64_t offset = job->produced++;
+		bool last = job->produced >= job->output_tokens;
+
+		model->produced++;
+		job->held++;
+		model->kv_used++;
+		if (last)
+			emodel_stop_running(model, job);
+		if (model->ops->token)
+			model->ops->token(model->ctx, job->user, offset, last);
+		if (last)
+			emodel_job_free(job);
+	}
+}
+
+/* commands */
+
+struct emodel_job *emodel_submit(struct emodel *model, const struct emodel_need *need)
+{
+	struct emodel_job *job = g_new0(struct emodel_job, 1);
+
+	job->prompt_tokens = need->prompt_tokens;
+	job->output_tokens = MAX(need->output_tokens, need->first_offset + 1);
+	job->produced = need->first_offset;
+	job->priority = need->priority;
+	job->arrival = model->arrivals++;
+	job->blocks = g_memdup2(need->blocks, need->block_count * sizeof(*need->blocks));
+	job->block_count = need->block_count;
+	job->user = need->user;
+	emodel_enqueue(model, job);
+	return job;
+}
+
+void emodel_cancel(struct emodel *model, struct emodel_job *job)
+{
+	if (job->running)
+		emodel_stop_running(model, job);
+	else
+		g_ptr_array_remove(model->waiting, job);
+	emodel_job_free(job);
+}
+
+uint64_t emodel_run(struct emodel *model)
+{
+	g_autoptr(GPtrArray) ready = NULL;
+	uint64_t computed;
+	uint64_t duration_ns;
+
+	emodel_start_waiting(model);
+	if (model->running->len == 0)
+		return 0;
+	while (model->kv_used + model->running->len > model->conf.kv_tokens &&
+	       model->running->len > 1)
+		emodel_preempt_one(model);
+	computed = emodel_prefill(model);
+	ready = g_ptr_array_new();
+	for (guint i = 0; i < model->running->len; i++) {
+		struct emodel_job *job = model->running->pdata[i];
+
+		if (job->to_compute == 0)
+			g_ptr_array_add(ready, job);
+	}
+	duration_ns = model->conf.step_base_us * 1000 + model->conf.step_job_ns * ready->len +
+		      model->conf.prefill_token_ns * computed;
+	emodel_produce(model, ready);
+	return MAX(duration_ns / 1000, 1);
+}
+
+/* queries */
+
+void emodel_report(const struct emodel *model, struct emodel_report *out)
+{
+	*out = (struct emodel_report){ .kv_tokens = model->conf.kv_tokens,
+				       .kv_used = model->kv_used,
+				       .running = model->running->len,
+				       .waiting = model->waiting->len,
+				       .preemptions = model->preemptions,
+				       .produced = model->produced };
+}
+
+uint64_t emodel_job_produced(const struct emodel_job *job)
+{
+	return job->produced;
+}
--- /dev/null
+++ b/test/fake/fake.c
@@ -0,0 +1,104 @@
+#include "fake.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FAKE_MAX_BODY (8U << 20)
+
+void fake_start(struct fake *fake, int argc, char **argv, const GOptionEntry *own,
+		hsrv_handler handler, void *ctx)
+{
+	g_autofree char *port_file = NULL;
+	g_autofree char *log_file = NULL;
+	gint port = 0;
+	const GOptionEntry common[] = {
+		{ "port", 0, 0, G_OPTION_ARG_INT, &port, "Port; 0 picks a free one", "N" },
+		{ "port-file", 0, 0, G_OPTION_ARG_FILENAME, &port_file, "Where to write the port",
+		  "FILE" },
+		{ "log", 0, 0, G_OPTION_ARG_FILENAME, &log_file, "Log of what was done", "FILE" },
+		{ 0 }
+	};
+	g_autoptr(GOptionContext) context = g_option_context_new("");
+	g_autoptr(GError) error = NULL;
+	struct hsrv_conf conf = { .address = "127.0.0.1", .max_body_bytes = FAKE_MAX_BODY };
+
+	g_option_context_add_main_entries(context, common, NULL);
+	if (own)
+		g_option_context_add_main_entries(context, own, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		exit(2);
+	}
+	signal(SIGPIPE, SIG_IGN);
+	fake->loop = uv_default_loop();
+	fake->log = log_file ? fopen(log_file, "a") : NULL;
+	conf.port = (uint16_t)port;
+	fake->srv = hsrv_create(fake->loop, &conf, handler, ctx, &error);
+	if (!fake->srv) {
+		fprintf(stderr, "%s\n", error->message);
+		exit(1);
+	}
+	if (port_file) {
+		g_autofree char *text = g_strdup_printf("%u\n", hsrv_port(fake->srv));
+
+		g_file_set_contents(port_file, text, -1, NULL);
+	}
+}
+
+uint64_t fake_now_ms(void)
+{
+	return (uint64_t)(g_get_real_time() / 1000);
+}
+
+void fake_log(struct fake *fake, json_t *line)
+{
+	char *text;
+
+	json_object_set_new(line, "at_ms", json_integer((json_int_t)fake_now_ms()));
+	text = json_dumps(line, JSON_COMPACT);
+	if (fake->log) {
+		fprintf(fake->log, "%s\n", text);
+		fflush(fake->log);
+	}
+	free(text);
+	json_decref(line);
+}
+
+void fake_reply(struct hreq *req, uint16_t status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	hreq_reply(req, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(root);
+}
+
+void fake_break(struct hreq *req)
+{
+	hreq_stream_begin(req, 200, "application/json");
+	hreq_stream_abort(req);
+}
+
+json_t *fake_body(struct hreq *req)
+{
+	size_t len;
+	const char *body = hreq_body(req, &len);
+
+	return json_loadb(body, len, 0, NULL);
+}
+
+int64_t fake_int(const json_t *root, const char *key, int64_t otherwise)
+{
+	const json_t *value = json_object_get(root, key);
+
+	return json_is_integer(value) ? json_integer_value(value) : otherwise;
+}
+
+int64_t fake_query_int(struct hreq *req, const char *name, int64_t otherwise)
+{
+	g_autofree char *text = hreq_query_param(req, name);
+
+	return text ? g_ascii_strtoll(text, NULL, 10) : otherwise;
+}
