Load tool, history checkers and failure scenarios with real processes

Six scenarios: quiet, kills and freezes on engines that do and do not continue exactly, planned stop of two, a leaving engine under a lagging list, members that freeze, die and return.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -17,7 +17,7 @@
 	uint64_t heard_us; /* when the heartbeat last moved */
 	uint64_t sent;	   /* turn in which the record was last passed on */
 	uint64_t hash;	   /* rendezvous hash with the own id */
-	uint64_t listed; /* reading of the instance list that last named it */
+	uint64_t listed;   /* reading of the instance list that last named it */
 };
 
 struct memb {
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -59,7 +59,7 @@
 	char *bus_address;
 	uint64_t incarnation;
 	uint64_t config_confirmed_us; /* when the revision was last seen as newest */
-	uint64_t listed_us; /* when the instance list was last read; 0 before */
+	uint64_t listed_us;	      /* when the instance list was last read; 0 before */
 	uint32_t background;	      /* work that goes on after its answer */
 	uv_timer_t tick;
 	uv_timer_t drain;
--- a/test/fake/engine.c
+++ b/test/fake/engine.c
@@ -36,7 +36,8 @@
 	uint64_t epoch;
 	uint64_t produced;
 	uint64_t first_offset;
-	uint64_t sent; /* next offset for the attached client */
+	uint64_t sent;	     /* next offset for the attached client */
+	uint64_t generation; /* 0 when other engines can continue it */
 	bool whole;
 };
 
@@ -83,10 +84,11 @@
 static void engine_log_stream(struct engine_stream *stream, const char *what)
 {
 	fake_log(&stream->engine->fake,
-		 json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "ev", what, "engine",
+		 json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:I}", "ev", what, "engine",
 			   stream->engine->name, "stream", stream->id, "request", stream->request,
 			   "seed", (json_int_t)stream->seed, "produced",
-			   (json_int_t)stream->produced, "epoch", (json_int_t)stream->epoch));
+			   (json_int_t)stream->produced, "epoch", (json_int_t)stream->epoch,
+			   "generation", (json_int_t)stream->generation));
 }
 
 /* Sends what the attached client has not seen. */
@@ -95,7 +97,7 @@
 	char text[TOKEN_TEXT_MAX];
 
 	while (stream->req && stream->sent < stream->produced) {
-		token_text(stream->seed, stream->sent, text);
+		token_text(stream->seed, stream->generation, stream->sent, text);
 		engine_event(stream->req,
 			     json_pack("{s:I, s:s}", "o", (json_int_t)stream->sent, "t", text));
 		stream->sent++;
@@ -271,6 +273,8 @@
 	stream->request = g_strdup(request);
 	stream->id = g_strdup_printf("%s-%" G_GUINT64_FORMAT, engine->name, ++engine->stream_seq);
 	g_hash_table_insert(engine->streams, stream->id, stream);
+	if (!engine->exact)
+		stream->generation = g_str_hash(stream->id) | 1;
 	need.prompt_tokens = strlen(prompt) / ENGINE_BYTES_PER_TOKEN + 1;
 	need.output_tokens = engine_draw_length(engine, stream->seed,
 						(uint64_t)fake_int(root, "max_tokens", 1000));
--- a/test/fake/token.h
+++ b/test/fake/token.h
@@ -9,12 +9,16 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#define TOKEN_TEXT_MAX 48
+#define TOKEN_TEXT_MAX 64
 
-/** Writes " <seed>.<offset>" in hexadecimal. */
-static inline void token_text(uint64_t seed, uint64_t offset, char *out)
+/**
+ * Writes " <seed>.<generation>.<offset>" in hexadecimal.
+ * @param generation 0 on engines that continue each other's output exactly
+ */
+static inline void token_text(uint64_t seed, uint64_t generation, uint64_t offset, char *out)
 {
-	snprintf(out, TOKEN_TEXT_MAX, " %" PRIx64 ".%" PRIx64, seed, offset);
+	snprintf(out, TOKEN_TEXT_MAX, " %" PRIx64 ".%" PRIx64 ".%" PRIx64, seed, generation,
+		 offset);
 }
 
 #endif
--- a/test/test_once.c
+++ b/test/test_once.c
@@ -39,7 +39,7 @@
 	uint64_t version;
 	uint64_t versions;
 	uint64_t down_until_us;
-	uint32_t runs; /* what the service really did */
+	uint32_t runs;	  /* what the service really did */
 	uint32_t ran_for; /* attempt that ran */
 	uint32_t fault_percent;
 	struct attempt attempts[ATTEMPTS_MAX];
@@ -102,8 +102,8 @@
 	sched_trace(world->sched, "attempt %u: %s result %d row %s", attempt->id,
 		    msg->read ? "read" : "commit", msg->result, msg->value ? msg->value : "-");
 	if (msg->read)
-		once_on_read(attempt->once, sched_now_us(world->sched), wall_ms(world),
-			     msg->result, msg->version ? seen : NULL);
+		once_on_read(attempt->once, sched_now_us(world->sched), wall_ms(world), msg->result,
+			     msg->version ? seen : NULL);
 	else
 		once_on_commit(attempt->once, sched_now_us(world->sched), wall_ms(world),
 			       msg->result, seen);
@@ -259,8 +259,7 @@
 
 	if (attempt->dead || attempt->finished || hold(attempt, on_timer, attempt))
 		return;
-	once_on_timer(attempt->once, sched_now_us(attempt->world->sched),
-		      wall_ms(attempt->world));
+	once_on_timer(attempt->once, sched_now_us(attempt->world->sched), wall_ms(attempt->world));
 }
 
 static void on_wait(void *ctx, uint64_t delay_us)
@@ -346,10 +345,11 @@
 
 		attempt->world = world;
 		attempt->id = i + 1;
-		sched_after(world->sched, sched_rand(world->sched, 8000000), start_attempt, attempt);
+		sched_after(world->sched, sched_rand(world->sched, 8000000), start_attempt,
+			    attempt);
 		if (sched_chance(world->sched, 30))
-			sched_after(world->sched, sched_rand(world->sched, 9000000),
-				    freeze_attempt, attempt);
+			sched_after(world->sched, sched_rand(world->sched, 9000000), freeze_attempt,
+				    attempt);
 		if (sched_chance(world->sched, 20))
 			sched_after(world->sched, sched_rand(world->sched, 9000000), kill_attempt,
 				    attempt);
--- /dev/null
+++ b/test/test_proc.c
@@ -0,0 +1,193 @@
+/**
+ * @file test_proc.c
+ * Failure scenarios with real processes, checked by their histories.
+ */
+#include "history/history.h"
+#include "proc.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SECOND_US 1000000
+
+static const struct proc_conf three = {
+	.entries = 3, .engines = 3, .median_tokens = 40, .step_us = 5000
+};
+
+/* Reads all logs and checks what holds in every scenario. */
+static struct history_counts check_all(struct proc *proc)
+{
+	struct history_counts counts = { 0 };
+	json_t *history = proc_history(proc);
+	json_t *engines = proc_engine_logs(proc);
+	json_t *service = proc_service_log(proc);
+
+	history_check_streams(history, engines, &counts);
+	history_check_calls(history, service, &counts);
+	for (uint32_t i = 0; i < 3; i++) {
+		json_t *log = proc_entry_log(proc, i);
+
+		history_check_revisions(log, &counts);
+		json_decref(log);
+	}
+	json_decref(history);
+	json_decref(engines);
+	json_decref(service);
+	printf("# %u streams (%u whole), %u calls in %u attempts, %u runs, %u violations\n",
+	       (unsigned)counts.streams, (unsigned)counts.streams_ok, (unsigned)counts.calls,
+	       (unsigned)counts.attempts, (unsigned)counts.runs, (unsigned)counts.violations);
+	g_assert_cmpuint(counts.violations, ==, 0);
+	return counts;
+}
+
+static void test_quiet(void)
+{
+	struct proc_conf conf = three;
+	struct proc *proc;
+	struct history_counts counts;
+
+	conf.secure = true;
+	proc = proc_create(&conf);
+	proc_load_start(proc, "--seconds=2", "--streams=20", "--wholes=10", "--calls=20",
+			"--lookups=20", NULL);
+	g_assert_cmpint(proc_load_wait(proc), ==, 0);
+	counts = check_all(proc);
+	g_assert_cmpuint(counts.streams_ok, ==, counts.streams);
+	g_assert_cmpuint(counts.runs, ==, counts.calls);
+	proc_destroy(proc);
+}
+
+/* Entries and engines die and freeze; the platform and the service lose answers. */
+static void test_faults(gconstpointer data)
+{
+	struct proc_conf conf = three;
+	struct proc *proc;
+
+	conf.exact = GPOINTER_TO_INT(data);
+	proc = proc_create(&conf);
+	proc_load_start(proc, "--seconds=8", "--streams=20", "--wholes=5", "--calls=15",
+			"--lookups=5", "--max-tokens=400", NULL);
+	g_usleep(SECOND_US);
+	proc_fault_platform(proc, "{\"lose_percent\":20,\"late_percent\":10,\"late_ms\":700}");
+	proc_fault_service(proc, "{\"lose_answers\":3,\"slow_ms\":20}");
+	proc_signal_entry(proc, 0, SIGKILL);
+	g_usleep(SECOND_US);
+	proc_signal_engine(proc, 0, SIGKILL);
+	proc_signal_entry(proc, 1, SIGSTOP);
+	g_usleep(2 * SECOND_US);
+	proc_signal_entry(proc, 1, SIGCONT);
+	proc_fault_platform(proc, "{\"down_ms\":2000}");
+	proc_signal_engine(proc, 1, SIGSTOP);
+	g_usleep(2 * SECOND_US);
+	proc_signal_engine(proc, 1, SIGCONT);
+	proc_fault_service(proc, "{\"lose_answers\":5}");
+	proc_fault_engine(proc, 2, "{\"break\":true,\"stall_ms\":1500}");
+	proc_load_wait(proc);
+	check_all(proc);
+	proc_destroy(proc);
+}
+
+/* Two entries stop at once; no stream may be cut, so none needs resuming. */
+static void test_planned_stop(void)
+{
+	struct proc_conf conf = three;
+	struct proc *proc;
+	json_t *history;
+
+	conf.drain = "ready_lag_ms: 500, deadline_ms: 100";
+	conf.median_tokens = 200;
+	conf.step_us = 10000;
+	proc = proc_create(&conf);
+	proc_load_start(proc, "--seconds=1", "--streams=30", "--wholes=10", "--calls=10",
+			"--max-tokens=400", NULL);
+	g_usleep(SECOND_US * 13 / 10);
+	proc_signal_entry(proc, 0, SIGTERM);
+	proc_signal_entry(proc, 1, SIGTERM);
+	g_assert_cmpint(proc_load_wait(proc), ==, 0);
+	g_assert_cmpint(proc_wait_entry(proc, 0), ==, 0);
+	g_assert_cmpint(proc_wait_entry(proc, 1), ==, 0);
+	check_all(proc);
+	history = proc_history(proc);
+	for (size_t i = 0; i < json_array_size(history); i++)
+		g_assert_cmpint(
+			json_integer_value(json_object_get(json_array_get(history, i), "resumes")),
+			==, 0);
+	json_decref(history);
+	proc_destroy(proc);
+}
+
+/* The list says nothing of it for long; the engine's own word must do. */
+static void test_leaving(void)
+{
+	struct history_counts counts = { 0 };
+	struct proc *proc = proc_create(&three);
+	json_t *log;
+
+	proc_fault_platform(proc, "{\"list_lag_ms\":30000}");
+	proc_load_start(proc, "--seconds=8", "--streams=30", "--max-tokens=100", NULL);
+	g_usleep(SECOND_US);
+	proc_fault_engine(proc, 0, "{\"leave\":true}");
+	g_assert_cmpint(proc_load_wait(proc), ==, 0);
+	check_all(proc);
+	log = proc_engine_log(proc, 0);
+	history_check_leaving(log, 3000, &counts);
+	json_decref(log);
+	g_assert_cmpuint(counts.violations, ==, 0);
+	proc_destroy(proc);
+}
+
+static uint64_t count_members(const json_t *state)
+{
+	const json_t *members = json_object_get(state, "members");
+	uint64_t alive = 0;
+
+	for (size_t i = 0; i < json_array_size(members); i++)
+		alive += strcmp(json_string_value(
+					json_object_get(json_array_get(members, i), "state")),
+				"alive") == 0;
+	return alive;
+}
+
+/* A frozen instance wakes, a dead one comes back, and all agree again. */
+static void test_members(void)
+{
+	struct proc *proc = proc_create(&three);
+	uint64_t alive = 0;
+
+	proc_signal_entry(proc, 0, SIGKILL);
+	proc_signal_entry(proc, 1, SIGSTOP);
+	for (uint32_t i = 0; i < 300; i++) {
+		json_t *state = proc_state(proc, 2);
+
+		alive = count_members(state);
+		json_decref(state);
+		if (alive == 1)
+			break;
+		g_usleep(SECOND_US / 10);
+	}
+	g_assert_cmpuint(alive, ==, 1);
+	proc_signal_entry(proc, 1, SIGCONT);
+	proc_restart_entry(proc, 0);
+	for (uint32_t i = 0; i < 300 && alive < 3; i++) {
+		json_t *state = proc_state(proc, 2);
+
+		alive = count_members(state);
+		json_decref(state);
+		g_usleep(SECOND_US / 10);
+	}
+	g_assert_cmpuint(alive, ==, 3);
+	proc_destroy(proc);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/proc/quiet", test_quiet);
+	g_test_add_data_func("/proc/faults", GINT_TO_POINTER(0), test_faults);
+	g_test_add_data_func("/proc/faults-exact", GINT_TO_POINTER(1), test_faults);
+	g_test_add_func("/proc/planned-stop", test_planned_stop);
+	g_test_add_func("/proc/leaving", test_leaving);
+	g_test_add_func("/proc/members", test_members);
+	return g_test_run();
+}
