Count an outage of the table only after three calls without an answer

Cause: one lost answer logged table-down and the next one table-up. Before: up to 30 pairs in an 8 s fault run. The fault scenarios use longer outputs now, so that streams are open when engines die.

--- a/src/io/table_http.c
+++ b/src/io/table_http.c
@@ -7,14 +7,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TABLE_TIMEOUT_MS 1000
-#define TABLE_MAX_BYTES	 (16U << 20)
+#define TABLE_DOWN_FAILURES 3
+#define TABLE_TIMEOUT_MS    1000
+#define TABLE_MAX_BYTES	    (16U << 20)
 
 struct table_http {
 	struct table super; /* must be first */
 	struct hcli *cli;
 	struct metric *metric;
 	char *address;
+	uint32_t failures; /* calls in a row without an answer */
 	bool reachable;
 	bool ever;
 };
@@ -115,8 +117,15 @@
 
 /* helpers */
 
-static void table_note_reachable(struct table_http *table, bool reachable)
+/* One lost answer is no outage; a run of them is. */
+static void table_note_answer(struct table_http *table, bool answered)
 {
+	bool reachable;
+
+	table->failures = answered ? 0 : table->failures + 1;
+	if (!answered && table->failures < TABLE_DOWN_FAILURES)
+		return;
+	reachable = answered;
 	if (table->ever && table->reachable == reachable)
 		return;
 	if (table->ever || !reachable)
@@ -155,7 +164,7 @@
 	struct table_call *call = ctx;
 	bool answered = answer->result == HCALL_OK && answer->status < 500;
 
-	table_note_reachable(call->table, answered);
+	table_note_answer(call->table, answered);
 	if (!answered) {
 		metric_add(call->table->metric, METRIC_TABLE_ERRORS, 1);
 		call->cb(call->arg, answer->sent ? TABLE_LOST : TABLE_REFUSED, NULL, 0);
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -65,9 +65,10 @@
 	struct proc *proc;
 
 	conf.exact = GPOINTER_TO_INT(data);
+	conf.median_tokens = 250;
 	proc = proc_create(&conf);
 	proc_load_start(proc, "--seconds=8", "--streams=20", "--wholes=5", "--calls=15",
-			"--lookups=5", "--max-tokens=400", NULL);
+			"--lookups=5", "--max-tokens=800", NULL);
 	g_usleep(SECOND_US);
 	proc_fault_platform(proc, "{\"lose_percent\":20,\"late_percent\":10,\"late_ms\":700}");
 	proc_fault_service(proc, "{\"lose_answers\":3,\"slow_ms\":20}");
