--- a/src/core/gen.c
+++ b/src/core/gen.c
@@ -83,6 +83,13 @@
 static void gen_stream_lost(struct gen *gen, uint64_t now_us)
 {
 	bool untouched = gen->delivered == 0 || gen->conf.held;
+#ifdef FL_FAULT_SPLICE
+	/* Goes on with another generation's output. */
+	if (gen->restarts++ < gen->conf.restarts_max) {
+		gen_open(gen, gen->delivered);
+		return;
+	}
+#endif
 
 	gen->ops->disconnect(gen->ctx);
 	gen->broken_us = now_us;
@@ -156,8 +163,10 @@
 {
 	if (gen->state != GEN_STREAMING || epoch != gen->epoch)
 		return false;
+#ifndef FL_FAULT_NO_DEDUP
 	if (offset < gen->delivered)
 		return false;
+#endif
 	if (offset > gen->delivered) {
 		/* A hole: what lies between is asked for again. */
 		gen_on_break(gen, now_us, GEN_BREAK_LOST);
