--- a/test/proc.c
+++ b/test/proc.c
@@ -206,6 +206,8 @@
 {
 	g_autofree char *digest =
 		g_compute_checksum_for_string(G_CHECKSUM_SHA256, proc_api_key(), -1);
+	g_autofree char *other =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, "second-key-of-the-tests", -1);
 	g_autofree char *platform = proc_address(proc, "platform", 0);
 	g_autofree char *name = g_strdup_printf("entry%u.yaml", index);
 	g_autofree char *text = g_strdup_printf(
@@ -214,13 +216,14 @@
 		"operator: {address: 127.0.0.1, port: 0, token_file: %s/token}\n"
 		"bus: {address: 127.0.0.1, port: 0, %s}\n"
 		"platform: \"%s\"\nid_key_file: %s/idkey\nports_file: %s/entry%u.ports\n"
-		"customers: [{name: tests, key_sha256: %s}]\n"
+		"customers:\n  - {name: tests, key_sha256: %s}\n  - {name: others, key_sha256: "
+		"%s}\n"
 		"services:\n"
 		"  - {name: case-summary, kind: generation, upstream: engines, profile: text}\n"
 		"  - {name: desk, kind: plain, upstream: desk, profile: calls}\n"
 		"drain: {%s}\n",
 		index, proc_zones[index % G_N_ELEMENTS(proc_zones)], proc->dir, bus, platform,
-		proc->dir, proc->dir, index, digest,
+		proc->dir, proc->dir, index, digest, other,
 		proc->conf.drain ? proc->conf.drain : "ready_lag_ms: 100");
 
 	proc_write(proc, name, text);
--- /dev/null
+++ b/test/test_catalogue.c
@@ -0,0 +1,95 @@
+/**
+ * @file test_catalogue.c
+ * docs/EVENTS.md and docs/ERRORS.md list exactly what the tables hold.
+ * With --print=events or --print=errors the rows are printed.
+ */
+#include "flamingolatch/err.h"
+#include "flamingolatch/log.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+static const char *level_name(GLogLevelFlags level)
+{
+	if (level & G_LOG_LEVEL_ERROR)
+		return "error";
+	return level & G_LOG_LEVEL_WARNING ? "warning" : "info";
+}
+
+static GString *event_rows(void)
+{
+	GString *rows = g_string_new(NULL);
+
+	for (int id = 0; id < LOG_EVENT_COUNT; id++) {
+		const struct log_event_info *info = log_event_info((enum log_event_id)id);
+
+		g_string_append_printf(rows, "| %u | %s | %s | %s |\n", info->number, info->name,
+				       level_name(info->level), info->meaning);
+	}
+	return rows;
+}
+
+static GString *error_rows(void)
+{
+	GString *rows = g_string_new(NULL);
+
+	for (int kind = 0; kind < ERR_KIND_COUNT; kind++) {
+		const struct err_info *info = err_info((enum err_kind)kind);
+
+		g_string_append_printf(rows, "| %s | %u | %s | %u | %u | %s |\n", info->name,
+				       info->http_status, err_ran_name(info->ran),
+				       info->retry_after_ms, info->exit_code, info->meaning);
+	}
+	return rows;
+}
+
+static void check(const char *file, GString *rows)
+{
+	g_autofree char *path = g_build_filename(SOURCE_DIR, "docs", file, NULL);
+	g_autofree char *text = NULL;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	if (!strstr(text, rows->str))
+		g_error("%s does not hold the rows of the table; print them with --print", file);
+	g_string_free(rows, TRUE);
+}
+
+static void test_events(void)
+{
+	check("EVENTS.md", event_rows());
+	for (int id = 1; id < LOG_EVENT_COUNT; id++)
+		g_assert_cmpuint(log_event_info((enum log_event_id)id)->number, >,
+				 log_event_info((enum log_event_id)(id - 1))->number);
+}
+
+static void test_errors(void)
+{
+	check("ERRORS.md", error_rows());
+}
+
+/* An answer that says "not run" must never stand for a kind that may have run. */
+static void test_ran(void)
+{
+	g_assert_cmpint((int)err_info(ERR_OUTCOME_UNKNOWN)->ran, ==, ERR_RAN_UNKNOWN);
+	g_assert_cmpint((int)err_info(ERR_IN_PROGRESS)->ran, ==, ERR_RAN_UNKNOWN);
+	g_assert_cmpint((int)err_info(ERR_GENERATION_LOST)->ran, ==, ERR_RAN_YES);
+	g_assert_cmpint((int)err_info(ERR_INTERNAL)->ran, ==, ERR_RAN_UNKNOWN);
+}
+
+int main(int argc, char **argv)
+{
+	if (argc > 1 && strcmp(argv[1], "--print=events") == 0) {
+		fputs(event_rows()->str, stdout);
+		return 0;
+	}
+	if (argc > 1 && strcmp(argv[1], "--print=errors") == 0) {
+		fputs(error_rows()->str, stdout);
+		return 0;
+	}
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/catalogue/events", test_events);
+	g_test_add_func("/catalogue/errors", test_errors);
+	g_test_add_func("/catalogue/ran", test_ran);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/test_wire.c
@@ -0,0 +1,136 @@
+/**
+ * @file test_wire.c
+ * Messages between instances survive a round trip; truncated, altered and
+ * oversized ones are refused.
+ */
+#include "flamingolatch/wire.h"
+
+#include <string.h>
+
+static struct wire_gossip *sample(void)
+{
+	struct wire_gossip *gossip = g_new0(struct wire_gossip, 1);
+
+	gossip->member_count = 2;
+	for (uint32_t i = 0; i < 2; i++) {
+		struct memb_record *record = &gossip->members[i];
+
+		g_snprintf(record->id, sizeof(record->id), "entry-%u", i);
+		g_strlcpy(record->zone, "cairns-a", sizeof(record->zone));
+		g_strlcpy(record->address, "10.0.0.1:7000", sizeof(record->address));
+		record->incarnation = 1000 + i;
+		record->heartbeat = 7;
+		record->revision = 42;
+		record->leaving = i == 1;
+	}
+	gossip->leaving_count = 1;
+	g_strlcpy(gossip->leaving[0].id, "engine-1", MEMB_ID_MAX);
+	g_strlcpy(gossip->leaving[0].address, "10.0.0.9:80", MEMB_ADDRESS_MAX);
+	gossip->sum_count = 1;
+	g_strlcpy(gossip->sums[0].id, "engine-2", MEMB_ID_MAX);
+	for (uint32_t i = 0; i < LOAD_HORIZONS; i++) {
+		gossip->sums[0].sum.mean[i] = 100.0 * i;
+		gossip->sums[0].sum.var[i] = 2.0 * i;
+	}
+	return gossip;
+}
+
+static GByteArray *encoded(void)
+{
+	struct wire_gossip *gossip = sample();
+	GByteArray *buf = g_byte_array_new();
+
+	wire_encode_gossip(buf, "entry-0", gossip);
+	g_free(gossip);
+	return buf;
+}
+
+static void test_round_trip(void)
+{
+	g_autoptr(GByteArray) buf = encoded();
+	struct wire_message msg;
+
+	g_assert_true(wire_decode(buf->data, buf->len, &msg));
+	g_assert_cmpint((int)msg.type, ==, WIRE_GOSSIP);
+	g_assert_cmpstr(msg.from, ==, "entry-0");
+	g_assert_cmpuint(msg.gossip->member_count, ==, 2);
+	g_assert_cmpstr(msg.gossip->members[1].id, ==, "entry-1");
+	g_assert_cmpuint(msg.gossip->members[1].revision, ==, 42);
+	g_assert_true(msg.gossip->members[1].leaving);
+	g_assert_cmpstr(msg.gossip->leaving[0].address, ==, "10.0.0.9:80");
+	g_assert_cmpfloat(msg.gossip->sums[0].sum.mean[7], ==, 700.0);
+	wire_clear(&msg);
+}
+
+static void test_config(void)
+{
+	g_autoptr(GByteArray) ask = g_byte_array_new();
+	g_autoptr(GByteArray) config = g_byte_array_new();
+	struct wire_message msg;
+
+	wire_encode_config_ask(ask, "a", "10.0.0.1:1", 5);
+	g_assert_true(wire_decode(ask->data, ask->len, &msg));
+	g_assert_cmpuint(msg.revision, ==, 5);
+	wire_clear(&msg);
+	wire_encode_config(config, "a", "{\"revision\":1}");
+	g_assert_true(wire_decode(config->data, config->len, &msg));
+	g_assert_cmpstr(msg.snapshot, ==, "{\"revision\":1}");
+	wire_clear(&msg);
+}
+
+static void test_truncated(void)
+{
+	g_autoptr(GByteArray) buf = encoded();
+	struct wire_message msg;
+
+	for (guint len = 0; len < buf->len; len++)
+		g_assert_false(wire_decode(buf->data, len, &msg));
+	g_byte_array_append(buf, (const guint8 *)"x", 1);
+	g_assert_false(wire_decode(buf->data, buf->len, &msg));
+}
+
+/* Any altered byte is refused or decodes to fields within their bounds. */
+static void test_altered(void)
+{
+	g_autoptr(GByteArray) buf = encoded();
+
+	for (guint at = 0; at < buf->len; at++) {
+		guint8 was = buf->data[at];
+
+		for (uint32_t value = 0; value < 256; value += 5) {
+			struct wire_message msg;
+
+			buf->data[at] = (guint8)value;
+			if (!wire_decode(buf->data, buf->len, &msg))
+				continue;
+			g_assert_cmpuint(msg.gossip->member_count, <=, WIRE_MEMBERS_MAX);
+			wire_clear(&msg);
+		}
+		buf->data[at] = was;
+	}
+}
+
+static void test_oversized(void)
+{
+	/* an array of 65 members where 64 are allowed */
+	static const guint8 head[] = { 0x94, 0x01, 0x00, 0xa1, 'a', 0x93, 0xdc, 0x00, 65 };
+	g_autoptr(GByteArray) buf = g_byte_array_new();
+	struct wire_message msg;
+
+	g_byte_array_append(buf, head, sizeof(head));
+	for (uint32_t i = 0; i < 65; i++)
+		g_byte_array_append(buf, (const guint8 *)"\xc0", 1);
+	g_byte_array_append(buf, (const guint8 *)"\x90\x90", 2);
+	g_assert_false(wire_decode(buf->data, buf->len, &msg));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/wire/round-trip", test_round_trip);
+	g_test_add_func("/wire/config", test_config);
+	g_test_add_func("/wire/truncated", test_truncated);
+	g_test_add_func("/wire/altered", test_altered);
+	g_test_add_func("/wire/oversized", test_oversized);
+	return g_test_run();
+}
