Admission keeps room for a multiple of a request's own memory

Cause of preemptions at saturation: with six entries, room that frees up is seen by all at once, and the requests that wait for it are the large ones; each entry admits its own. Conclusion: a request starts when its predicted memory fits several times over; the factor is a weight of the profile.

--- a/bench/policy.c
+++ b/bench/policy.c
@@ -56,6 +56,7 @@
 	double output_sigma;
 	uint64_t priority;
 	double deviations;
+	uint32_t room_factor;
 	uint64_t deadline_us;
 };
 
@@ -71,13 +72,13 @@
 	{ "coral-sea",
 	  6,
 	  10,
-	  { { 0.5, 600, 1.0, 350, 1.3, 7, 2.0, 20 * SECOND_US },
-	    { 0.5, 200, 0.7, 40, 0.8, 3, 1.5, 8 * SECOND_US } } },
+	  { { 0.5, 600, 1.0, 350, 1.3, 7, 1.5, 4, 20 * SECOND_US },
+	    { 0.5, 200, 0.7, 40, 0.8, 3, 1.5, 4, 8 * SECOND_US } } },
 	{ "port-louis",
 	  7,
 	  12,
-	  { { 0.4, 700, 1.0, 500, 1.3, 7, 3.0, 30 * SECOND_US },
-	    { 0.6, 120, 0.7, 30, 0.8, 2, 2.5, 8 * SECOND_US } } },
+	  { { 0.4, 700, 1.0, 500, 1.3, 7, 1.5, 5, 30 * SECOND_US },
+	    { 0.6, 120, 0.7, 30, 0.8, 2, 1.5, 5, 8 * SECOND_US } } },
 };
 
 /* What to run. */
@@ -91,7 +92,9 @@
 	uint64_t lag_us;
 	uint64_t duration_us;
 	uint64_t warmup_us;
-	bool burst; /* one customer asks ten times as much for the middle third */
+	uint32_t room_factor; /* 0 for the class's own */
+	double deviations;    /* negative for the class's own */
+	bool burst;	      /* one customer asks ten times as much for the middle third */
 };
 
 /* What came of it. */
@@ -463,7 +466,12 @@
 		struct request *req = wfq_user(item);
 		struct pool_need need = { .pool = "engines",
 					  .item = &req->item,
-					  .deviations = req->class->deviations,
+					  .deviations = sim->setup->deviations < 0.0
+								? req->class->deviations
+								: sim->setup->deviations,
+					  .room_factor = sim->setup->room_factor
+								 ? sim->setup->room_factor
+								 : req->class->room_factor,
 					  .spill = PROF_SPILL_REGION,
 					  .now_us = sim->now_us };
 		struct upstream *up = pool_pick(entry->pool, &need);
@@ -890,10 +898,14 @@
 	gint seconds;
 	gint margin;
 	gint lag_ms;
-	gdouble deviations;
+
 	gchar *deployment;
 	gchar *json;
 	gchar *loads;
+	gchar *policy;
+	gint room_factor;
+	gdouble deviations; /* in place of the profiles' own; negative keeps them */
+	gdouble capacity;   /* requests a second; 0 finds it */
 	gboolean burst;
 };
 
@@ -904,6 +916,8 @@
 			       .lag_us = (uint64_t)opt->lag_ms * 1000,
 			       .duration_us = (uint64_t)opt->seconds * SECOND_US,
 			       .warmup_us = (uint64_t)opt->seconds * SECOND_US / 4,
+			       .deviations = opt->deviations,
+			       .room_factor = (uint32_t)opt->room_factor,
 			       .burst = opt->burst };
 }
 
@@ -980,13 +994,15 @@
 
 static void bench_deployment(const struct options *opt, const struct deployment *dep, json_t *rows)
 {
-	double capacity = find_capacity(opt, dep);
+	double capacity = opt->capacity > 0.0 ? opt->capacity : find_capacity(opt, dep);
 	g_auto(GStrv) loads = g_strsplit(opt->loads, ",", 0);
 	GArray *jobs = g_array_new(FALSE, TRUE, sizeof(struct job));
 	guint seeds = (guint)MIN(opt->seeds, SEEDS_MAX);
 
 	for (uint32_t l = 0; loads[l]; l++) {
 		for (int policy = 0; policy < POLICY_COUNT; policy++) {
+			if (opt->policy && strcmp(opt->policy, policy_names[policy]) != 0)
+				continue;
 			for (guint seed = 0; seed < seeds; seed++) {
 				struct job job = { .setup = base_setup(opt, dep) };
 
@@ -1006,7 +1022,9 @@
 
 int main(int argc, char **argv)
 {
-	struct options opt = { .seeds = 5, .seconds = 240, .margin = 2, .lag_ms = 500 };
+	struct options opt = {
+		.seeds = 5, .seconds = 240, .margin = 2, .lag_ms = 500, .deviations = -1.0
+	};
 	const GOptionEntry options[] = {
 		{ "seeds", 0, 0, G_OPTION_ARG_INT, &opt.seeds, "Seeds for each row", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &opt.seconds, "Virtual time of a run", "N" },
@@ -1017,6 +1035,13 @@
 		  "NAME" },
 		{ "loads", 0, 0, G_OPTION_ARG_STRING, &opt.loads, "Loads relative to capacity",
 		  "LIST" },
+		{ "deviations", 0, 0, G_OPTION_ARG_DOUBLE, &opt.deviations,
+		  "In place of the profiles' own", "N" },
+		{ "room-factor", 0, 0, G_OPTION_ARG_INT, &opt.room_factor,
+		  "In place of the profiles' own", "N" },
+		{ "policy", 0, 0, G_OPTION_ARG_STRING, &opt.policy, "Only this one", "NAME" },
+		{ "capacity", 0, 0, G_OPTION_ARG_DOUBLE, &opt.capacity,
+		  "Requests a second at capacity, when known", "RATE" },
 		{ "burst", 0, 0, G_OPTION_ARG_NONE, &opt.burst,
 		  "One customer asks ten times as much in the middle third", NULL },
 		{ "json", 0, 0, G_OPTION_ARG_FILENAME, &opt.json, "Write rows as JSON", "FILE" },
--- a/include/flamingolatch/load.h
+++ b/include/flamingolatch/load.h
@@ -47,6 +47,8 @@
 void load_leave(struct load_sum *sum, const struct load_item *item);
 
 void load_add(struct load_sum *sum, const struct load_sum *other);
+/** Adds a sum several times. */
+void load_add_times(struct load_sum *sum, const struct load_sum *other, uint32_t times);
 /** Returns the highest mean plus @p deviations over all horizons. */
 double load_peak(const struct load_sum *sum, double deviations);
 
--- a/include/flamingolatch/pool.h
+++ b/include/flamingolatch/pool.h
@@ -46,6 +46,7 @@
 	const char *pool;	      /**< name of the upstream pool */
 	const struct load_item *item; /**< the generation's part in a sum */
 	double deviations;	      /**< kept free above the predicted mean */
+	uint32_t room_factor;	      /**< times its own memory that must be free, at least 1 */
 	enum prof_spill spill;
 	const uint64_t *prefix; /**< hashes of the leading blocks of the prompt */
 	uint32_t prefix_count;
@@ -101,9 +102,12 @@
 const struct load_sum *upstream_own(const struct upstream *up);
 const struct pool_report *upstream_last_report(const struct upstream *up);
 enum pool_distance pool_distance(const struct pool *pool, const struct upstream *up);
-/** Returns predicted peak memory over capacity with one more item; 0 when unknown. */
-double upstream_pressure(const struct upstream *up, const struct load_item *item, double deviations,
-			 uint64_t now_us);
+/**
+ * Returns the predicted peak memory over the capacity; 0 when unknown.
+ * @param item added @p times; may be NULL
+ */
+double upstream_pressure(const struct upstream *up, const struct load_item *item, uint32_t times,
+			 double deviations);
 
 /** Chooses an engine with room.
  * @return the engine, or NULL when none has room or none is live */
--- a/include/flamingolatch/profile.h
+++ b/include/flamingolatch/profile.h
@@ -28,9 +28,10 @@
 	char *name;
 	uint64_t priority;		    /**< 0 to 9, higher goes first */
 	uint64_t overflow_deviations_centi; /**< deviations kept free, in hundredths */
-	uint64_t queue_deadline_ms;	    /**< longest wait for an engine */
-	uint64_t queue_limit;		    /**< waiting requests per instance */
-	uint64_t stall_ms; /**< time without a token before the stream is taken up again */
+	uint64_t room_factor;	    /**< times its own memory that a request needs free to start */
+	uint64_t queue_deadline_ms; /**< longest wait for an engine */
+	uint64_t queue_limit;	    /**< waiting requests per instance */
+	uint64_t stall_ms;	    /**< time without a token before the stream is taken up again */
 	uint64_t resume_deadline_ms;  /**< time to take up a broken stream */
 	uint64_t call_timeout_ms;     /**< longest time of a plain-service call */
 	uint64_t retry_percent;	      /**< retries per 100 successful requests */
--- a/src/command/generate.c
+++ b/src/command/generate.c
@@ -33,6 +33,7 @@
 	uint64_t seed;
 	uint64_t priority;
 	double deviations;
+	uint32_t room_factor;
 	enum prof_spill spill;
 	uint64_t queue_deadline_us;
 	uint64_t open_timeout_us;
@@ -108,6 +109,7 @@
 	gr->len = entry_len(service, customer->name);
 	gr->priority = prof->priority;
 	gr->deviations = (double)prof->overflow_deviations_centi / 100.0;
+	gr->room_factor = (uint32_t)prof->room_factor;
 	gr->spill = (enum prof_spill)prof->spill;
 	gr->arrived_us = entry_now_us();
 	gr->queue_deadline_us = gr->arrived_us + prof->queue_deadline_ms * 1000;
@@ -360,6 +362,7 @@
 	struct pool_need need = { .pool = gr->service->set->upstream,
 				  .item = &gr->item,
 				  .deviations = gr->deviations,
+				  .room_factor = gr->room_factor,
 				  .spill = gr->spill,
 				  .prefix = gr->prefix,
 				  .prefix_count = gr->prefix_count,
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -7,15 +7,25 @@
 
 /* helpers */
 
+/* The part stays as it is until the next bucket, so it is taken at the middle. */
+static uint64_t load_middle(uint64_t produced)
+{
+	uint32_t bucket = len_bucket(produced);
+
+	return (len_bucket_start(bucket) + len_bucket_start(bucket + 1)) / 2;
+}
+
 static void load_compute(struct load_item *item, uint64_t produced)
 {
+	uint64_t middle = load_middle(produced);
+
 	for (uint32_t i = 0; i < LOAD_HORIZONS; i++) {
-		uint64_t then = produced + load_horizon_tokens[i];
+		uint64_t then = middle + load_horizon_tokens[i];
 		double alive = 0.0;
 		double held = (double)(item->prompt_tokens + then);
 
 		if (then <= item->max_tokens)
-			alive = len_survival(item->len, produced, then);
+			alive = len_survival(item->len, middle, then);
 		item->part.mean[i] = alive * held;
 		item->part.var[i] = alive * (1.0 - alive) * held * held;
 	}
@@ -58,10 +68,15 @@
 }
 
 void load_add(struct load_sum *sum, const struct load_sum *other)
+{
+	load_add_times(sum, other, 1);
+}
+
+void load_add_times(struct load_sum *sum, const struct load_sum *other, uint32_t times)
 {
 	for (uint32_t i = 0; i < LOAD_HORIZONS; i++) {
-		sum->mean[i] += other->mean[i];
-		sum->var[i] += other->var[i];
+		sum->mean[i] += times * other->mean[i];
+		sum->var[i] += times * other->var[i];
 	}
 }
 
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -7,6 +7,7 @@
 #define POOL_PREFIX_BLOCK_BYTES 256
 #define POOL_PREFIX_PER_ENGINE	4096
 #define POOL_PEER_MAX_AGE_US	(3ULL * 1000 * 1000)
+#define POOL_FRESH_US		400000 /* a round of gossip, less its jitter */
 #define POOL_CANDIDATES_MAX	16
 #define POOL_PREFIX_WEIGHT	0.3  /* pressure that a fully cached prompt is worth */
 #define POOL_DISTANCE_WEIGHT	4.0  /* farther places are taken only when nearer ones are full */
@@ -28,10 +29,12 @@
 	char *region;
 	struct load_sum own;
 	struct load_sum peers; /* sum over by_peer */
+	struct load_sum fresh; /* own work sent since the peers last spoke */
 	struct pool_report report;
 	GHashTable *by_peer;  /* peer to struct pool_peer */
 	GHashTable *prefixes; /* block hash, as a set */
 	GQueue prefix_order;  /* oldest first */
+	uint64_t fresh_us;    /* since when fresh counts */
 	uint64_t retry_at_us;
 	uint64_t circuit_us;
 	uint32_t failures;
@@ -201,13 +204,19 @@
 	}
 	slot->sum = *sum;
 	slot->at_us = now_us;
+	if (now_us - up->fresh_us >= POOL_FRESH_US) {
+		memset(&up->fresh, 0, sizeof(up->fresh));
+		up->fresh_us = now_us;
+	}
 }
 
 void upstream_enter(struct upstream *up, const struct load_item *item)
 {
 	up->open++;
-	if (item)
-		load_enter(&up->own, item);
+	if (!item)
+		return;
+	load_enter(&up->own, item);
+	load_enter(&up->fresh, item);
 }
 
 void upstream_progress(struct upstream *up, struct load_item *item, uint64_t produced)
@@ -359,17 +368,17 @@
 	}
 }
 
-double upstream_pressure(const struct upstream *up, const struct load_item *item, double deviations,
-			 uint64_t now_us)
+double upstream_pressure(const struct upstream *up, const struct load_item *item, uint32_t times,
+			 double deviations)
 {
 	struct load_sum sum = up->own;
-
-	(void)now_us;
 	if (up->report.kv_capacity == 0)
 		return 0.0;
 	load_add(&sum, &up->peers);
+	/* Peers have sent about as much as this instance since they last spoke. */
+	load_add_times(&sum, &up->fresh, g_hash_table_size(up->by_peer));
 	if (item)
-		load_add(&sum, &item->part);
+		load_add_times(&sum, &item->part, times);
 	return load_peak(&sum, deviations) / (double)up->report.kv_capacity;
 }
 
@@ -396,13 +405,15 @@
 }
 
 /* An engine that is full now gets more only when it has nothing running. */
-static bool upstream_has_room(const struct upstream *up, const struct pool_need *need,
-			      double pressure)
+static bool upstream_has_room(const struct upstream *up, const struct pool_need *need)
 {
 	bool idle = up->open == 0 && up->report.running == 0 && up->report.waiting == 0 &&
 		    up->peers.mean[0] < 1.0;
 
-	return need->force || idle || pressure <= 1.0;
+	if (need->force || idle)
+		return true;
+	return upstream_pressure(up, need->item, MAX(need->room_factor, 1), need->deviations) <=
+	       1.0;
 }
 
 struct upstream *pool_pick(struct pool *pool, const struct pool_need *need)
@@ -425,9 +436,9 @@
 			continue;
 		seen++;
 		upstream_expire_peers(up, need->now_us);
-		pressure = upstream_pressure(up, need->item, need->deviations, need->now_us);
-		if (!upstream_has_room(up, need, pressure))
+		if (!upstream_has_room(up, need))
 			continue;
+		pressure = upstream_pressure(up, need->item, 1, need->deviations);
 		score = pressure + POOL_DISTANCE_WEIGHT * up->distance -
 			POOL_PREFIX_WEIGHT * upstream_cached(up, need) +
 			POOL_JITTER * g_rand_double(pool->rand);
--- a/src/core/profile.c
+++ b/src/core/profile.c
@@ -37,6 +37,7 @@
 	  .required = true },
 	PROF_NUMBER(priority, 0, 9),
 	PROF_NUMBER(overflow_deviations_centi, 0, 1000),
+	PROF_NUMBER(room_factor, 1, 20),
 	PROF_NUMBER(queue_deadline_ms, 1, PROF_HOUR_MS),
 	PROF_NUMBER(queue_limit, 1, 1000000),
 	PROF_NUMBER(stall_ms, 50, PROF_HOUR_MS),
@@ -72,7 +73,8 @@
 
 	*prof = (struct prof){
 		.priority = 5,
-		.overflow_deviations_centi = 200,
+		.overflow_deviations_centi = 150,
+		.room_factor = 4,
 		.queue_deadline_ms = 20000,
 		.queue_limit = 1000,
 		.stall_ms = 2000,
--- a/src/query/state.c
+++ b/src/query/state.c
@@ -18,7 +18,7 @@
 			  (json_int_t)report->kv_capacity, "kv_used", (json_int_t)report->kv_used,
 			  "running", (json_int_t)report->running, "waiting",
 			  (json_int_t)report->waiting, "own_predicted_peak", load_peak(own, 0.0),
-			  "pressure", upstream_pressure(up, NULL, 0.0, entry_now_us())));
+			  "pressure", upstream_pressure(up, NULL, 0, 0.0)));
 }
 
 static void state_add_member(void *ctx, const struct memb_view *view)
