Room factor grows with the queue; membership keeps a fresh path to each zone

The reserve matters when many wait, so the factor starts at 2 and grows by one for each waiting request.

A suspect no longer counts against the quota, and members never heard of count as peers, which makes joining quick.

--- a/include/flamingolatch/member.h
+++ b/include/flamingolatch/member.h
@@ -58,7 +58,8 @@
 void memb_set_revision(struct memb *memb, uint64_t revision);
 void memb_set_leaving(struct memb *memb);
 
-/** Copies records to pass on, the own first, then those sent longest ago.
+/** Copies records to pass on, the own first, then those sent longest ago. Call
+ * it once a round and send the same to all peers, so that none is left out.
  * @return how many were written */
 uint32_t memb_digest(struct memb *memb, struct memb_record *out, uint32_t max);
 /** Chooses the peers that get messages: a stable, bounded set by rendezvous
--- a/include/flamingolatch/pool.h
+++ b/include/flamingolatch/pool.h
@@ -119,6 +119,14 @@
 /** Tells whether any live upstream of a pool is within reach. */
 bool pool_has_live(struct pool *pool, const char *name, enum prof_spill spill);
 
+/**
+ * Returns the room factor to use: the more requests wait here, the more room
+ * each must find, up to the profile's factor.
+ * @param most the profile's factor
+ * @param waiting requests in the queue, this one included
+ */
+uint32_t pool_room_factor(uint32_t most, uint32_t waiting);
+
 /** Hashes the leading blocks of a prompt.
  * @return the number of hashes written, at most @p max */
 uint32_t pool_prefix_blocks(const char *prompt, size_t len, uint64_t *out, uint32_t max);
--- a/src/core/cset.c
+++ b/src/core/cset.c
@@ -6,6 +6,12 @@
 
 /* Request tokens kept in a row; a repeat within so many changes is recognised. */
 #define CSET_TOKENS_KEPT 32
+/* A deliberate defect for the tests: request tokens are ignored. */
+#ifdef FL_FAULT_NO_TOKEN
+#define CSET_TOKENS_COUNT 0
+#else
+#define CSET_TOKENS_COUNT 1
+#endif
 
 struct cset {
 	uint64_t revision;
@@ -81,8 +87,10 @@
 			    "the snapshot has no revision or rows");
 		return CSET_INVALID;
 	}
+#ifndef FL_FAULT_GO_BACK
 	if ((uint64_t)json_integer_value(revision) <= set->revision)
 		return CSET_OLD;
+#endif
 	profiles = cset_table();
 	for (size_t i = 0; i < json_array_size(rows); i++) {
 		if (!cset_load_row(profiles, json_array_get(rows, i), error)) {
@@ -183,7 +191,7 @@
 	json_t *spec;
 
 	*row = NULL;
-	if (cset_token_seen(current, change->token, generation))
+	if (cset_token_seen(current, change->token, generation) && CSET_TOKENS_COUNT)
 		return true;
 	if (!cset_verb_allowed(change, current, old, error))
 		return false;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -8,6 +8,7 @@
 #define MEMB_SUSPECT_US	  (3ULL * 1000 * 1000)
 #define MEMB_DEAD_US	  (8ULL * 1000 * 1000)
 #define MEMB_FORGET_US	  (3600ULL * 1000 * 1000)
+#define MEMB_PEERS_MAX	  16
 #define MEMB_ZONE_PEERS	  3
 #define MEMB_PROBE_PERIOD 8 /* every so many picks one dead member is tried */
 
@@ -215,33 +216,37 @@
 	return count;
 }
 
-static bool memb_zone_taken(const struct memb_record *out, uint32_t count, const char *zone)
+/* Whether the quota of a member's zone is used up by members heard of lately. */
+static bool memb_zone_taken(const struct memb *memb, const struct memb_record *out,
+			    const bool *fresh, uint32_t count, const char *zone)
 {
-	for (uint32_t i = 0; i < count; i++) {
-		if (strcmp(out[i].zone, zone) == 0)
-			return true;
-	}
-	return false;
+	uint32_t quota = strcmp(zone, memb->self.zone) == 0 ? MEMB_ZONE_PEERS : 1;
+	uint32_t taken = 0;
+
+	for (uint32_t i = 0; i < count; i++)
+		taken += fresh[i] && strcmp(out[i].zone, zone) == 0;
+	return taken >= quota;
 }
 
 uint32_t memb_peers(struct memb *memb, struct memb_record *out, uint32_t max)
 {
+	bool fresh[MEMB_PEERS_MAX] = { false };
 	uint32_t count = 0;
-	uint32_t zone_count = 0;
 	guint dead = 0;
 
+	max = MIN(max, MEMB_PEERS_MAX);
 	for (guint i = 0; i < memb->peers->len && count < max; i++) {
 		struct memb_peer *peer = memb->peers->pdata[i];
-		bool same = strcmp(peer->record.zone, memb->self.zone) == 0;
 
-		if (peer->state == MEMB_DEAD) {
+		/* One that was never heard of may be starting; it counts as a peer. */
+		if (peer->state == MEMB_DEAD && peer->record.incarnation) {
 			dead++;
 			continue;
 		}
-		if (same ? zone_count >= MEMB_ZONE_PEERS
-			 : memb_zone_taken(out, count, peer->record.zone))
+		if (memb_zone_taken(memb, out, fresh, count, peer->record.zone))
 			continue;
-		zone_count += same;
+		/* A suspect is written to, but another one takes its place. */
+		fresh[count] = peer->state != MEMB_SUSPECT;
 		out[count++] = peer->record;
 	}
 	memb->picks++;
@@ -251,7 +256,7 @@
 	for (guint i = 0; i < memb->peers->len; i++) {
 		struct memb_peer *peer = memb->peers->pdata[i];
 
-		if (peer->state == MEMB_DEAD && dead-- == 0) {
+		if (peer->state == MEMB_DEAD && peer->record.incarnation && dead-- == 0) {
 			out[count++] = peer->record;
 			break;
 		}
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -8,6 +8,7 @@
 #define POOL_PREFIX_PER_ENGINE	4096
 #define POOL_PEER_MAX_AGE_US	(3ULL * 1000 * 1000)
 #define POOL_FRESH_US		400000 /* a round of gossip, less its jitter */
+#define POOL_ROOM_BASE		2      /* room factor of a request that waits alone */
 #define POOL_CANDIDATES_MAX	16
 #define POOL_PREFIX_WEIGHT	0.3  /* pressure that a fully cached prompt is worth */
 #define POOL_DISTANCE_WEIGHT	4.0  /* farther places are taken only when nearer ones are full */
@@ -486,6 +487,11 @@
 	return false;
 }
 
+uint32_t pool_room_factor(uint32_t most, uint32_t waiting)
+{
+	return MIN(most, POOL_ROOM_BASE + MAX(waiting, 1) - 1);
+}
+
 uint32_t pool_prefix_blocks(const char *prompt, size_t len, uint64_t *out, uint32_t max)
 {
 	uint32_t count = 0;
