--- a/test/proc.h
+++ b/test/proc.h
@@ -15,7 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define PROC_ENTRIES_MAX 8
+#define PROC_ENTRIES_MAX 64
 #define PROC_ENGINES_MAX 8
 
 struct proc;
@@ -24,6 +24,9 @@
 struct proc_conf {
 	uint32_t entries;
 	uint32_t engines;
+	uint32_t replicas;  /**< engines described in the list, at least as many as run */
+	uint32_t zones;	    /**< 2 when zero; from the third on in another region */
+	uint32_t max_batch; /**< of an engine; 256 when zero */
 	uint32_t median_tokens;
 	uint32_t step_us;
 	bool exact;	   /**< engines continue each other's output */
@@ -57,6 +60,16 @@
  * @return its exit code */
 int proc_operator(struct proc *proc, uint32_t entry, char **output, ...) G_GNUC_NULL_TERMINATED;
 
+/** Returns the process id of an entry. */
+int proc_entry_pid(const struct proc *proc, uint32_t index);
+/** Returns "IP:port" of an engine, or of an entry's caller port. */
+char *proc_engine_address(const struct proc *proc, uint32_t index);
+char *proc_caller_address(const struct proc *proc, uint32_t index);
+/** Reads a counter of an entry's metrics. */
+uint64_t proc_metric(struct proc *proc, uint32_t entry, const char *name);
+/** Sends a request to any address. @return the HTTP status, 0 on failure */
+int proc_http(const char *address, const char *method, const char *path, const char *const *headers,
+	      const char *body, char **answer);
 /** Asks an entry's operator port. @return JSON, or NULL */
 json_t *proc_state(struct proc *proc, uint32_t entry);
 /** Sends one request to an entry's caller port. @return the HTTP status, 0 on failure */
--- a/test/test_catalogue.c
+++ b/test/test_catalogue.c
@@ -5,6 +5,7 @@
  */
 #include "flamingolatch/err.h"
 #include "flamingolatch/log.h"
+#include "flamingolatch/once.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -44,9 +45,35 @@
 	return rows;
 }
 
+/* The transitions of the claim row, for the model in test/model. */
+static GString *once_table(void)
+{
+	GString *out = g_string_new("/* Printed by test_catalogue --print=once; do not edit. */\n");
+	g_autoptr(GString) terms = g_string_new("");
+
+	for (int state = 0; state < ONCE_STATE_COUNT; state++) {
+		g_autofree char *name = g_ascii_strup(once_state_name((enum once_state)state), -1);
+
+		g_string_append_printf(out, "#define %s %d\n", name, state);
+	}
+	for (int from = 0; from < ONCE_STATE_COUNT; from++) {
+		for (int to = 0; to < ONCE_STATE_COUNT; to++) {
+			for (int own = 0; own < 2; own++) {
+				if (once_may_replace((enum once_state)from, (enum once_state)to,
+						     own))
+					g_string_append_printf(
+						terms, "%s(f == %d && t == %d && o == %d)",
+						terms->len ? " || " : "", from, to, own);
+			}
+		}
+	}
+	g_string_append_printf(out, "#define MAY_REPLACE(f, t, o) (%s)\n", terms->str);
+	return out;
+}
+
 static void check(const char *file, GString *rows)
 {
-	g_autofree char *path = g_build_filename(SOURCE_DIR, "docs", file, NULL);
+	g_autofree char *path = g_build_filename(SOURCE_DIR, file, NULL);
 	g_autofree char *text = NULL;
 
 	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
@@ -57,7 +84,7 @@
 
 static void test_events(void)
 {
-	check("EVENTS.md", event_rows());
+	check("docs/EVENTS.md", event_rows());
 	for (int id = 1; id < LOG_EVENT_COUNT; id++)
 		g_assert_cmpuint(log_event_info((enum log_event_id)id)->number, >,
 				 log_event_info((enum log_event_id)(id - 1))->number);
@@ -65,7 +92,12 @@
 
 static void test_errors(void)
 {
-	check("ERRORS.md", error_rows());
+	check("docs/ERRORS.md", error_rows());
+}
+
+static void test_once(void)
+{
+	check("test/model/once_table.pml", once_table());
 }
 
 /* An answer that says "not run" must never stand for a kind that may have run. */
@@ -87,9 +119,14 @@
 		fputs(error_rows()->str, stdout);
 		return 0;
 	}
+	if (argc > 1 && strcmp(argv[1], "--print=once") == 0) {
+		fputs(once_table()->str, stdout);
+		return 0;
+	}
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/catalogue/events", test_events);
 	g_test_add_func("/catalogue/errors", test_errors);
 	g_test_add_func("/catalogue/ran", test_ran);
+	g_test_add_func("/catalogue/once", test_once);
 	return g_test_run();
 }
