Bus messages in GVariant: a few bytes no longer ask for gigabytes

Cause: the fuzzer of bus messages found in its first run that the input dd dd dd dd 85 made the MessagePack library reserve memory for the announced number of elements (out of memory under the sanitizer). Ruled out: a length limit of the message (it has five bytes).

--- a/include/flamingolatch/wire.h
+++ b/include/flamingolatch/wire.h
@@ -1,10 +1,11 @@
 /**
  * @file wire.h
- * Messages between entry instances, in MessagePack.
+ * Messages between entry instances, in GVariant's binary form.
  *
- * A message is an array: format version, type, sender, body. wire_encode_...()
- * append to a buffer; wire_decode() checks every field and refuses what does
- * not fit. A decoded message is freed with wire_clear().
+ * A message is a tuple: format version, type, sender, body; numbers are in the
+ * machine's byte order, which all instances share. wire_encode_...() append to
+ * a buffer; wire_decode() checks every field and refuses what does not fit. A decoded message is
+ * freed with wire_clear().
  */
 #ifndef FLAMINGOLATCH_WIRE_H
 #define FLAMINGOLATCH_WIRE_H
@@ -14,7 +15,7 @@
 
 #include <glib.h>
 
-#define WIRE_VERSION	  1
+#define WIRE_VERSION	  2
 #define WIRE_MEMBERS_MAX  64
 #define WIRE_LEAVING_MAX  64
 #define WIRE_SUMS_MAX	  64
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -9,9 +9,11 @@
 #define POOL_PEER_MAX_AGE_US	(3ULL * 1000 * 1000)
 #define POOL_FRESH_US		400000 /* a round of gossip, less its jitter */
 #define POOL_ROOM_BASE		2      /* room factor of a request that waits alone */
+#define POOL_EXPIRE_EVERY_US	(500ULL * 1000)
 #define POOL_CANDIDATES_MAX	16
 #define POOL_PREFIX_WEIGHT	0.3  /* pressure that a fully cached prompt is worth */
 #define POOL_DISTANCE_WEIGHT	4.0  /* farther places are taken only when nearer ones are full */
+#define POOL_OPEN_WEIGHT	0.1  /* spreads own work, whose step time it shares */
 #define POOL_JITTER		0.02 /* keeps equal engines from being chosen in lockstep */
 #define POOL_CIRCUIT_FAILURES	3
 #define POOL_CIRCUIT_FIRST_US	(200ULL * 1000)
@@ -36,6 +38,7 @@
 	GHashTable *prefixes; /* block hash, as a set */
 	GQueue prefix_order;  /* oldest first */
 	uint64_t fresh_us;    /* since when fresh counts */
+	uint64_t expired_us;  /* when silent peers were last looked for */
 	uint64_t retry_at_us;
 	uint64_t circuit_us;
 	uint32_t failures;
@@ -357,6 +360,9 @@
 	GHashTableIter iter;
 	struct pool_peer *slot;
 
+	if (now_us - up->expired_us < POOL_EXPIRE_EVERY_US)
+		return;
+	up->expired_us = now_us;
 	g_hash_table_iter_init(&iter, up->by_peer);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&slot)) {
 		if (now_us - slot->at_us <= POOL_PEER_MAX_AGE_US)
@@ -440,7 +446,8 @@
 		if (!upstream_has_room(up, need))
 			continue;
 		pressure = upstream_pressure(up, need->item, 1, need->deviations);
-		score = pressure + POOL_DISTANCE_WEIGHT * up->distance -
+		score = pressure + POOL_OPEN_WEIGHT * up->open +
+			POOL_DISTANCE_WEIGHT * up->distance -
 			POOL_PREFIX_WEIGHT * upstream_cached(up, need) +
 			POOL_JITTER * g_rand_double(pool->rand);
 		if (!best || score < best_score) {
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -1,273 +1,230 @@
 #include "flamingolatch/wire.h"
 
-#include <msgpack.h>
+#include <math.h>
 #include <string.h>
 
-#define WIRE_RECORD_FIELDS 7
-#define WIRE_TOP_FIELDS	   4
+/*
+ * GVariant checks lengths against the bytes present and allocates nothing by a
+ * declared size, so a message of a few bytes cannot ask for gigabytes.
+ */
+#define WIRE_MESSAGE_TYPE "(yysv)" /* version, type, sender, body */
+#define WIRE_RECORD_TYPE                                                                           \
+	"(ssstttb)" /* id, zone, address, incarnation, heartbeat, revision, leaving */
+#define WIRE_GOSSIP_TYPE "(a" WIRE_RECORD_TYPE "a(ss)a(sauau))" /* members, leaving, sums */
+#define WIRE_ASK_TYPE	 "(st)"					/* address, revision */
+#define WIRE_CONFIG_TYPE "(s)"					/* snapshot */
 
 /* helpers: encoding */
 
-static int wire_write(void *data, const char *buf, size_t len)
+static void wire_finish(GByteArray *out, enum wire_type type, const char *from, GVariant *body)
 {
-	g_byte_array_append(data, (const guint8 *)buf, (guint)len);
-	return 0;
-}
-
-static void wire_text(msgpack_packer *pk, const char *text)
-{
-	size_t len = strlen(text);
+	GVariant *message = g_variant_ref_sink(
+		g_variant_new(WIRE_MESSAGE_TYPE, WIRE_VERSION, (guint8)type, from, body));
 
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, text, len);
-}
-
-static void wire_begin(msgpack_packer *pk, GByteArray *out, enum wire_type type, const char *from)
-{
-	msgpack_packer_init(pk, out, wire_write);
-	msgpack_pack_array(pk, WIRE_TOP_FIELDS);
-	msgpack_pack_uint32(pk, WIRE_VERSION);
-	msgpack_pack_uint32(pk, type);
-	wire_text(pk, from);
+	g_byte_array_append(out, g_variant_get_data(message), (guint)g_variant_get_size(message));
+	g_variant_unref(message);
 }
 
-static void wire_record(msgpack_packer *pk, const struct memb_record *record)
+static guint32 wire_round(double value)
 {
-	msgpack_pack_array(pk, WIRE_RECORD_FIELDS);
-	wire_text(pk, record->id);
-	wire_text(pk, record->zone);
-	wire_text(pk, record->address);
-	msgpack_pack_uint64(pk, record->incarnation);
-	msgpack_pack_uint64(pk, record->heartbeat);
-	msgpack_pack_uint64(pk, record->revision);
-	if (record->leaving)
-		msgpack_pack_true(pk);
-	else
-		msgpack_pack_false(pk);
+	return (guint32)CLAMP(value + 0.5, 0.0, (double)G_MAXUINT32);
 }
 
-static void wire_sum(msgpack_packer *pk, const struct wire_sum *sum)
+/* Deviations take the place of variances, which would not fit 32 bits. */
+static void wire_add_sum(GVariantBuilder *sums, const struct wire_sum *sum)
 {
-	msgpack_pack_array(pk, 1 + 2 * LOAD_HORIZONS);
-	wire_text(pk, sum->id);
+	g_variant_builder_open(sums, G_VARIANT_TYPE("(sauau)"));
+	g_variant_builder_add(sums, "s", sum->id);
+	g_variant_builder_open(sums, G_VARIANT_TYPE("au"));
 	for (uint32_t i = 0; i < LOAD_HORIZONS; i++)
-		msgpack_pack_float(pk, (float)sum->sum.mean[i]);
+		g_variant_builder_add(sums, "u", wire_round(sum->sum.mean[i]));
+	g_variant_builder_close(sums);
+	g_variant_builder_open(sums, G_VARIANT_TYPE("au"));
 	for (uint32_t i = 0; i < LOAD_HORIZONS; i++)
-		msgpack_pack_float(pk, (float)sum->sum.var[i]);
+		g_variant_builder_add(sums, "u", wire_round(sqrt(MAX(sum->sum.var[i], 0.0))));
+	g_variant_builder_close(sums);
+	g_variant_builder_close(sums);
 }
 
 /* commands */
 
 void wire_encode_gossip(GByteArray *out, const char *from, const struct wire_gossip *gossip)
 {
-	msgpack_packer pk;
-
-	wire_begin(&pk, out, WIRE_GOSSIP, from);
-	msgpack_pack_array(&pk, 3);
-	msgpack_pack_array(&pk, gossip->member_count);
-	for (uint32_t i = 0; i < gossip->member_count; i++)
-		wire_record(&pk, &gossip->members[i]);
-	msgpack_pack_array(&pk, gossip->leaving_count);
-	for (uint32_t i = 0; i < gossip->leaving_count; i++) {
-		msgpack_pack_array(&pk, 2);
-		wire_text(&pk, gossip->leaving[i].id);
-		wire_text(&pk, gossip->leaving[i].address);
+	GVariantBuilder members;
+	GVariantBuilder leaving;
+	GVariantBuilder sums;
+
+	g_variant_builder_init(&members, G_VARIANT_TYPE("a" WIRE_RECORD_TYPE));
+	for (uint32_t i = 0; i < gossip->member_count; i++) {
+		const struct memb_record *record = &gossip->members[i];
+
+		g_variant_builder_add(&members, WIRE_RECORD_TYPE, record->id, record->zone,
+				      record->address, record->incarnation, record->heartbeat,
+				      record->revision, record->leaving);
 	}
-	msgpack_pack_array(&pk, gossip->sum_count);
+	g_variant_builder_init(&leaving, G_VARIANT_TYPE("a(ss)"));
+	for (uint32_t i = 0; i < gossip->leaving_count; i++)
+		g_variant_builder_add(&leaving, "(ss)", gossip->leaving[i].id,
+				      gossip->leaving[i].address);
+	g_variant_builder_init(&sums, G_VARIANT_TYPE("a(sauau)"));
 	for (uint32_t i = 0; i < gossip->sum_count; i++)
-		wire_sum(&pk, &gossip->sums[i]);
+		wire_add_sum(&sums, &gossip->sums[i]);
+	wire_finish(out, WIRE_GOSSIP, from,
+		    g_variant_new(WIRE_GOSSIP_TYPE, &members, &leaving, &sums));
 }
 
 void wire_encode_config_ask(GByteArray *out, const char *from, const char *address,
 			    uint64_t revision)
 {
-	msgpack_packer pk;
-
-	wire_begin(&pk, out, WIRE_CONFIG_ASK, from);
-	msgpack_pack_array(&pk, 2);
-	wire_text(&pk, address);
-	msgpack_pack_uint64(&pk, revision);
+	wire_finish(out, WIRE_CONFIG_ASK, from, g_variant_new(WIRE_ASK_TYPE, address, revision));
 }
 
 void wire_encode_config(GByteArray *out, const char *from, const char *snapshot)
 {
-	msgpack_packer pk;
-
-	wire_begin(&pk, out, WIRE_CONFIG, from);
-	msgpack_pack_array(&pk, 1);
-	wire_text(&pk, snapshot);
+	wire_finish(out, WIRE_CONFIG, from, g_variant_new(WIRE_CONFIG_TYPE, snapshot));
 }
 
 /* helpers: decoding */
 
-static bool wire_get_text(const msgpack_object *obj, char *out, size_t size)
-{
-	if (obj->type != MSGPACK_OBJECT_STR || obj->via.str.size >= size)
-		return false;
-	memcpy(out, obj->via.str.ptr, obj->via.str.size);
-	out[obj->via.str.size] = '\0';
-	return strlen(out) == obj->via.str.size;
-}
-
-static bool wire_get_u64(const msgpack_object *obj, uint64_t *out)
+static bool wire_copy(char *out, size_t size, const char *text)
 {
-	*out = obj->via.u64;
-	return obj->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+	return g_strlcpy(out, text, size) < size;
 }
 
-static bool wire_get_float(const msgpack_object *obj, double *out)
+static bool wire_get_record(GVariant *item, struct memb_record *out)
 {
-	if (obj->type != MSGPACK_OBJECT_FLOAT32 && obj->type != MSGPACK_OBJECT_FLOAT64)
-		return false;
-	*out = obj->via.f64;
-	return *out >= 0.0 && *out <= 1e15;
-}
+	const char *id;
+	const char *zone;
+	const char *address;
+	gboolean leaving;
 
-static const msgpack_object *wire_get_array(const msgpack_object *obj, uint32_t max,
-					    uint32_t *count)
-{
-	if (obj->type != MSGPACK_OBJECT_ARRAY || obj->via.array.size > max)
-		return NULL;
-	*count = obj->via.array.size;
-	return obj->via.array.ptr;
+	g_variant_get(item, "(&s&s&stttb)", &id, &zone, &address, &out->incarnation,
+		      &out->heartbeat, &out->revision, &leaving);
+	out->leaving = leaving;
+	return wire_copy(out->id, sizeof(out->id), id) &&
+	       wire_copy(out->zone, sizeof(out->zone), zone) &&
+	       wire_copy(out->address, sizeof(out->address), address);
 }
 
-static bool wire_array_fits(const msgpack_object *obj, uint32_t max)
+static bool wire_get_leaving(GVariant *item, struct wire_leaving *out)
 {
-	return obj->type == MSGPACK_OBJECT_ARRAY && obj->via.array.size <= max;
-}
-
-static const msgpack_object *wire_get_tuple(const msgpack_object *obj, uint32_t size)
-{
-	uint32_t count = 0;
-	const msgpack_object *items = wire_get_array(obj, size, &count);
+	const char *id;
+	const char *address;
 
-	return count == size ? items : NULL;
+	g_variant_get(item, "(&s&s)", &id, &address);
+	return wire_copy(out->id, sizeof(out->id), id) &&
+	       wire_copy(out->address, sizeof(out->address), address);
 }
 
-static bool wire_get_record(const msgpack_object *obj, struct memb_record *out)
+static bool wire_get_sum(GVariant *item, struct wire_sum *out)
 {
-	const msgpack_object *items = wire_get_tuple(obj, WIRE_RECORD_FIELDS);
+	g_autoptr(GVariant) means = g_variant_get_child_value(item, 1);
+	g_autoptr(GVariant) deviations = g_variant_get_child_value(item, 2);
+	const char *id;
 
-	if (!items)
+	g_variant_get_child(item, 0, "&s", &id);
+	if (g_variant_n_children(means) != LOAD_HORIZONS ||
+	    g_variant_n_children(deviations) != LOAD_HORIZONS)
 		return false;
-	out->leaving = items[6].via.boolean;
-	return wire_get_text(&items[0], out->id, sizeof(out->id)) &&
-	       wire_get_text(&items[1], out->zone, sizeof(out->zone)) &&
-	       wire_get_text(&items[2], out->address, sizeof(out->address)) &&
-	       wire_get_u64(&items[3], &out->incarnation) &&
-	       wire_get_u64(&items[4], &out->heartbeat) &&
-	       wire_get_u64(&items[5], &out->revision) && items[6].type == MSGPACK_OBJECT_BOOLEAN;
+	for (uint32_t i = 0; i < LOAD_HORIZONS; i++) {
+		guint32 mean;
+		guint32 deviation;
+
+		g_variant_get_child(means, i, "u", &mean);
+		g_variant_get_child(deviations, i, "u", &deviation);
+		out->sum.mean[i] = mean;
+		out->sum.var[i] = (double)deviation * deviation;
+	}
+	return wire_copy(out->id, sizeof(out->id), id);
 }
 
-static bool wire_get_sum(const msgpack_object *obj, struct wire_sum *out)
+static bool wire_get_gossip(GVariant *body, struct wire_gossip *out)
 {
-	const msgpack_object *items = wire_get_tuple(obj, 1 + 2 * LOAD_HORIZONS);
+	g_autoptr(GVariant) members = g_variant_get_child_value(body, 0);
+	g_autoptr(GVariant) leaving = g_variant_get_child_value(body, 1);
+	g_autoptr(GVariant) sums = g_variant_get_child_value(body, 2);
+	bool ok = g_variant_n_children(members) <= WIRE_MEMBERS_MAX &&
+		  g_variant_n_children(leaving) <= WIRE_LEAVING_MAX &&
+		  g_variant_n_children(sums) <= WIRE_SUMS_MAX;
 
-	if (!items || !wire_get_text(&items[0], out->id, sizeof(out->id)))
-		return false;
-	for (uint32_t i = 0; i < LOAD_HORIZONS; i++) {
-		if (!wire_get_float(&items[1 + i], &out->sum.mean[i]) ||
-		    !wire_get_float(&items[1 + LOAD_HORIZONS + i], &out->sum.var[i]))
-			return false;
+	for (gsize i = 0; ok && i < g_variant_n_children(members); i++) {
+		g_autoptr(GVariant) item = g_variant_get_child_value(members, i);
+
+		ok = wire_get_record(item, &out->members[out->member_count++]);
 	}
-	return true;
-}
+	for (gsize i = 0; ok && i < g_variant_n_children(leaving); i++) {
+		g_autoptr(GVariant) item = g_variant_get_child_value(leaving, i);
 
-static bool wire_get_leaving(const msgpack_object *obj, struct wire_leaving *out)
-{
-	const msgpack_object *items = wire_get_tuple(obj, 2);
+		ok = wire_get_leaving(item, &out->leaving[out->leaving_count++]);
+	}
+	for (gsize i = 0; ok && i < g_variant_n_children(sums); i++) {
+		g_autoptr(GVariant) item = g_variant_get_child_value(sums, i);
 
-	return items && wire_get_text(&items[0], out->id, sizeof(out->id)) &&
-	       wire_get_text(&items[1], out->address, sizeof(out->address));
+		ok = wire_get_sum(item, &out->sums[out->sum_count++]);
+	}
+	return ok;
 }
 
-static bool wire_get_gossip(const msgpack_object *body, struct wire_gossip *out)
+static bool wire_get_ask(GVariant *body, struct wire_message *out)
 {
-	const msgpack_object *parts = wire_get_tuple(body, 3);
-	const msgpack_object *items;
+	const char *address;
 
-	if (!parts)
-		return false;
-	items = wire_get_array(&parts[0], WIRE_MEMBERS_MAX, &out->member_count);
-	if (!wire_array_fits(&parts[0], WIRE_MEMBERS_MAX))
-		return false;
-	for (uint32_t i = 0; i < out->member_count; i++) {
-		if (!wire_get_record(&items[i], &out->members[i]))
-			return false;
-	}
-	items = wire_get_array(&parts[1], WIRE_LEAVING_MAX, &out->leaving_count);
-	if (!wire_array_fits(&parts[1], WIRE_LEAVING_MAX))
-		return false;
-	for (uint32_t i = 0; i < out->leaving_count; i++) {
-		if (!wire_get_leaving(&items[i], &out->leaving[i]))
-			return false;
-	}
-	items = wire_get_array(&parts[2], WIRE_SUMS_MAX, &out->sum_count);
-	if (!wire_array_fits(&parts[2], WIRE_SUMS_MAX))
-		return false;
-	for (uint32_t i = 0; i < out->sum_count; i++) {
-		if (!wire_get_sum(&items[i], &out->sums[i]))
-			return false;
-	}
-	return true;
+	g_variant_get(body, "(&st)", &address, &out->revision);
+	return wire_copy(out->address, sizeof(out->address), address);
 }
 
-static bool wire_get_snapshot(const msgpack_object *body, char **out)
+static bool wire_get_snapshot(GVariant *body, struct wire_message *out)
 {
-	const msgpack_object *items = wire_get_tuple(body, 1);
+	const char *text;
 
-	if (!items || items[0].type != MSGPACK_OBJECT_STR ||
-	    items[0].via.str.size > WIRE_SNAPSHOT_MAX)
+	g_variant_get(body, "(&s)", &text);
+	if (strlen(text) > WIRE_SNAPSHOT_MAX)
 		return false;
-	*out = g_strndup(items[0].via.str.ptr, items[0].via.str.size);
+	out->snapshot = g_strdup(text);
 	return true;
 }
 
-static bool wire_get_body(const msgpack_object *body, struct wire_message *out)
+static bool wire_get_body(GVariant *body, struct wire_message *out)
 {
-	const msgpack_object *items;
-
-	switch (out->type) {
-	case WIRE_GOSSIP:
+	if (out->type == WIRE_GOSSIP &&
+	    g_variant_is_of_type(body, G_VARIANT_TYPE(WIRE_GOSSIP_TYPE))) {
 		out->gossip = g_new0(struct wire_gossip, 1);
 		return wire_get_gossip(body, out->gossip);
-	case WIRE_CONFIG_ASK:
-		items = wire_get_tuple(body, 2);
-		return items && wire_get_text(&items[0], out->address, sizeof(out->address)) &&
-		       wire_get_u64(&items[1], &out->revision);
-	case WIRE_CONFIG:
-		return wire_get_snapshot(body, &out->snapshot);
-	default:
-		return false;
 	}
+	if (out->type == WIRE_CONFIG_ASK &&
+	    g_variant_is_of_type(body, G_VARIANT_TYPE(WIRE_ASK_TYPE)))
+		return wire_get_ask(body, out);
+	if (out->type == WIRE_CONFIG &&
+	    g_variant_is_of_type(body, G_VARIANT_TYPE(WIRE_CONFIG_TYPE)))
+		return wire_get_snapshot(body, out);
+	return false;
 }
 
-static bool wire_get_message(const msgpack_object *root, struct wire_message *out)
+static bool wire_get_message(GVariant *message, struct wire_message *out)
 {
-	const msgpack_object *top = wire_get_tuple(root, WIRE_TOP_FIELDS);
-	uint64_t version;
-	uint64_t type;
+	g_autoptr(GVariant) body = NULL;
+	const char *from;
+	guint8 version;
+	guint8 type;
 
-	if (!top || !wire_get_u64(&top[0], &version) || version != WIRE_VERSION)
-		return false;
-	if (!wire_get_u64(&top[1], &type) || type >= WIRE_TYPE_COUNT)
+	if (!g_variant_is_normal_form(message))
 		return false;
+	g_variant_get(message, "(yy&sv)", &version, &type, &from, &body);
 	out->type = (enum wire_type)type;
-	return wire_get_text(&top[2], out->from, sizeof(out->from)) && wire_get_body(&top[3], out);
+	return version == WIRE_VERSION && wire_copy(out->from, sizeof(out->from), from) &&
+	       wire_get_body(body, out);
 }
 
 bool wire_decode(const void *buf, size_t len, struct wire_message *out)
 {
-	msgpack_unpacked unpacked;
-	size_t offset = 0;
-	bool ok = false;
+	g_autoptr(GBytes) bytes = g_bytes_new(buf, len);
+	GVariant *message = g_variant_ref_sink(
+		g_variant_new_from_bytes(G_VARIANT_TYPE(WIRE_MESSAGE_TYPE), bytes, FALSE));
+	bool ok;
 
 	memset(out, 0, sizeof(*out));
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, buf, len, &offset) == MSGPACK_UNPACK_SUCCESS)
-		ok = offset == len && wire_get_message(&unpacked.data, out);
-	msgpack_unpacked_destroy(&unpacked);
+	ok = wire_get_message(message, out);
+	g_variant_unref(message);
 	if (!ok)
 		wire_clear(out);
 	return ok;
--- a/test/fake/engine_model.c
+++ b/test/fake/engine_model.c
@@ -294,3 +294,8 @@
 {
 	return job->produced;
 }
+
+bool emodel_job_running(const struct emodel_job *job)
+{
+	return job->running;
+}
--- a/test/fake/engine_model.h
+++ b/test/fake/engine_model.h
@@ -75,5 +75,7 @@
 void emodel_report(const struct emodel *model, struct emodel_report *out);
 /** Returns how many tokens of the job exist. */
 uint64_t emodel_job_produced(const struct emodel_job *job);
+/** Tells whether the job holds memory now. */
+bool emodel_job_running(const struct emodel_job *job);
 
 #endif
