--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -32,6 +32,7 @@
 	X(LOG_ENGINE_LEAVING, 400, INFO, "engine-leaving", "An engine gets no new work.") \
 	X(LOG_ENGINE_DOWN, 401, WARNING, "engine-down", "An engine does not answer.") \
 	X(LOG_ENGINE_UP, 402, INFO, "engine-up", "An engine answers again.") \
+	X(LOG_ENGINE_ORDERED, 403, INFO, "engine-ordered", "An engine was ordered to another version.") \
 	X(LOG_GENERATION_LOST, 410, WARNING, "generation-lost", "A generation could not be continued.") \
 	X(LOG_GENERATION_RESUMED, 411, INFO, "generation-resumed", "A stream was taken up again.") \
 	X(LOG_GENERATION_STALLED, 412, WARNING, "generation-stalled", "A stream made no progress for the profile's bound.") \
--- a/include/flamingolatch/pool.h
+++ b/include/flamingolatch/pool.h
@@ -74,6 +74,8 @@
 bool upstream_set_leaving(struct upstream *up, uint64_t now_us);
 bool upstream_set_reachable(struct upstream *up, bool reachable);
 void upstream_report(struct upstream *up, const struct pool_report *report);
+/** Sets the version that the engine reports; @p version may be NULL. */
+void upstream_set_version(struct upstream *up, const char *version);
 /** Replaces the sum that a peer announced for this upstream. */
 void upstream_set_peer(struct upstream *up, const char *peer, const struct load_sum *sum,
 		       uint64_t now_us);
@@ -98,6 +100,8 @@
 const char *upstream_region(const struct upstream *up);
 enum pool_state upstream_state(const struct upstream *up);
 const char *pool_state_name(enum pool_state state);
+/** Returns the version last reported, or NULL. */
+const char *upstream_version(const struct upstream *up);
 uint32_t upstream_open(const struct upstream *up);
 const struct load_sum *upstream_own(const struct upstream *up);
 const struct pool_report *upstream_last_report(const struct upstream *up);
--- a/include/flamingolatch/profile.h
+++ b/include/flamingolatch/profile.h
@@ -40,7 +40,8 @@
 	uint64_t customer_burst;      /**< requests above the rate at once */
 	uint64_t customer_streams;    /**< open requests per customer; 0 means no limit */
 	uint32_t spill;		      /**< enum prof_spill */
-	char **idempotent_methods;    /**< methods that may be sent again */
+	char *engine_version; /**< version that the service's engines are brought to; may be NULL */
+	char **idempotent_methods; /**< methods that may be sent again */
 	struct prof_reservation *reservations;
 	uint32_t reservation_count;
 };
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -30,6 +30,7 @@
 	char *address;
 	char *zone;
 	char *region;
+	char *version;
 	struct load_sum own;
 	struct load_sum peers; /* sum over by_peer */
 	struct load_sum fresh; /* own work sent since the peers last spoke */
@@ -72,6 +73,7 @@
 	g_free(up->address);
 	g_free(up->zone);
 	g_free(up->region);
+	g_free(up->version);
 	g_free(up);
 }
 
@@ -193,6 +195,14 @@
 	up->report = *report;
 }
 
+void upstream_set_version(struct upstream *up, const char *version)
+{
+	if (g_strcmp0(up->version, version) == 0)
+		return;
+	g_free(up->version);
+	up->version = g_strdup(version);
+}
+
 void upstream_set_peer(struct upstream *up, const char *peer, const struct load_sum *sum,
 		       uint64_t now_us)
 {
@@ -333,6 +343,11 @@
 	return pool_state_names[state];
 }
 
+const char *upstream_version(const struct upstream *up)
+{
+	return up->version;
+}
+
 uint32_t upstream_open(const struct upstream *up)
 {
 	return up->open;
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -27,6 +27,7 @@
 
 struct watch;
 struct gossip;
+struct orders;
 struct genreq;
 
 /** What an instance keeps for one service. */
@@ -54,6 +55,7 @@
 	struct memb *memb;
 	struct watch *watch;
 	struct gossip *gossip;
+	struct orders *orders;
 	GHashTable *services;	 /* name to struct entry_service */
 	GHashTable *generations; /* set of struct genreq */
 	char *bus_address;
@@ -120,6 +122,12 @@
 void gossip_receive(void *ctx, const void *buf, size_t len);
 /** @} */
 
+/** @name orders.c: orders to the engines of the own zone
+ * @{ */
+struct orders *orders_create(struct entry *entry);
+void orders_destroy(struct orders *orders);
+/** @} */
+
 /** @name src/command
  * @{ */
 void generate_start(struct entry *entry, struct hreq *req, const struct set_customer *customer,
--- a/src/entry/watch.c
+++ b/src/entry/watch.c
@@ -285,6 +285,7 @@
 
 	if (report.kv_capacity)
 		upstream_report(up, &report);
+	upstream_set_version(up, json_string_value(json_object_get(root, "version")));
 	watch_take_cache(engine, up, root);
 	if (json_is_true(json_object_get(root, "leaving")))
 		entry_upstream_leaving(entry, up, "engine");
--- a/test/fake/engine.c
+++ b/test/fake/engine.c
@@ -63,6 +63,7 @@
 	gboolean exact;
 	gint cache_gap_every;
 	char *name;
+	char *version;
 	bool leaving;
 	bool stepping;
 };
@@ -355,6 +356,7 @@
 	}
 	json_object_set_new(answer, "cache_events", events);
 	json_object_set_new(answer, "leaving", json_boolean(engine->leaving));
+	json_object_set_new(answer, "version", json_string(engine->version));
 	fake_reply(req, 200, answer);
 }
 
@@ -364,8 +366,16 @@
 	uint64_t fence = (uint64_t)fake_int(root, "fence", 0);
 	bool refused = engine->check_fence && fence < engine->fence;
 
-	if (!refused)
+	if (!refused) {
+		const char *version = json_string_value(
+			json_object_get(json_object_get(root, "order"), "version"));
+
 		engine->fence = MAX(fence, engine->fence);
+		if (version) {
+			g_free(engine->version);
+			engine->version = g_strdup(version);
+		}
+	}
 	fake_log(&engine->fake, json_pack("{s:s, s:s, s:I, s:b, s:O}", "ev", "order", "engine",
 					  engine->name, "fence", (json_int_t)fence, "refused",
 					  refused, "order", json_object_get(root, "order")));
@@ -453,6 +463,7 @@
 	engine.streams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_stream_free);
 	engine.cache_events = json_array();
 	fake_start(&engine.fake, argc, argv, options, engine_on_request, &engine);
+	engine.version = g_strdup("v1");
 	if (!engine.name)
 		engine.name = g_strdup("engine");
 	conf = (struct emodel_conf){ .kv_tokens = (uint64_t)engine.kv_tokens,
--- a/test/history/history.c
+++ b/test/history/history.c
@@ -273,3 +273,23 @@
 				  text_of(line, "engine"), at_ms - left_ms);
 	}
 }
+
+uint64_t history_check_orders(const json_t *engine, struct history_counts *counts)
+{
+	uint64_t last = 0;
+	uint64_t orders = 0;
+
+	for (size_t i = 0; i < json_array_size(engine); i++) {
+		const json_t *line = json_array_get(engine, i);
+		uint64_t fence = number_of(line, "fence");
+
+		if (!is_event(line, "order"))
+			continue;
+		orders++;
+		if (fence < last)
+			violation(counts, "an order under %" PRIu64 " followed one under %" PRIu64,
+				  fence, last);
+		last = fence;
+	}
+	return orders;
+}
--- a/test/history/history.h
+++ b/test/history/history.h
@@ -42,6 +42,9 @@
 			 struct history_counts *counts);
 /** Checks that no instance went back to an older revision. @p log is the log of one. */
 void history_check_revisions(const json_t *log, struct history_counts *counts);
+/** Checks that the fencing numbers of an engine's orders never fall.
+ * @return the number of orders */
+uint64_t history_check_orders(const json_t *engine, struct history_counts *counts);
 /** Checks that an engine got no new work after it left and @p grace_ms passed. */
 void history_check_leaving(const json_t *engine, uint64_t grace_ms, struct history_counts *counts);
 
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -117,6 +117,18 @@
 	g_assert_cmpuint(counts.violations, ==, 1);
 }
 
+static void test_orders(void)
+{
+	struct history_counts counts = { 0 };
+	json_t *log = json_loads("[{\"ev\":\"order\",\"fence\":1},{\"ev\":\"order\",\"fence\":3},"
+				 "{\"ev\":\"order\",\"fence\":2}]",
+				 0, NULL);
+
+	g_assert_cmpuint(history_check_orders(log, &counts), ==, 3);
+	g_assert_cmpuint(counts.violations, ==, 1);
+	json_decref(log);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -124,5 +136,6 @@
 	g_test_add_func("/history/calls", test_calls);
 	g_test_add_func("/history/revisions", test_revisions);
 	g_test_add_func("/history/leaving", test_leaving);
+	g_test_add_func("/history/orders", test_orders);
 	return g_test_run();
 }
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -225,6 +225,65 @@
 	proc_destroy(proc);
 }
 
+/* Waits until an engine reports a version to an entry. */
+static void wait_version(struct proc *proc, uint32_t entry, uint32_t engine, const char *version)
+{
+	g_autofree char *id = g_strdup_printf("engine-%u", engine);
+	bool seen = false;
+
+	for (uint32_t i = 0; i < 600 && !seen; i++) {
+		json_t *state = proc_state(proc, entry);
+		const json_t *ups = json_object_get(state, "upstreams");
+
+		for (size_t u = 0; u < json_array_size(ups); u++) {
+			const json_t *up = json_array_get(ups, u);
+
+			if (strcmp(json_string_value(json_object_get(up, "id")), id) == 0)
+				seen = g_strcmp0(json_string_value(json_object_get(up, "version")),
+						 version) == 0;
+		}
+		json_decref(state);
+		g_usleep(SECOND_US / 20);
+	}
+	g_assert_true(seen);
+}
+
+/* The lease's holder is frozen between two changes; its orders must not win. */
+static void test_orders(void)
+{
+	struct history_counts counts = { 0 };
+	struct proc *proc = proc_create(&three);
+	g_autofree char *file = g_build_filename(proc_dir(proc), "text.yaml", NULL);
+	uint64_t orders = 0;
+
+	for (uint32_t i = 2; i <= 3; i++) {
+		g_autofree char *version = g_strdup_printf("v%u", i);
+		g_autofree char *text =
+			g_strdup_printf("name: text\nspill: region\nengine_version: %s\n", version);
+
+		g_assert_true(g_file_set_contents(file, text, -1, NULL));
+		g_assert_cmpint(proc_operator(proc, 1, NULL, "profile", "change", "-f", file, NULL),
+				==, 0);
+		if (i == 3)
+			proc_signal_entry(proc, 0, SIGSTOP);
+		wait_version(proc, 2, 0, version);
+		wait_version(proc, 2, 2, version);
+		wait_version(proc, 1, 1, version);
+	}
+	proc_signal_entry(proc, 0, SIGCONT);
+	g_usleep(2 * SECOND_US);
+	for (uint32_t i = 0; i < 3; i++) {
+		json_t *log = proc_engine_log(proc, i);
+
+		orders += history_check_orders(log, &counts);
+		json_decref(log);
+		wait_version(proc, i, i, "v3");
+	}
+	g_assert_cmpuint(counts.violations, ==, 0);
+	g_assert_cmpuint(orders, >=, 6);
+	proc_destroy(proc);
+}
+
 static uint64_t count_members(const json_t *state)
 {
 	const json_t *members = json_object_get(state, "members");
@@ -279,5 +338,6 @@
 	g_test_add_func("/proc/members", test_members);
 	g_test_add_func("/proc/config", test_config);
 	g_test_add_func("/proc/cut", test_cut);
+	g_test_add_func("/proc/orders", test_orders);
 	return g_test_run();
 }
