--- a/include/flamingolatch/settings.h
+++ b/include/flamingolatch/settings.h
@@ -41,6 +41,7 @@
 	uint32_t kind;	/**< enum set_service_kind */
 	char *upstream; /**< name of the upstream pool in the instance list */
 	char *profile;
+	char *owner; /**< who pays for the service's work; its name unless set */
 };
 
 struct set_drain {
--- a/include/flamingolatch/wire.h
+++ b/include/flamingolatch/wire.h
@@ -15,9 +15,10 @@
 
 #include <glib.h>
 
-#define WIRE_VERSION	  2
+#define WIRE_VERSION	  3
 #define WIRE_MEMBERS_MAX  64
 #define WIRE_LEAVING_MAX  64
+#define WIRE_HELD_MAX	  64
 #define WIRE_SUMS_MAX	  64
 #define WIRE_SNAPSHOT_MAX (1 << 19)
 
@@ -40,6 +41,13 @@
 	struct load_sum sum;
 };
 
+/** Tokens of memory that the sender's work holds on an engine for an owner. */
+struct wire_held {
+	char engine[MEMB_ID_MAX];
+	char owner[MEMB_ID_MAX];
+	uint64_t tokens;
+};
+
 /** Body of WIRE_GOSSIP. */
 struct wire_gossip {
 	uint32_t member_count;
@@ -48,6 +56,8 @@
 	struct wire_leaving leaving[WIRE_LEAVING_MAX];
 	uint32_t sum_count;
 	struct wire_sum sums[WIRE_SUMS_MAX];
+	uint32_t held_count;
+	struct wire_held held[WIRE_HELD_MAX];
 };
 
 /** A decoded message. */
--- a/src/command/generate.c
+++ b/src/command/generate.c
@@ -909,3 +909,14 @@
 			 (json_int_t)gen_epoch(gr->gen), "age_ms",
 			 (json_int_t)((now_us - gr->arrived_us) / 1000));
 }
+
+uint64_t genreq_held(const struct genreq *gr, const char **engine, const char **owner)
+{
+	const struct set_service *service = gr->service->set;
+
+	if (!gr->up)
+		return 0;
+	*engine = upstream_id(gr->up);
+	*owner = service->owner ? service->owner : service->name;
+	return gr->item.prompt_tokens + gen_delivered(gr->gen) + 1;
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -84,6 +84,7 @@
 	entry->gossip = gossip_create(entry);
 	entry->watch = watch_create(entry);
 	entry->orders = orders_create(entry);
+	entry->accounts = accounts_create(entry);
 	uv_timer_start(&entry->tick, entry_on_tick, ENTRY_TICK_MS, ENTRY_TICK_MS);
 	uv_signal_start(&entry->terminate, entry_on_signal, SIGTERM);
 	uv_signal_start(&entry->interrupt, entry_on_signal, SIGINT);
@@ -111,6 +112,7 @@
 	watch_destroy(entry->watch);
 	gossip_destroy(entry->gossip);
 	orders_destroy(entry->orders);
+	accounts_destroy(entry->accounts);
 	bus_destroy(entry->bus);
 	/* Lets close callbacks run; idle connections of callers end with the process. */
 	uv_run(entry->loop, UV_RUN_NOWAIT);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -24,10 +24,12 @@
 #include "flamingolatch/settings.h"
 #include "flamingolatch/table.h"
 #include "flamingolatch/wfq.h"
+#include "flamingolatch/wire.h"
 
 struct watch;
 struct gossip;
 struct orders;
+struct accounts;
 struct genreq;
 
 /** What an instance keeps for one service. */
@@ -56,6 +58,7 @@
 	struct watch *watch;
 	struct gossip *gossip;
 	struct orders *orders;
+	struct accounts *accounts;
 	GHashTable *services;	 /* name to struct entry_service */
 	GHashTable *generations; /* set of struct genreq */
 	char *bus_address;
@@ -128,6 +131,17 @@
 void orders_destroy(struct orders *orders);
 /** @} */
 
+/** @name accounts.c: busy and idle time of the engines of the own zone
+ * @{ */
+struct accounts *accounts_create(struct entry *entry);
+void accounts_destroy(struct accounts *accounts);
+/** Returns what the own work holds: an array of struct wire_held. */
+GArray *accounts_own(const struct entry *entry);
+/** Takes what a peer's work holds. */
+void accounts_peer(struct accounts *accounts, const char *peer, const struct wire_held *held,
+		   uint32_t count);
+/** @} */
+
 /** @name src/command
  * @{ */
 void generate_start(struct entry *entry, struct hreq *req, const struct set_customer *customer,
@@ -144,7 +158,10 @@
 void query_state(struct entry *entry, struct hreq *req);
 void query_metrics(struct entry *entry, struct hreq *req);
 void query_profiles(struct entry *entry, struct hreq *req, const char *name);
-/** Adds a generation to the state dump. */
+void query_usage(struct entry *entry, struct hreq *req);
+/** Returns the tokens that a generation holds on an engine for an owner; 0 when none. */
+uint64_t genreq_held(const struct genreq *gen, const char **engine, const char **owner);
+/** Returns a generation for the state dump. */
 json_t *genreq_state(const struct genreq *gen, uint64_t now_us);
 /** @} */
 
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -9,6 +9,7 @@
 #define GOSSIP_PEERS_MAX       8
 #define GOSSIP_RECORD_BYTES    110
 #define GOSSIP_SUM_BYTES       120
+#define GOSSIP_HELD_BYTES      60
 #define GOSSIP_LEAVING_BYTES   70
 #define GOSSIP_LEAVING_KEEP_US (60ULL * 1000 * 1000)
 #define GOSSIP_ASK_EVERY_US    (300ULL * 1000)
@@ -108,7 +109,18 @@
 	}
 }
 
-/* Leaving notices go first, then membership, then loads, within the budget. */
+/* What the own work holds, for the ledger; the least urgent part. */
+static void gossip_fill_held(const struct entry *entry, struct wire_gossip *out, uint32_t max)
+{
+	GArray *held = accounts_own(entry);
+
+	out->held_count = MIN(MIN(max, WIRE_HELD_MAX), held->len);
+	if (out->held_count)
+		memcpy(out->held, held->data, out->held_count * sizeof(struct wire_held));
+	g_array_free(held, TRUE);
+}
+
+/* Leaving notices go first, then membership, loads and the ledger, within the budget. */
 static void gossip_send(struct gossip *gossip)
 {
 	struct entry *entry = gossip->entry;
@@ -131,6 +143,8 @@
 			    (uint32_t)CLAMP(left / 2 / GOSSIP_RECORD_BYTES, 2, WIRE_MEMBERS_MAX));
 	left -= MIN(left, out->member_count * GOSSIP_RECORD_BYTES);
 	gossip_fill_sums(gossip, out, (uint32_t)(left / GOSSIP_SUM_BYTES));
+	left -= MIN(left, out->sum_count * GOSSIP_SUM_BYTES);
+	gossip_fill_held(entry, out, (uint32_t)(left / GOSSIP_HELD_BYTES));
 	buf = g_byte_array_new();
 	wire_encode_gossip(buf, entry->set->instance, out);
 	for (uint32_t i = 0; i < peer_count; i++) {
@@ -214,6 +228,7 @@
 	}
 	for (uint32_t i = 0; i < in->leaving_count; i++)
 		gossip_take_leaving(entry, &in->leaving[i]);
+	accounts_peer(entry->accounts, msg->from, in->held, in->held_count);
 	for (uint32_t i = 0; i < in->sum_count; i++) {
 		struct upstream *up = pool_find(entry->pool, in->sums[i].id);
 
--- a/src/entry/router.c
+++ b/src/entry/router.c
@@ -90,6 +90,8 @@
 		query_state(entry, req);
 	else if (router_is(req, "GET", "/metrics"))
 		query_metrics(entry, req);
+	else if (router_is(req, "GET", "/usage"))
+		query_usage(entry, req);
 	else if (router_is(req, "GET", "/profiles"))
 		query_profiles(entry, req, NULL);
 	else if (strcmp(hreq_method(req), "GET") == 0 && g_str_has_prefix(path, "/profiles/"))
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -83,6 +83,7 @@
 	  .type = CONF_NAME,
 	  .offset = offsetof(struct set_service, profile),
 	  .required = true },
+	{ .key = "owner", .type = CONF_NAME, .offset = offsetof(struct set_service, owner) },
 	{ 0 }
 };
 static const struct conf_schema set_service_schema = { sizeof(struct set_service),
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -10,9 +10,10 @@
 #define WIRE_MESSAGE_TYPE "(yysv)" /* version, type, sender, body */
 #define WIRE_RECORD_TYPE                                                                           \
 	"(ssstttb)" /* id, zone, address, incarnation, heartbeat, revision, leaving */
-#define WIRE_GOSSIP_TYPE "(a" WIRE_RECORD_TYPE "a(ss)a(sauau))" /* members, leaving, sums */
-#define WIRE_ASK_TYPE	 "(st)"					/* address, revision */
-#define WIRE_CONFIG_TYPE "(s)"					/* snapshot */
+#define WIRE_GOSSIP_TYPE                                                                           \
+	"(a" WIRE_RECORD_TYPE "a(ss)a(sauau)a(sst))" /* members, leaving, sums, held */
+#define WIRE_ASK_TYPE	 "(st)"			     /* address, revision */
+#define WIRE_CONFIG_TYPE "(s)"			     /* snapshot */
 
 /* helpers: encoding */
 
@@ -53,6 +54,7 @@
 	GVariantBuilder members;
 	GVariantBuilder leaving;
 	GVariantBuilder sums;
+	GVariantBuilder held;
 
 	g_variant_builder_init(&members, G_VARIANT_TYPE("a" WIRE_RECORD_TYPE));
 	for (uint32_t i = 0; i < gossip->member_count; i++) {
@@ -69,8 +71,12 @@
 	g_variant_builder_init(&sums, G_VARIANT_TYPE("a(sauau)"));
 	for (uint32_t i = 0; i < gossip->sum_count; i++)
 		wire_add_sum(&sums, &gossip->sums[i]);
+	g_variant_builder_init(&held, G_VARIANT_TYPE("a(sst)"));
+	for (uint32_t i = 0; i < gossip->held_count; i++)
+		g_variant_builder_add(&held, "(sst)", gossip->held[i].engine, gossip->held[i].owner,
+				      gossip->held[i].tokens);
 	wire_finish(out, WIRE_GOSSIP, from,
-		    g_variant_new(WIRE_GOSSIP_TYPE, &members, &leaving, &sums));
+		    g_variant_new(WIRE_GOSSIP_TYPE, &members, &leaving, &sums, &held));
 }
 
 void wire_encode_config_ask(GByteArray *out, const char *from, const char *address,
@@ -138,14 +144,26 @@
 	return wire_copy(out->id, sizeof(out->id), id);
 }
 
+static bool wire_get_held(GVariant *item, struct wire_held *out)
+{
+	const char *engine;
+	const char *owner;
+
+	g_variant_get(item, "(&s&st)", &engine, &owner, &out->tokens);
+	return wire_copy(out->engine, sizeof(out->engine), engine) &&
+	       wire_copy(out->owner, sizeof(out->owner), owner);
+}
+
 static bool wire_get_gossip(GVariant *body, struct wire_gossip *out)
 {
 	g_autoptr(GVariant) members = g_variant_get_child_value(body, 0);
 	g_autoptr(GVariant) leaving = g_variant_get_child_value(body, 1);
 	g_autoptr(GVariant) sums = g_variant_get_child_value(body, 2);
+	g_autoptr(GVariant) held = g_variant_get_child_value(body, 3);
 	bool ok = g_variant_n_children(members) <= WIRE_MEMBERS_MAX &&
 		  g_variant_n_children(leaving) <= WIRE_LEAVING_MAX &&
-		  g_variant_n_children(sums) <= WIRE_SUMS_MAX;
+		  g_variant_n_children(sums) <= WIRE_SUMS_MAX &&
+		  g_variant_n_children(held) <= WIRE_HELD_MAX;
 
 	for (gsize i = 0; ok && i < g_variant_n_children(members); i++) {
 		g_autoptr(GVariant) item = g_variant_get_child_value(members, i);
@@ -162,6 +180,11 @@
 
 		ok = wire_get_sum(item, &out->sums[out->sum_count++]);
 	}
+	for (gsize i = 0; ok && i < g_variant_n_children(held); i++) {
+		g_autoptr(GVariant) item = g_variant_get_child_value(held, i);
+
+		ok = wire_get_held(item, &out->held[out->held_count++]);
+	}
 	return ok;
 }
 
--- a/src/main/cli.h
+++ b/src/main/cli.h
@@ -18,6 +18,7 @@
 int cmd_profile(int argc, char **argv);
 int cmd_state(int argc, char **argv);
 int cmd_load(int argc, char **argv);
+int cmd_usage(int argc, char **argv);
 
 /** Where the operator port is and the token for it. */
 struct cli_target {
--- a/src/main/main.c
+++ b/src/main/main.c
@@ -15,6 +15,7 @@
 	{ "check", cmd_check, "Check a settings file" },
 	{ "profile", cmd_profile, "Plan, apply, publish, change, retire and show profiles" },
 	{ "state", cmd_state, "Dump the state of an instance" },
+	{ "usage", cmd_usage, "Report busy and idle time of engines by owner" },
 	{ "load", cmd_load, "Put open-loop load on instances and report" },
 };
 
--- /dev/null
+++ b/src/query/usage.c
@@ -0,0 +1,66 @@
+#include "../entry/entry_internal.h"
+#include "flamingolatch/ledger.h"
+
+#include <string.h>
+
+#define USAGE_PREFIX "ledger/"
+
+/* A reading of the ledger for one operator. */
+struct usage {
+	struct entry *entry;
+	struct hreq *req; /* NULL once the operator left */
+};
+
+static void usage_on_gone(void *ctx)
+{
+	struct usage *usage = ctx;
+
+	usage->req = NULL;
+}
+
+static json_t *usage_rows(const struct table_row *rows, uint32_t count)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < count; i++) {
+		json_t *row = json_loads(rows[i].value, 0, NULL);
+		g_autofree char *engine = g_strndup(rows[i].key + strlen(USAGE_PREFIX),
+						    strlen(rows[i].key) - strlen(USAGE_PREFIX) - 1);
+
+		json_object_set_new(row, "engine", json_string(engine));
+		json_object_set_new(row, "adds_up", json_boolean(ldgr_adds_up(row)));
+		json_object_del(row, "token");
+		json_object_del(row, "sequence");
+		json_array_append_new(list, row);
+	}
+	return list;
+}
+
+static void usage_on_read(void *arg, enum table_result result, const struct table_row *rows,
+			  uint32_t count)
+{
+	struct usage *usage = arg;
+
+	if (usage->req) {
+		hreq_set_callbacks(usage->req, NULL, NULL, NULL);
+		if (result == TABLE_OK)
+			answer_json(usage->req, 200,
+				    json_pack("{s:o}", "engines", usage_rows(rows, count)));
+		else
+			answer_error(usage->entry, usage->req, ERR_TABLE_UNAVAILABLE,
+				     "the ledger could not be read");
+	}
+	usage->entry->background--;
+	g_free(usage);
+}
+
+void query_usage(struct entry *entry, struct hreq *req)
+{
+	struct usage *usage = g_new0(struct usage, 1);
+
+	usage->entry = entry;
+	usage->req = req;
+	entry->background++;
+	hreq_set_callbacks(req, usage_on_gone, NULL, usage);
+	entry->table->ops->range(entry->table->ctx, USAGE_PREFIX, usage_on_read, usage);
+}
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -225,6 +225,41 @@
 	proc_destroy(proc);
 }
 
+/* Busy and idle time of every engine adds up, also across a dead accountant. */
+static void test_ledger(void)
+{
+	struct proc *proc = proc_create(&three);
+	g_autofree char *text = NULL;
+	json_t *root = NULL;
+	const json_t *list = NULL;
+
+	proc_load_start(proc, "--seconds=25", "--streams=10", "--max-tokens=200", NULL);
+	g_usleep(12 * SECOND_US);
+	proc_signal_entry(proc, 0, SIGKILL);
+	proc_restart_entry(proc, 0);
+	proc_load_wait(proc);
+	for (uint32_t i = 0; i < 300 && json_array_size(list) < 3; i++) {
+		json_decref(root);
+		g_clear_pointer(&text, g_free);
+		g_assert_cmpint(proc_operator(proc, 1, &text, "usage", "--json", NULL), ==, 0);
+		root = json_loads(text, 0, NULL);
+		list = json_object_get(root, "engines");
+		g_usleep(SECOND_US / 5);
+	}
+	g_assert_cmpuint(json_array_size(list), ==, 3);
+	for (size_t i = 0; i < 3; i++) {
+		const json_t *engine = json_array_get(list, i);
+
+		g_assert_true(json_is_true(json_object_get(engine, "adds_up")));
+		g_assert_cmpint(json_integer_value(json_object_get(
+					json_object_get(engine, "busy_us"), "case-summary")),
+				>, 0);
+	}
+	json_decref(root);
+	check_all(proc);
+	proc_destroy(proc);
+}
+
 /* Waits until an engine reports a version to an entry. */
 static void wait_version(struct proc *proc, uint32_t entry, uint32_t engine, const char *version)
 {
@@ -339,5 +374,6 @@
 	g_test_add_func("/proc/config", test_config);
 	g_test_add_func("/proc/cut", test_cut);
 	g_test_add_func("/proc/orders", test_orders);
+	g_test_add_func("/proc/ledger", test_ledger);
 	return g_test_run();
 }
