--- a/include/flamingolatch/member.h
+++ b/include/flamingolatch/member.h
@@ -36,6 +36,14 @@
 	bool leaving;
 };
 
+/** A heartbeat in short form, for members whose full record is known. */
+struct memb_beat {
+	uint32_t id_hash;     /**< of the member's id */
+	uint32_t incarnation; /**< low bits */
+	uint32_t heartbeat;
+	uint32_t revision;
+};
+
 struct memb;
 
 /** Called when a member's state changes. */
@@ -62,6 +70,11 @@
  * it once a round and send the same to all peers, so that none is left out.
  * @return how many were written */
 uint32_t memb_digest(struct memb *memb, struct memb_record *out, uint32_t max);
+/** Copies heartbeats to pass on, those sent longest ago first.
+ * @return how many were written */
+uint32_t memb_beats(struct memb *memb, struct memb_beat *out, uint32_t max);
+/** Takes a heartbeat that a peer passed on. @return true when it was newer */
+bool memb_take_beat(struct memb *memb, const struct memb_beat *beat, uint64_t now_us);
 /** Chooses the peers that get messages: a stable, bounded set by rendezvous
  * hash, some of the own zone, one of each other zone, and by turns one that
  * is thought dead. @return how many were written */
--- a/include/flamingolatch/wire.h
+++ b/include/flamingolatch/wire.h
@@ -15,7 +15,8 @@
 
 #include <glib.h>
 
-#define WIRE_VERSION	  3
+#define WIRE_VERSION	  4
+#define WIRE_BEATS_MAX	  512
 #define WIRE_MEMBERS_MAX  64
 #define WIRE_LEAVING_MAX  64
 #define WIRE_HELD_MAX	  64
@@ -52,6 +53,8 @@
 struct wire_gossip {
 	uint32_t member_count;
 	struct memb_record members[WIRE_MEMBERS_MAX];
+	uint32_t beat_count;
+	struct memb_beat beats[WIRE_BEATS_MAX];
 	uint32_t leaving_count;
 	struct wire_leaving leaving[WIRE_LEAVING_MAX];
 	uint32_t sum_count;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -15,10 +15,12 @@
 struct memb_peer {
 	struct memb_record record;
 	enum memb_state state;
-	uint64_t heard_us; /* when the heartbeat last moved */
-	uint64_t sent;	   /* turn in which the record was last passed on */
-	uint64_t hash;	   /* rendezvous hash with the own id */
-	uint64_t listed;   /* reading of the instance list that last named it */
+	uint64_t heard_us;  /* when the heartbeat last moved */
+	uint64_t sent;	    /* turn in which the record was last passed on */
+	uint64_t beat_sent; /* the same for the short form */
+	uint32_t id_hash;
+	uint64_t hash;	 /* rendezvous hash with the own id */
+	uint64_t listed; /* reading of the instance list that last named it */
 };
 
 struct memb {
@@ -106,6 +108,7 @@
 	peer->record = *record;
 	peer->state = MEMB_DEAD;
 	peer->hash = memb_hash(memb->self.id, record->id);
+	peer->id_hash = (uint32_t)memb_hash(record->id, "");
 	g_ptr_array_add(memb->peers, peer);
 	g_ptr_array_sort(memb->peers, memb_by_hash);
 	return peer;
@@ -216,6 +219,58 @@
 	return count;
 }
 
+static gint memb_by_beat_sent(gconstpointer a, gconstpointer b)
+{
+	const struct memb_peer *left = *(const struct memb_peer *const *)a;
+	const struct memb_peer *right = *(const struct memb_peer *const *)b;
+
+	if (left->beat_sent != right->beat_sent)
+		return left->beat_sent < right->beat_sent ? -1 : 1;
+	/* Of those sent together, the one heard of last says most. */
+	return left->heard_us > right->heard_us ? -1 : left->heard_us < right->heard_us;
+}
+
+uint32_t memb_beats(struct memb *memb, struct memb_beat *out, uint32_t max)
+{
+	g_autoptr(GPtrArray) order = g_ptr_array_copy(memb->peers, NULL, NULL);
+	uint32_t count = 0;
+
+	g_ptr_array_set_free_func(order, NULL);
+	g_ptr_array_sort(order, memb_by_beat_sent);
+	for (guint i = 0; i < order->len && count < max; i++) {
+		struct memb_peer *peer = order->pdata[i];
+
+		if (peer->state != MEMB_ALIVE && peer->state != MEMB_SUSPECT)
+			continue;
+		peer->beat_sent = memb->turn;
+		out[count++] =
+			(struct memb_beat){ peer->id_hash, (uint32_t)peer->record.incarnation,
+					    (uint32_t)peer->record.heartbeat,
+					    (uint32_t)peer->record.revision };
+	}
+	return count;
+}
+
+bool memb_take_beat(struct memb *memb, const struct memb_beat *beat, uint64_t now_us)
+{
+	for (guint i = 0; i < memb->peers->len; i++) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+
+		if (peer->id_hash != beat->id_hash)
+			continue;
+		/* The full record of another incarnation has to come first. */
+		if ((uint32_t)peer->record.incarnation != beat->incarnation ||
+		    beat->heartbeat <= (uint32_t)peer->record.heartbeat)
+			return false;
+		peer->record.heartbeat = beat->heartbeat;
+		peer->record.revision = MAX(peer->record.revision, beat->revision);
+		peer->heard_us = now_us;
+		memb_set_state(memb, peer, peer->record.leaving ? MEMB_LEFT : MEMB_ALIVE);
+		return true;
+	}
+	return false;
+}
+
 /* Whether the quota of a member's zone is used up by members heard of lately. */
 static bool memb_zone_taken(const struct memb *memb, const struct memb_record *out,
 			    const bool *fresh, uint32_t count, const char *zone)
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -9,6 +9,7 @@
 #define GOSSIP_PEERS_MAX       8
 #define GOSSIP_RECORD_BYTES    110
 #define GOSSIP_SUM_BYTES       120
+#define GOSSIP_BEAT_BYTES      16
 #define GOSSIP_HELD_BYTES      60
 #define GOSSIP_LEAVING_BYTES   70
 #define GOSSIP_LEAVING_KEEP_US (60ULL * 1000 * 1000)
@@ -140,8 +141,11 @@
 	left = budget - MIN(budget, out->leaving_count * GOSSIP_LEAVING_BYTES);
 	out->member_count =
 		memb_digest(entry->memb, out->members,
-			    (uint32_t)CLAMP(left / 2 / GOSSIP_RECORD_BYTES, 2, WIRE_MEMBERS_MAX));
+			    (uint32_t)CLAMP(left / 4 / GOSSIP_RECORD_BYTES, 2, WIRE_MEMBERS_MAX));
 	left -= MIN(left, out->member_count * GOSSIP_RECORD_BYTES);
+	out->beat_count = memb_beats(entry->memb, out->beats,
+				     (uint32_t)MIN(left / 2 / GOSSIP_BEAT_BYTES, WIRE_BEATS_MAX));
+	left -= MIN(left, out->beat_count * GOSSIP_BEAT_BYTES);
 	gossip_fill_sums(gossip, out, (uint32_t)(left / GOSSIP_SUM_BYTES));
 	left -= MIN(left, out->sum_count * GOSSIP_SUM_BYTES);
 	gossip_fill_held(entry, out, (uint32_t)(left / GOSSIP_HELD_BYTES));
@@ -226,6 +230,8 @@
 		    record->revision > cset_revision(entry->cset))
 			gossip_ask_config(gossip, record);
 	}
+	for (uint32_t i = 0; i < in->beat_count; i++)
+		memb_take_beat(entry->memb, &in->beats[i], now_us);
 	for (uint32_t i = 0; i < in->leaving_count; i++)
 		gossip_take_leaving(entry, &in->leaving[i]);
 	accounts_peer(entry->accounts, msg->from, in->held, in->held_count);
--- a/src/io/wire.c
+++ b/src/io/wire.c
@@ -11,9 +11,14 @@
 #define WIRE_RECORD_TYPE                                                                           \
 	"(ssstttb)" /* id, zone, address, incarnation, heartbeat, revision, leaving */
 #define WIRE_GOSSIP_TYPE                                                                           \
-	"(a" WIRE_RECORD_TYPE "a(ss)a(sauau)a(sst))" /* members, leaving, sums, held */
-#define WIRE_ASK_TYPE	 "(st)"			     /* address, revision */
-#define WIRE_CONFIG_TYPE "(s)"			     /* snapshot */
+	"(a" WIRE_RECORD_TYPE "a(ss)a(sauau)a(sst)au)" /* members, leaving, sums, held, beats */
+#define WIRE_ASK_TYPE	 "(st)"			       /* address, revision */
+#define WIRE_CONFIG_TYPE "(s)"			       /* snapshot */
+
+/* A beat is four words: id hash, incarnation, heartbeat, revision. */
+#define WIRE_BEAT_WORDS 4
+
+G_STATIC_ASSERT(sizeof(struct memb_beat) == WIRE_BEAT_WORDS * sizeof(guint32));
 
 /* helpers: encoding */
 
@@ -55,6 +60,7 @@
 	GVariantBuilder leaving;
 	GVariantBuilder sums;
 	GVariantBuilder held;
+	GVariant *beats;
 
 	g_variant_builder_init(&members, G_VARIANT_TYPE("a" WIRE_RECORD_TYPE));
 	for (uint32_t i = 0; i < gossip->member_count; i++) {
@@ -75,8 +81,12 @@
 	for (uint32_t i = 0; i < gossip->held_count; i++)
 		g_variant_builder_add(&held, "(sst)", gossip->held[i].engine, gossip->held[i].owner,
 				      gossip->held[i].tokens);
+	beats = g_variant_new_fixed_array(G_VARIANT_TYPE_UINT32, gossip->beats,
+					  (gsize)gossip->beat_count * WIRE_BEAT_WORDS,
+					  sizeof(guint32));
 	wire_finish(out, WIRE_GOSSIP, from,
-		    g_variant_new(WIRE_GOSSIP_TYPE, &members, &leaving, &sums, &held));
+		    g_variant_new("(a" WIRE_RECORD_TYPE "a(ss)a(sauau)a(sst)@au)", &members,
+				  &leaving, &sums, &held, beats));
 }
 
 void wire_encode_config_ask(GByteArray *out, const char *from, const char *address,
@@ -154,16 +164,30 @@
 	       wire_copy(out->owner, sizeof(out->owner), owner);
 }
 
+static bool wire_get_beats(GVariant *words, struct wire_gossip *out)
+{
+	gsize count;
+	const guint32 *items = g_variant_get_fixed_array(words, &count, sizeof(guint32));
+
+	if (count % WIRE_BEAT_WORDS != 0 || count / WIRE_BEAT_WORDS > WIRE_BEATS_MAX)
+		return false;
+	out->beat_count = (uint32_t)(count / WIRE_BEAT_WORDS);
+	if (count)
+		memcpy(out->beats, items, count * sizeof(*items));
+	return true;
+}
+
 static bool wire_get_gossip(GVariant *body, struct wire_gossip *out)
 {
 	g_autoptr(GVariant) members = g_variant_get_child_value(body, 0);
 	g_autoptr(GVariant) leaving = g_variant_get_child_value(body, 1);
 	g_autoptr(GVariant) sums = g_variant_get_child_value(body, 2);
 	g_autoptr(GVariant) held = g_variant_get_child_value(body, 3);
+	g_autoptr(GVariant) beats = g_variant_get_child_value(body, 4);
 	bool ok = g_variant_n_children(members) <= WIRE_MEMBERS_MAX &&
 		  g_variant_n_children(leaving) <= WIRE_LEAVING_MAX &&
 		  g_variant_n_children(sums) <= WIRE_SUMS_MAX &&
-		  g_variant_n_children(held) <= WIRE_HELD_MAX;
+		  g_variant_n_children(held) <= WIRE_HELD_MAX && wire_get_beats(beats, out);
 
 	for (gsize i = 0; ok && i < g_variant_n_children(members); i++) {
 		g_autoptr(GVariant) item = g_variant_get_child_value(members, i);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -17,7 +17,8 @@
 #define SETTLE_US  (40ULL * 1000 * 1000)
 #define FAULTS_US  (40ULL * 1000 * 1000)
 #define PEERS_MAX  8
-#define DIGEST_MAX 5
+#define DIGEST_MAX 2
+#define BEATS_MAX  4
 
 struct world;
 
@@ -43,6 +44,8 @@
 	struct node *from;
 	uint32_t count;
 	struct memb_record records[DIGEST_MAX];
+	uint32_t beat_count;
+	struct memb_beat beats[BEATS_MAX];
 };
 
 static uint64_t now(const struct world *world)
@@ -96,6 +99,8 @@
 	if (!to->dead && time >= to->cut_until_us && time >= packet->from->cut_until_us) {
 		for (uint32_t i = 0; i < packet->count; i++)
 			memb_merge(to->memb, &packet->records[i], time);
+		for (uint32_t i = 0; i < packet->beat_count; i++)
+			memb_take_beat(to->memb, &packet->beats[i], time);
 	}
 	g_free(packet);
 }
@@ -106,6 +111,8 @@
 	struct world *world = node->world;
 	struct memb_record peers[PEERS_MAX];
 	struct memb_record digest[DIGEST_MAX];
+	struct memb_beat beats[BEATS_MAX];
+	uint32_t beat_count;
 	uint32_t records;
 	uint32_t count;
 
@@ -117,6 +124,7 @@
 	memb_tick(node->memb, now(world));
 	count = memb_peers(node->memb, peers, PEERS_MAX);
 	records = memb_digest(node->memb, digest, DIGEST_MAX);
+	beat_count = memb_beats(node->memb, beats, BEATS_MAX);
 	for (uint32_t i = 0; i < count; i++) {
 		struct packet *packet = g_new0(struct packet, 1);
 
@@ -124,6 +132,8 @@
 		packet->to = &world->nodes[atoi(peers[i].address)];
 		packet->count = records;
 		memcpy(packet->records, digest, sizeof(digest));
+		packet->beat_count = beat_count;
+		memcpy(packet->beats, beats, sizeof(beats));
 		sched_after(world->sched, 1000 + sched_rand(world->sched, 60000), deliver, packet);
 	}
 }
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -32,6 +32,8 @@
 		gossip->sums[0].sum.mean[i] = 100.0 * i;
 		gossip->sums[0].sum.var[i] = 2.0 * i;
 	}
+	gossip->beat_count = 1;
+	gossip->beats[0] = (struct memb_beat){ 1, 2, 3, 4 };
 	gossip->held_count = 1;
 	g_strlcpy(gossip->held[0].engine, "engine-2", MEMB_ID_MAX);
 	g_strlcpy(gossip->held[0].owner, "desk", MEMB_ID_MAX);
@@ -62,6 +64,8 @@
 	g_assert_cmpuint(msg.gossip->members[1].revision, ==, 42);
 	g_assert_true(msg.gossip->members[1].leaving);
 	g_assert_cmpstr(msg.gossip->leaving[0].address, ==, "10.0.0.9:80");
+	g_assert_cmpuint(msg.gossip->beat_count, ==, 1);
+	g_assert_cmpuint(msg.gossip->beats[0].revision, ==, 4);
 	g_assert_cmpuint(msg.gossip->held[0].tokens, ==, 12345);
 	g_assert_cmpstr(msg.gossip->held[0].owner, ==, "desk");
 	g_assert_cmpfloat(msg.gossip->sums[0].sum.mean[7], ==, 700.0);
