Peers by places on a ring; TLS on the caller port has a test

Now each is chosen as often as it chooses, and the order of records differs from neighbour to neighbour.

--- a/include/flamingolatch/member.h
+++ b/include/flamingolatch/member.h
@@ -75,9 +75,9 @@
 uint32_t memb_beats(struct memb *memb, struct memb_beat *out, uint32_t max);
 /** Takes a heartbeat that a peer passed on. @return true when it was newer */
 bool memb_take_beat(struct memb *memb, const struct memb_beat *beat, uint64_t now_us);
-/** Chooses the peers that get messages: a stable, bounded set by rendezvous
- * hash, some of the own zone, one of each other zone, and by turns one that
- * is thought dead. @return how many were written */
+/** Chooses the peers that get messages: a stable, bounded set by places on a
+ * ring of id hashes, three of the own zone and one of each other zone, and by
+ * turns one that is thought dead. @return how many were written */
 uint32_t memb_peers(struct memb *memb, struct memb_record *out, uint32_t max);
 
 /** Returns the live members, the own instance included. */
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -1,6 +1,7 @@
 #include "flamingolatch/member.h"
 
 #include <glib.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -8,7 +9,6 @@
 #define MEMB_SUSPECT_US	  (3ULL * 1000 * 1000)
 #define MEMB_DEAD_US	  (8ULL * 1000 * 1000)
 #define MEMB_FORGET_US	  (3600ULL * 1000 * 1000)
-#define MEMB_PEERS_MAX	  16
 #define MEMB_ZONE_PEERS	  3
 #define MEMB_PROBE_PERIOD 8 /* every so many picks one dead member is tried */
 
@@ -19,15 +19,15 @@
 	uint64_t sent;	    /* turn in which the record was last passed on */
 	uint64_t beat_sent; /* the same for the short form */
 	uint32_t id_hash;
-	uint64_t hash;	 /* rendezvous hash with the own id */
-	uint64_t listed; /* reading of the instance list that last named it */
+	uint64_t shuffle; /* makes neighbours pass on different records first */
+	uint64_t listed;  /* reading of the instance list that last named it */
 };
 
 struct memb {
 	struct memb_record self;
 	memb_cb changed;
 	void *ctx;
-	GPtrArray *peers; /* struct memb_peer */
+	GPtrArray *peers; /* struct memb_peer, in the order of the ring */
 	uint64_t turn;
 	uint64_t picks;
 	uint64_t reading;
@@ -91,14 +91,14 @@
 	return a->heartbeat > b->heartbeat;
 }
 
-static gint memb_by_hash(gconstpointer a, gconstpointer b)
+static gint memb_by_ring(gconstpointer a, gconstpointer b)
 {
-	const struct memb_peer *const *left = a;
-	const struct memb_peer *const *right = b;
+	const struct memb_peer *left = *(const struct memb_peer *const *)a;
+	const struct memb_peer *right = *(const struct memb_peer *const *)b;
 
-	if ((*left)->hash != (*right)->hash)
-		return (*left)->hash < (*right)->hash ? 1 : -1;
-	return strcmp((*left)->record.id, (*right)->record.id);
+	if (left->id_hash != right->id_hash)
+		return left->id_hash < right->id_hash ? -1 : 1;
+	return strcmp(left->record.id, right->record.id);
 }
 
 static struct memb_peer *memb_new_peer(struct memb *memb, const struct memb_record *record)
@@ -107,10 +107,10 @@
 
 	peer->record = *record;
 	peer->state = MEMB_DEAD;
-	peer->hash = memb_hash(memb->self.id, record->id);
 	peer->id_hash = (uint32_t)memb_hash(record->id, "");
+	peer->shuffle = memb_hash(memb->self.id, record->id);
 	g_ptr_array_add(memb->peers, peer);
-	g_ptr_array_sort(memb->peers, memb_by_hash);
+	g_ptr_array_sort(memb->peers, memb_by_ring);
 	return peer;
 }
 
@@ -193,7 +193,7 @@
 
 	if (left->sent != right->sent)
 		return left->sent < right->sent ? -1 : 1;
-	return strcmp(left->record.id, right->record.id);
+	return left->shuffle < right->shuffle ? -1 : 1;
 }
 
 uint32_t memb_digest(struct memb *memb, struct memb_record *out, uint32_t max)
@@ -271,47 +271,120 @@
 	return false;
 }
 
-/* Whether the quota of a member's zone is used up by members heard of lately. */
-static bool memb_zone_taken(const struct memb *memb, const struct memb_record *out,
-			    const bool *fresh, uint32_t count, const char *zone)
+static bool memb_is_candidate(const struct memb_peer *peer)
+{
+	/* One that was never heard of may be starting; it counts as a peer. */
+	return peer->state != MEMB_DEAD || peer->record.incarnation == 0;
+}
+
+/* The candidates of a zone in the order of the ring. */
+static GPtrArray *memb_ring(const struct memb *memb, const char *zone)
 {
-	uint32_t quota = strcmp(zone, memb->self.zone) == 0 ? MEMB_ZONE_PEERS : 1;
-	uint32_t taken = 0;
+	GPtrArray *ring = g_ptr_array_new();
 
-	for (uint32_t i = 0; i < count; i++)
-		taken += fresh[i] && strcmp(out[i].zone, zone) == 0;
-	return taken >= quota;
+	for (guint i = 0; i < memb->peers->len; i++) {
+		struct memb_peer *peer = memb->peers->pdata[i];
+
+		if (memb_is_candidate(peer) && strcmp(peer->record.zone, zone) == 0)
+			g_ptr_array_add(ring, peer);
+	}
+	return ring;
 }
 
-uint32_t memb_peers(struct memb *memb, struct memb_record *out, uint32_t max)
+/* Place of the own instance in a ring that does not hold it. */
+static guint memb_place(const struct memb *memb, const GPtrArray *ring)
+{
+	uint32_t own = (uint32_t)memb_hash(memb->self.id, "");
+	guint place = 0;
+
+	while (place < ring->len && ((struct memb_peer *)ring->pdata[place])->id_hash < own)
+		place++;
+	return place;
+}
+
+static bool memb_chosen(const struct memb_record *out, uint32_t count, const char *id)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (strcmp(out[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Adds the member at a place. A suspect is written to, and so is the next one
+ * that is not, so that a frozen instance does not hide those behind it. */
+static uint32_t memb_add_at(const GPtrArray *ring, guint place, struct memb_record *out,
+			    uint32_t count, uint32_t max)
+{
+	for (guint step = 0; step < ring->len && count < max; step++) {
+		const struct memb_peer *peer = ring->pdata[(place + step) % ring->len];
+
+		if (!memb_chosen(out, count, peer->record.id))
+			out[count++] = peer->record;
+		if (peer->state != MEMB_SUSPECT)
+			break;
+	}
+	return count;
+}
+
+/* The next on the ring, and two at distances that reach all in few steps. With
+ * equal views every instance is chosen as often as it chooses. */
+static uint32_t memb_add_own_zone(const struct memb *memb, struct memb_record *out, uint32_t max)
 {
-	bool fresh[MEMB_PEERS_MAX] = { false };
+	g_autoptr(GPtrArray) ring = memb_ring(memb, memb->self.zone);
+	guint place = memb_place(memb, ring);
+	guint third = (guint)ceil(cbrt((double)ring->len + 1));
+	guint steps[MEMB_ZONE_PEERS] = { 0, MAX(third, 2) - 1, MAX(third * third, 3) - 1 };
 	uint32_t count = 0;
-	guint dead = 0;
 
-	max = MIN(max, MEMB_PEERS_MAX);
-	for (guint i = 0; i < memb->peers->len && count < max; i++) {
-		struct memb_peer *peer = memb->peers->pdata[i];
+	for (uint32_t i = 0; i < MEMB_ZONE_PEERS && ring->len; i++)
+		count = memb_add_at(ring, place + steps[i], out, count, max);
+	return count;
+}
 
-		/* One that was never heard of may be starting; it counts as a peer. */
-		if (peer->state == MEMB_DEAD && peer->record.incarnation) {
-			dead++;
-			continue;
-		}
-		if (memb_zone_taken(memb, out, fresh, count, peer->record.zone))
+static uint32_t memb_add_other_zones(const struct memb *memb, struct memb_record *out,
+				     uint32_t count, uint32_t max)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	g_hash_table_add(seen, (gpointer)memb->self.zone);
+	for (guint i = 0; i < memb->peers->len; i++) {
+		const struct memb_peer *peer = memb->peers->pdata[i];
+		GPtrArray *ring;
+
+		if (!memb_is_candidate(peer) ||
+		    !g_hash_table_add(seen, (gpointer)peer->record.zone))
 			continue;
-		/* A suspect is written to, but another one takes its place. */
-		fresh[count] = peer->state != MEMB_SUSPECT;
-		out[count++] = peer->record;
+		ring = memb_ring(memb, peer->record.zone);
+		count = memb_add_at(ring, memb_place(memb, ring), out, count, max);
+		g_ptr_array_free(ring, TRUE);
 	}
+	return count;
+}
+
+static uint32_t memb_count_dead(const struct memb *memb)
+{
+	uint32_t dead = 0;
+
+	for (guint i = 0; i < memb->peers->len; i++)
+		dead += !memb_is_candidate(memb->peers->pdata[i]);
+	return dead;
+}
+
+uint32_t memb_peers(struct memb *memb, struct memb_record *out, uint32_t max)
+{
+	uint32_t count = memb_add_own_zone(memb, out, max);
+	uint32_t dead = memb_count_dead(memb);
+
+	count = memb_add_other_zones(memb, out, count, max);
 	memb->picks++;
 	if (dead == 0 || count >= max || (count > 0 && memb->picks % MEMB_PROBE_PERIOD != 0))
 		return count;
-	dead = (guint)((memb->picks / MEMB_PROBE_PERIOD + memb->picks) % dead);
+	dead = (uint32_t)((memb->picks / MEMB_PROBE_PERIOD + memb->picks) % dead);
 	for (guint i = 0; i < memb->peers->len; i++) {
 		struct memb_peer *peer = memb->peers->pdata[i];
 
-		if (peer->state == MEMB_DEAD && peer->record.incarnation && dead-- == 0) {
+		if (!memb_is_candidate(peer) && dead-- == 0) {
 			out[count++] = peer->record;
 			break;
 		}
--- a/test/proc.c
+++ b/test/proc.c
@@ -121,7 +121,8 @@
 int proc_http(const char *address, const char *method, const char *path, const char *const *headers,
 	      const char *body, char **answer)
 {
-	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
+	bool plain = !strstr(address, "://");
+	g_autofree char *url = g_strconcat(plain ? "http://" : "", address, path, NULL);
 	struct curl_slist *list = NULL;
 	GString *out = g_string_new(NULL);
 	CURL *curl = curl_easy_init();
@@ -133,6 +134,9 @@
 	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	/* The certificate of the test is its own authority. */
+	curl_easy_setopt(curl, CURLOPT_SSL_VERIFYPEER, 0L);
+	curl_easy_setopt(curl, CURLOPT_SSL_VERIFYHOST, 0L);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT, 60L);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, proc_on_body);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, out);
@@ -202,6 +206,36 @@
 	proc->engines[index] = proc_spawn(proc, NULL, NULL, argv);
 }
 
+/* Makes a key and a certificate that signs itself. */
+static char *proc_tls_settings(const struct proc *proc)
+{
+	g_autofree char *cert = g_build_filename(proc->dir, "cert.pem", NULL);
+	g_autofree char *key = g_build_filename(proc->dir, "key.pem", NULL);
+	const char *const argv[] = { "openssl",
+				     "req",
+				     "-x509",
+				     "-newkey",
+				     "ec",
+				     "-pkeyopt",
+				     "ec_paramgen_curve:P-256",
+				     "-nodes",
+				     "-subj",
+				     "/CN=localhost",
+				     "-keyout",
+				     key,
+				     "-out",
+				     cert,
+				     NULL };
+	GSubprocess *child;
+
+	if (!proc->conf.tls)
+		return g_strdup("");
+	child = proc_spawn(proc, "/dev/null", NULL, argv);
+	g_assert_true(g_subprocess_wait_check(child, NULL, NULL));
+	g_object_unref(child);
+	return g_strdup_printf(", certificate_file: %s, key_file: %s", cert, key);
+}
+
 static char *proc_bus_settings(const struct proc *proc)
 {
 	char public_key[41];
@@ -216,7 +250,7 @@
 			       proc->dir, proc->dir);
 }
 
-static void proc_write_settings(struct proc *proc, uint32_t index, const char *bus)
+static void proc_write_settings(struct proc *proc, uint32_t index, const char *bus, const char *tls)
 {
 	g_autofree char *digest =
 		g_compute_checksum_for_string(G_CHECKSUM_SHA256, proc_api_key(), -1);
@@ -226,7 +260,7 @@
 	g_autofree char *name = g_strdup_printf("entry%u.yaml", index);
 	g_autofree char *text = g_strdup_printf(
 		"instance: entry-%u\nzone: %s\nregion: %s\n"
-		"caller: {address: 127.0.0.1, port: 0}\n"
+		"caller: {address: 127.0.0.1, port: 0%s}\n"
 		"operator: {address: 127.0.0.1, port: 0, token_file: %s/token}\n"
 		"bus: {address: 127.0.0.1, port: 0, %s}\n"
 		"platform: \"%s\"\nid_key_file: %s/idkey\nports_file: %s/entry%u.ports\n"
@@ -237,7 +271,7 @@
 		"  - {name: desk, kind: plain, upstream: desk, profile: calls}\n"
 		"drain: {%s}\n",
 		index, proc_zones[proc_zone(proc, index)], proc_regions[proc_zone(proc, index)],
-		proc->dir, bus, platform, proc->dir, proc->dir, index, digest, other,
+		tls, proc->dir, bus, platform, proc->dir, proc->dir, index, digest, other,
 		proc->conf.drain ? proc->conf.drain : "ready_lag_ms: 100");
 
 	proc_write(proc, name, text);
@@ -335,6 +369,7 @@
 {
 	struct proc *proc = g_new0(struct proc, 1);
 	g_autofree char *bus = NULL;
+	g_autofree char *tls = NULL;
 
 	proc->conf = *conf;
 	proc->conf.replicas = MAX(conf->replicas, conf->engines);
@@ -347,8 +382,9 @@
 	for (uint32_t i = 0; i < conf->engines; i++)
 		proc_start_engine(proc, i);
 	bus = proc_bus_settings(proc);
+	tls = proc_tls_settings(proc);
 	for (uint32_t i = 0; i < conf->entries; i++) {
-		proc_write_settings(proc, i, bus);
+		proc_write_settings(proc, i, bus, tls);
 		proc_start_entry(proc, i);
 	}
 	proc_publish_list(proc);
@@ -561,8 +597,9 @@
 		 const char *const *headers, const char *body, char **answer)
 {
 	g_autofree char *address = proc_entry_address(proc, entry, "caller");
+	g_autofree char *url = g_strconcat(proc->conf.tls ? "https://" : "http://", address, NULL);
 
-	return proc_http(address, method, path, headers, body, answer);
+	return proc_http(url, method, path, headers, body, answer);
 }
 
 json_t *proc_history(struct proc *proc)
--- a/test/proc.h
+++ b/test/proc.h
@@ -31,6 +31,7 @@
 	uint32_t step_us;
 	bool exact;	   /**< engines continue each other's output */
 	bool secure;	   /**< CURVE on the bus */
+	bool tls;	   /**< TLS on the caller port, with a certificate made for the test */
 	const char *drain; /**< settings of the key drain, or NULL */
 };
 
