--- a/src/command/call.c
+++ b/src/command/call.c
@@ -116,8 +116,8 @@
 
 static struct upstream *callreq_pick(struct callreq *cr)
 {
-	return pool_pick_plain(cr->entry->pool, cr->service->set->upstream, cr->spill, cr->tried,
-			       entry_now_us());
+	return pool_pick_plain(cr->entry->pool, cr->service->set->upstream,
+			       entry_spill(cr->entry, cr->spill), cr->tried, entry_now_us());
 }
 
 static void callreq_fetch(struct callreq *cr, struct upstream *up, size_t max_bytes,
@@ -142,6 +142,7 @@
 
 static void callreq_note_result(struct callreq *cr, const struct fetch_answer *answer)
 {
+	entry_relayed(cr->entry, cr->up, answer->body_len + cr->body_len);
 	if (answer->result == HCALL_OK)
 		upstream_succeeded(cr->up);
 	else
--- a/src/command/generate.c
+++ b/src/command/generate.c
@@ -14,7 +14,7 @@
 				  .deviations = gr->deviations,
 				  .room_factor = pool_room_factor(gr->room_factor,
 								  wfq_length(gr->entry->queue)),
-				  .spill = gr->spill,
+				  .spill = entry_spill(gr->entry, gr->spill),
 				  .prefix = gr->prefix,
 				  .prefix_count = gr->prefix_count,
 				  .now_us = now_us };
--- a/src/command/genreq.c
+++ b/src/command/genreq.c
@@ -527,6 +527,8 @@
 			g_string_append_len(gr->refusal, buf, (gssize)len);
 		return;
 	}
+	if (gr->up)
+		entry_relayed(gr->entry, gr->up, len);
 	if (!sse_feed(gr->sse, buf, len) && gr->call)
 		gen_on_break(gr->gen, entry_now_us(), GEN_BREAK_LOST);
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -66,6 +66,7 @@
 	entry->pool = pool_create(set->zone, set->region, entry->incarnation);
 	entry->queue = wfq_create();
 	entry->lim = lim_create();
+	budget_init(&entry->far, set->region_bytes_per_s, entry_now_us());
 	entry->generations = g_hash_table_new(NULL, NULL);
 	entry_add_services(entry);
 	uv_timer_init(entry->loop, &entry->tick);
@@ -239,6 +240,19 @@
 	return g_hash_table_lookup(entry->services, name);
 }
 
+enum prof_spill entry_spill(struct entry *entry, enum prof_spill spill)
+{
+	if (spill < PROF_SPILL_REGION || budget_has(&entry->far, entry_now_us()))
+		return spill;
+	return PROF_SPILL_ZONE;
+}
+
+void entry_relayed(struct entry *entry, const struct upstream *up, size_t bytes)
+{
+	if (pool_distance(entry->pool, up) == POOL_FAR)
+		budget_spend(&entry->far, bytes, entry_now_us());
+}
+
 struct len *entry_len(struct entry_service *service, const char *customer)
 {
 	struct len *len = g_hash_table_lookup(service->len_by_customer, customer);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -9,6 +9,7 @@
 #ifndef FLAMINGOLATCH_SRC_ENTRY_INTERNAL_H
 #define FLAMINGOLATCH_SRC_ENTRY_INTERNAL_H
 
+#include "flamingolatch/budget.h"
 #include "flamingolatch/bus.h"
 #include "flamingolatch/cset.h"
 #include "flamingolatch/entry.h"
@@ -54,6 +55,7 @@
 	struct pool *pool;
 	struct wfq *queue;
 	struct lim *lim;
+	struct budget far; /* bytes relayed from other regions */
 	struct memb *memb;
 	struct watch *watch;
 	struct gossip *gossip;
@@ -83,6 +85,10 @@
 
 /** Returns the service of a name, or NULL. */
 struct entry_service *entry_service(struct entry *entry, const char *name);
+/** Returns how far new work may go now: not to other regions once the byte budget is spent. */
+enum prof_spill entry_spill(struct entry *entry, enum prof_spill spill);
+/** Counts bytes that came from an upstream. */
+void entry_relayed(struct entry *entry, const struct upstream *up, size_t bytes);
 /** Returns the length estimate of a service's customer. */
 struct len *entry_len(struct entry_service *service, const char *customer);
 /** Puts a snapshot in force when it is newer and tells the peers. */
