--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -36,6 +36,7 @@
 	X(METRIC_BUS_SENT_BYTES, "bus_sent_bytes_total", "Bytes sent to peers.") \
 	X(METRIC_BUS_RECEIVED, "bus_received_total", "Messages received from peers.") \
 	X(METRIC_BUS_BAD, "bus_bad_total", "Peer messages that did not decode.") \
+	X(METRIC_ROWS_COLLECTED, "rows_collected_total", "Settled claim rows deleted after their time to live.") \
 	X(METRIC_ORDERS, "orders_total", "Orders given to engines.") \
 	X(METRIC_SPILLED, "spilled_total", "Generations sent to another availability zone.")
 #define METRIC_GAUGES(X) \
--- a/include/flamingolatch/once.h
+++ b/include/flamingolatch/once.h
@@ -44,6 +44,12 @@
 	bool replayed; /**< it was recorded by an earlier attempt */
 };
 
+/**
+ * Tells whether a row may be deleted: settled and older than @p ttl_ms. A row
+ * whose outcome is open or unknown is kept.
+ */
+bool once_may_collect(const struct table_row *row, uint64_t wall_ms, uint64_t ttl_ms);
+
 /** What the object asks of its owner. */
 struct once_ops {
 	/** Commits one row; report with once_on_commit(). */
--- a/include/flamingolatch/settings.h
+++ b/include/flamingolatch/settings.h
@@ -67,6 +67,7 @@
 	struct set_drain drain;
 	uint64_t max_body_bytes;
 	uint64_t bus_bytes_per_s;    /**< budget of control traffic to peers */
+	uint64_t call_row_ttl_s;     /**< how long a settled call is remembered */
 	uint64_t region_bytes_per_s; /**< budget of relayed bytes between regions */
 
 	/* read from the files named above */
--- a/src/core/once.c
+++ b/src/core/once.c
@@ -27,6 +27,7 @@
 	struct once_conf conf;
 	enum once_step step;
 	uint64_t started_us;
+	uint64_t started_ms; /* wall clock, stored for the collector */
 	uint64_t settle_from_us;
 	uint64_t backoff_us;
 	uint64_t version;    /* row version that the next commit expects */
@@ -86,9 +87,9 @@
 static void once_set_value(struct once *once, enum once_state state, uint64_t until_ms,
 			   const struct once_answer *answer)
 {
-	json_t *root = json_pack("{s:s, s:s, s:s, s:I}", "state", once_state_names[state], "token",
-				 once->token, "fingerprint", once->fingerprint, "until_ms",
-				 (json_int_t)until_ms);
+	json_t *root = json_pack("{s:s, s:s, s:s, s:I, s:I}", "state", once_state_names[state],
+				 "token", once->token, "fingerprint", once->fingerprint, "until_ms",
+				 (json_int_t)until_ms, "at_ms", (json_int_t)once->started_ms);
 
 	if (answer) {
 		g_autofree char *body =
@@ -322,6 +323,7 @@
 	uint64_t open_us = once->conf.send_window_us + once->conf.call_timeout_us;
 
 	once->started_us = now_us;
+	once->started_ms = wall_ms;
 	once_set_value(once, ONCE_SENDING, wall_ms + open_us / 1000 + ONCE_UNTIL_SLACK_MS, NULL);
 #ifdef FL_FAULT_SKIP_CLAIM
 	once_send(once, now_us, 0);
@@ -436,3 +438,13 @@
 		return false;
 	}
 }
+
+bool once_may_collect(const struct table_row *row, uint64_t wall_ms, uint64_t ttl_ms)
+{
+	json_t *root = row->value ? json_loads(row->value, 0, NULL) : NULL;
+	enum once_state state = once_state_of(json_string_value(json_object_get(root, "state")));
+	uint64_t at_ms = (uint64_t)json_integer_value(json_object_get(root, "at_ms"));
+
+	json_decref(root);
+	return (state == ONCE_DONE || state == ONCE_RELEASED) && at_ms && wall_ms > at_ms + ttl_ms;
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -86,6 +86,7 @@
 	entry->watch = watch_create(entry);
 	entry->orders = orders_create(entry);
 	entry->accounts = accounts_create(entry);
+	entry->collect = collect_create(entry);
 	uv_timer_start(&entry->tick, entry_on_tick, ENTRY_TICK_MS, ENTRY_TICK_MS);
 	uv_signal_start(&entry->terminate, entry_on_signal, SIGTERM);
 	uv_signal_start(&entry->interrupt, entry_on_signal, SIGINT);
@@ -114,6 +115,7 @@
 	gossip_destroy(entry->gossip);
 	orders_destroy(entry->orders);
 	accounts_destroy(entry->accounts);
+	collect_destroy(entry->collect);
 	bus_destroy(entry->bus);
 	/* Lets close callbacks run; idle connections of callers end with the process. */
 	uv_run(entry->loop, UV_RUN_NOWAIT);
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -31,6 +31,7 @@
 struct gossip;
 struct orders;
 struct accounts;
+struct collect;
 struct genreq;
 
 /** What an instance keeps for one service. */
@@ -61,6 +62,7 @@
 	struct gossip *gossip;
 	struct orders *orders;
 	struct accounts *accounts;
+	struct collect *collect;
 	GHashTable *services;	 /* name to struct entry_service */
 	GHashTable *generations; /* set of struct genreq */
 	char *bus_address;
@@ -148,6 +150,12 @@
 		   uint32_t count);
 /** @} */
 
+/** @name collect.c: deletion of old claim rows
+ * @{ */
+struct collect *collect_create(struct entry *entry);
+void collect_destroy(struct collect *collect);
+/** @} */
+
 /** @name src/command
  * @{ */
 void generate_start(struct entry *entry, struct hreq *req, const struct set_customer *customer,
--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -167,6 +167,11 @@
 	  .offset = offsetof(struct settings, bus_bytes_per_s),
 	  .min = 1000,
 	  .max = 10000000 },
+	{ .key = "call_row_ttl_s",
+	  .type = CONF_U64,
+	  .offset = offsetof(struct settings, call_row_ttl_s),
+	  .min = 1,
+	  .max = 366ULL * 24 * 3600 },
 	{ .key = "region_bytes_per_s",
 	  .type = CONF_U64,
 	  .offset = offsetof(struct settings, region_bytes_per_s),
@@ -187,6 +192,7 @@
 	set->max_body_bytes = 1 << 20;
 	set->bus_bytes_per_s = 14000;
 	set->region_bytes_per_s = 1000000;
+	set->call_row_ttl_s = 24ULL * 3600;
 	set->drain.ready_lag_ms = 2000;
 	if (conf_parse_file(file, &set_schema, set, error) && set_check(file, set, error) &&
 	    set_read_secrets(set, error))
--- a/test/proc.c
+++ b/test/proc.c
@@ -269,10 +269,11 @@
 		"services:\n"
 		"  - {name: case-summary, kind: generation, upstream: engines, profile: text}\n"
 		"  - {name: desk, kind: plain, upstream: desk, profile: calls}\n"
-		"drain: {%s}\n",
+		"drain: {%s}\n%s",
 		index, proc_zones[proc_zone(proc, index)], proc_regions[proc_zone(proc, index)],
 		tls, proc->dir, bus, platform, proc->dir, proc->dir, index, digest, other,
-		proc->conf.drain ? proc->conf.drain : "ready_lag_ms: 100");
+		proc->conf.drain ? proc->conf.drain : "ready_lag_ms: 100",
+		proc->conf.further ? proc->conf.further : "");
 
 	proc_write(proc, name, text);
 }
@@ -602,6 +603,21 @@
 	return proc_http(url, method, path, headers, body, answer);
 }
 
+size_t proc_count_rows(struct proc *proc, const char *prefix)
+{
+	g_autofree char *address = proc_address(proc, "platform", 0);
+	g_autofree char *path = g_strconcat("/table/range?prefix=", prefix, NULL);
+	g_autofree char *text = NULL;
+	json_t *root;
+	size_t count;
+
+	g_assert_cmpint(proc_http(address, "GET", path, NULL, NULL, &text), ==, 200);
+	root = json_loads(text, 0, NULL);
+	count = json_array_size(json_object_get(root, "rows"));
+	json_decref(root);
+	return count;
+}
+
 json_t *proc_history(struct proc *proc)
 {
 	g_autofree char *path = g_build_filename(proc->dir, "history", NULL);
--- a/test/proc.h
+++ b/test/proc.h
@@ -29,10 +29,11 @@
 	uint32_t max_batch; /**< of an engine; 256 when zero */
 	uint32_t median_tokens;
 	uint32_t step_us;
-	bool exact;	   /**< engines continue each other's output */
-	bool secure;	   /**< CURVE on the bus */
-	bool tls;	   /**< TLS on the caller port, with a certificate made for the test */
-	const char *drain; /**< settings of the key drain, or NULL */
+	bool exact;	     /**< engines continue each other's output */
+	bool secure;	     /**< CURVE on the bus */
+	bool tls;	     /**< TLS on the caller port, with a certificate made for the test */
+	const char *drain;   /**< settings of the key drain, or NULL */
+	const char *further; /**< further lines of the settings, or NULL */
 };
 
 struct proc *proc_create(const struct proc_conf *conf);
@@ -48,6 +49,9 @@
 /** Gives the platform the list of all instances but the leaving engines. */
 void proc_publish_list(struct proc *proc);
 
+/** Returns how many rows of the table have a prefix. */
+size_t proc_count_rows(struct proc *proc, const char *prefix);
+
 /** Posts a fault order. */
 void proc_fault_platform(struct proc *proc, const char *json);
 void proc_fault_engine(struct proc *proc, uint32_t index, const char *json);
