--- a/bench/control.c
+++ b/bench/control.c
@@ -1,6 +1,6 @@
 /**
  * @file control.c
- * What control costs an entry instance, and how fast word gets around.
+ * Cost of control for an entry instance, and propagation times.
  *
  * Real entry processes on loopback without load; the list describes replicas
  * that stand-ins answer for. For each size: processor time, memory, messages
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -27,8 +27,8 @@
 	X(LOG_TABLE_DOWN, 300, WARNING, "table-down", "The table does not answer.") \
 	X(LOG_TABLE_UP, 301, INFO, "table-up", "The table answers again.") \
 	X(LOG_CALL_UNKNOWN, 310, WARNING, "call-unknown", "A non-idempotent call was sent and its answer was lost.") \
-	X(LOG_CALL_RELEASED, 311, INFO, "call-released", "A claim was given back; the call did not run.") \
-	X(LOG_CALL_STUCK, 312, WARNING, "call-stuck", "A claim could not be recorded or given back in time.") \
+	X(LOG_CALL_RELEASED, 311, INFO, "call-released", "A claim was released; the call did not run.") \
+	X(LOG_CALL_STUCK, 312, WARNING, "call-stuck", "A claim's outcome could not be written in time.") \
 	X(LOG_ENGINE_LEAVING, 400, INFO, "engine-leaving", "An engine gets no new work.") \
 	X(LOG_ENGINE_DOWN, 401, WARNING, "engine-down", "An engine does not answer.") \
 	X(LOG_ENGINE_UP, 402, INFO, "engine-up", "An engine answers again.") \
@@ -39,8 +39,7 @@
 	X(LOG_MEMBER_JOINED, 500, INFO, "member-joined", "An entry instance became known.") \
 	X(LOG_MEMBER_SUSPECT, 501, INFO, "member-suspect", "An entry instance was not heard from.") \
 	X(LOG_MEMBER_DEAD, 502, WARNING, "member-dead", "An entry instance is considered dead.") \
-	X(LOG_BUS_BAD_FRAME, 510, WARNING, "bus-bad-frame", "A peer's message did not decode.") \
-	X(LOG_INTERNAL, 900, ERROR, "internal", "A defect of the program.")
+	X(LOG_BUS_BAD_FRAME, 510, WARNING, "bus-bad-frame", "A peer's message did not decode.")
 // clang-format on
 
 /** Event symbols; the values index the event table. */
--- a/include/flamingolatch/member.h
+++ b/include/flamingolatch/member.h
@@ -5,7 +5,7 @@
  * Every instance counts up a heartbeat of its own and passes on the highest
  * heartbeats it has seen. A member whose heartbeat stands still becomes
  * suspect, then dead; a later heartbeat, or a higher incarnation, brings it
- * back. Order of calls: memb_create(), memb_seed() and memb_merge() as word
+ * back. Order of calls: memb_create(), memb_seed() and memb_merge() as records
  * arrives, memb_tick() regularly, memb_destroy() last. Pure: no I/O, no clock.
  */
 #ifndef FLAMINGOLATCH_MEMBER_H
--- a/include/flamingolatch/once.h
+++ b/include/flamingolatch/once.h
@@ -25,7 +25,7 @@
 	ONCE_SENDING,  /**< claimed by a token; the call may have been sent */
 	ONCE_DONE,     /**< ran; the answer is recorded */
 	ONCE_UNKNOWN,  /**< sent; its answer was lost */
-	ONCE_RELEASED, /**< given back; that attempt did not run */
+	ONCE_RELEASED, /**< released by its attempt, which did not run */
 	ONCE_STATE_COUNT
 };
 
--- a/src/command/call.c
+++ b/src/command/call.c
@@ -285,10 +285,14 @@
 {
 	struct callreq *cr = ctx;
 
-	if (kind == ERR_OK)
+	if (kind == ERR_OK) {
 		callreq_reply(cr, answer);
-	else
-		callreq_reply_error(cr, kind);
+		return;
+	}
+	if (err_info(kind)->ran == ERR_RAN_NOT && kind != ERR_KEY_REUSED)
+		log_event(LOG_CALL_RELEASED, "service", cr->service->set->name, "key", cr->key,
+			  "reason", err_info(kind)->name, NULL);
+	callreq_reply_error(cr, kind);
 }
 
 static void callreq_finished(void *ctx, bool certain)
--- a/src/command/genreq.c
+++ b/src/command/genreq.c
@@ -596,6 +596,7 @@
 	gr->req = NULL;
 	if (gr->ended)
 		return;
+	gr->abandoned = true;
 	genreq_disconnect(gr);
 	if (gr->queued)
 		wfq_remove(gr->entry->queue, g_steal_pointer(&gr->queued), 0);
@@ -621,9 +622,12 @@
 	hreq_set_callbacks(req, genreq_on_gone, genreq_on_drained, gr);
 }
 
-/* An engine that accepts a connection and then says nothing is as good as lost. */
+/* An engine that accepts a connection but does not answer is treated as lost. */
 void genreq_tick(struct genreq *gr, uint64_t now_us)
 {
+	/* Nothing is taken up again for a caller that left. */
+	if (gr->abandoned)
+		return;
 	if (gr->call && !gr->opened && now_us - gr->called_us > gr->open_timeout_us) {
 		if (gr->up)
 			upstream_failed(gr->up, now_us, g_random_int());
--- a/src/core/length.c
+++ b/src/core/length.c
@@ -7,7 +7,7 @@
 #define LEN_LINEAR_LIMIT   16 /* below it, buckets are four tokens wide */
 #define LEN_LINEAR_BUCKETS 4
 #define LEN_PER_OCTAVE	   4
-#define LEN_PRIOR_WEIGHT   8.0	  /* generations that the parent's word counts for */
+#define LEN_PRIOR_WEIGHT   8.0	  /* pseudo-count of the parent's estimate */
 #define LEN_EXPOSURE_MAX   4000.0 /* older data is halved beyond this */
 #define LEN_PRIOR_HAZARD   0.12	  /* a bucket's share of ends without any data */
 
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -226,7 +226,7 @@
 
 	if (left->beat_sent != right->beat_sent)
 		return left->beat_sent < right->beat_sent ? -1 : 1;
-	/* Of those sent together, the one heard of last says most. */
+	/* Ties go to the most recently updated member. */
 	return left->heard_us > right->heard_us ? -1 : left->heard_us < right->heard_us;
 }
 
@@ -273,7 +273,7 @@
 
 static bool memb_is_candidate(const struct memb_peer *peer)
 {
-	/* One that was never heard of may be starting; it counts as a peer. */
+	/* A listed member without a heartbeat may be starting; it counts as a peer. */
 	return peer->state != MEMB_DEAD || peer->record.incarnation == 0;
 }
 
@@ -312,7 +312,7 @@
 }
 
 /* Adds the member at a place. A suspect is written to, and so is the next one
- * that is not, so that a frozen instance does not hide those behind it. */
+ * that is not, so that a frozen instance does not partition the ring. */
 static uint32_t memb_add_at(const GPtrArray *ring, guint place, struct memb_record *out,
 			    uint32_t count, uint32_t max)
 {
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -33,7 +33,7 @@
 	char *version;
 	struct load_sum own;
 	struct load_sum peers; /* sum over by_peer */
-	struct load_sum fresh; /* own work sent since the peers last spoke */
+	struct load_sum fresh; /* own work sent since the last announcement of peers */
 	struct pool_report report;
 	GHashTable *by_peer;  /* peer to struct pool_peer */
 	GHashTable *prefixes; /* block hash, as a set */
@@ -397,7 +397,7 @@
 	if (up->report.kv_capacity == 0)
 		return 0.0;
 	load_add(&sum, &up->peers);
-	/* Peers have sent about as much as this instance since they last spoke. */
+	/* Assumes that each peer has sent as much as this instance since its announcement. */
 	load_add_times(&sum, &up->fresh, g_hash_table_size(up->by_peer));
 	if (item)
 		load_add_times(&sum, &item->part, times);
--- a/src/entry/accounts.c
+++ b/src/entry/accounts.c
@@ -266,7 +266,7 @@
 	book->engine = g_strdup(engine);
 	book->key = g_strconcat(ACCOUNTS_PREFIX, engine, "/", NULL);
 	book->ledger = ldgr_create(token);
-	/* The engines' rows are written by turns. */
+	/* Spreads the writes of the engines' rows over time. */
 	book->next_us = entry_now_us() + g_str_hash(engine) % ACCOUNTS_WRITE_US;
 	g_hash_table_insert(accounts->books, book->engine, book);
 	return book;
--- a/src/entry/gossip.c
+++ b/src/entry/gossip.c
@@ -76,7 +76,7 @@
 		g_ptr_array_add(list, up);
 }
 
-/* Sums of engines with own work, by turns when they do not all fit. */
+/* Sums of engines with own work, round-robin when they do not all fit. */
 static void gossip_fill_sums(struct gossip *gossip, struct wire_gossip *out, uint32_t max)
 {
 	g_autoptr(GPtrArray) list = g_ptr_array_new();
--- a/src/main/load_request.c
+++ b/src/main/load_request.c
@@ -9,7 +9,7 @@
 #define LOAD_EVENT_MAX	(64 * 1024)
 #define LOAD_RETRY_MS	200
 #define LOAD_TIMEOUT_MS 120000
-#define LOAD_SILENCE_MS 20000 /* a stream that says nothing so long is given up */
+#define LOAD_SILENCE_MS 20000 /* idle timeout of a stream */
 #define LOAD_WATCH_MS	1000
 
 struct load_request {
--- a/test/proc.h
+++ b/test/proc.h
@@ -75,6 +75,9 @@
 /** Sends a request to any address. @return the HTTP status, 0 on failure */
 int proc_http(const char *address, const char *method, const char *path, const char *const *headers,
 	      const char *body, char **answer);
+/** Sends a request and leaves after @p timeout_ms. @return the HTTP status, 0 when it left */
+int proc_http_for(uint32_t timeout_ms, const char *address, const char *method, const char *path,
+		  const char *const *headers, const char *body, char **answer);
 /** Asks an entry's operator port. @return JSON, or NULL */
 json_t *proc_state(struct proc *proc, uint32_t entry);
 /** Sends one request to an entry's caller port. @return the HTTP status, 0 on failure */
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -50,7 +50,7 @@
 	g_assert_cmpuint(streams(END(" a.7.0 a.7.2", "2", "true", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END(" a.7.0 a.8.1 a.8.2", "3", "true", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END(" b.7.0 b.7.1 b.7.2", "3", "true", ""), MADE), ==, 1);
-	/* cut short without a word, or called whole */
+	/* truncated without an error, or reported as whole */
 	g_assert_cmpuint(streams(END(" a.7.0", "1", "false", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END(" a.7.0 a.7.1", "2", "true", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END("", "0", "true", ""), MADE), ==, 1);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -1,7 +1,7 @@
 /**
  * @file test_member.c
  * Membership in virtual time: instances freeze, die, restart and are cut off;
- * afterwards all live ones agree, and nobody who was always heard of was
+ * afterwards all live ones agree, and no member that was healthy throughout was
  * called dead. Also the bounded choice of peers and one delegate a zone.
  */
 #include "flamingolatch/member.h"
