Configuration scenario: logs of a restarted instance append; wait for the last change

Cause of a red proc_config ("entry-2 went from revision 10 to 5"): the log of a restarted instance was written over the one of its first life, whose last lines stayed behind; the trace shows them out of order in time. Ruled out: a set that goes back (the first life ended at 5, the second went from 8 to 10).

--- a/test/proc.c
+++ b/test/proc.c
@@ -2,6 +2,7 @@
 #include "history/history.h"
 
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -113,7 +114,8 @@
 	g_subprocess_launcher_setenv(launcher, "ASAN_OPTIONS", "detect_leaks=0", TRUE);
 	g_subprocess_launcher_set_child_setup(launcher, proc_child_setup, NULL, NULL);
 	if (err_file)
-		g_subprocess_launcher_set_stderr_file_path(launcher, err_file);
+		g_subprocess_launcher_take_stderr_fd(
+			launcher, open(err_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
 	/* Inherited output would keep the test runner waiting for a stray process. */
 	g_subprocess_launcher_set_stdout_file_path(launcher, out_file ? out_file : "/dev/null");
 	child = g_subprocess_launcher_spawnv(launcher, argv, &error);
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -89,6 +89,24 @@
 	proc_destroy(proc);
 }
 
+/* 200 streams a second against the engines' own logs; run by tools/prove. */
+static void test_load(void)
+{
+	struct proc_conf conf = three;
+	struct history_counts counts;
+	struct proc *proc;
+
+	conf.median_tokens = 100;
+	conf.step_us = 20000;
+	conf.max_batch = 2000;
+	proc = proc_create(&conf);
+	proc_load_start(proc, "--seconds=10", "--streams=200", "--max-tokens=500", NULL);
+	g_assert_cmpint(proc_load_wait(proc), ==, 0);
+	counts = check_all(proc);
+	g_assert_cmpuint(counts.streams_ok, ==, 2000);
+	proc_destroy(proc);
+}
+
 /* Two entries stop at once; no stream may be cut, so none needs resuming. */
 static void test_planned_stop(void)
 {
@@ -152,8 +170,9 @@
 		const char *verb = i == 0 ? "publish" : "change";
 
 		g_assert_true(g_file_set_contents(file, text, -1, NULL));
-		accepted +=
-			proc_operator(proc, i % 3, NULL, "profile", verb, "-f", file, NULL) == 0;
+		/* The last one ends only when every instance has reported its revision. */
+		accepted += proc_operator(proc, i % 3, NULL, "profile", verb, "-f", file,
+					  i == 7 ? "--wait" : NULL, NULL) == 0;
 		if (i == 4)
 			proc_fault_platform(proc, "{\"down_ms\":1500}");
 		if (i == 5) {
@@ -162,7 +181,7 @@
 		}
 	}
 	g_assert_cmpuint(accepted, ==, 8);
-	g_assert_cmpint(proc_operator(proc, 0, NULL, "profile", "status", "--wait", NULL), ==, 0);
+
 	for (uint32_t i = 0; i < 3; i++) {
 		state = proc_state(proc, i);
 		/* two profiles at the start, and each accepted change once */
@@ -456,6 +475,7 @@
 	g_test_add_func("/proc/quiet", test_quiet);
 	g_test_add_data_func("/proc/faults", GINT_TO_POINTER(0), test_faults);
 	g_test_add_data_func("/proc/faults-exact", GINT_TO_POINTER(1), test_faults);
+	g_test_add_func("/proc/load", test_load);
 	g_test_add_func("/proc/planned-stop", test_planned_stop);
 	g_test_add_func("/proc/leaving", test_leaving);
 	g_test_add_func("/proc/members", test_members);
