"Not run" is never told of a generation that an engine began

Cause: when the only engine died under a held answer, or under a stream without a first token, the restart ended at the queue's deadline or without an engine, and both kinds say not_run. Found in reading. The check for it was missing too: the history records what was said of execution now and compares with the engines' logs. Such an answer is generation_lost.

--- a/src/command/genreq.c
+++ b/src/command/genreq.c
@@ -23,6 +23,7 @@
 static void genreq_fail(void *ctx, enum err_kind kind);
 static bool genreq_can_continue(void *ctx);
 static bool genreq_on_event(void *ctx, const struct sse_event *event);
+static bool genreq_on_connected(void *ctx);
 static void genreq_on_head(void *ctx, const struct hcall_head *head);
 static void genreq_on_data(void *ctx, const char *buf, size_t len);
 static void genreq_on_end(void *ctx, enum hcall_result result, bool sent);
@@ -34,8 +35,8 @@
 	genreq_wait, genreq_finish, genreq_fail,       genreq_can_continue,
 };
 
-static const struct hcall_ops genreq_call_ops = { NULL, genreq_on_head, genreq_on_data,
-						  genreq_on_end };
+static const struct hcall_ops genreq_call_ops = { genreq_on_connected, genreq_on_head,
+						  genreq_on_data, genreq_on_end };
 
 /* lifetime */
 
@@ -233,6 +234,10 @@
 	json_t *body;
 	char *text;
 
+	/* Not run is told only of a request that no engine can have seen. */
+	if (gr->reached && err_info(kind)->ran == ERR_RAN_NOT)
+		kind = ERR_GENERATION_LOST;
+
 	if (!gr->req)
 		return;
 	if (!gr->started) {
@@ -511,6 +516,14 @@
 	return gr->call != NULL;
 }
 
+static bool genreq_on_connected(void *ctx)
+{
+	struct genreq *gr = ctx;
+
+	gr->reached = true;
+	return true;
+}
+
 static void genreq_on_head(void *ctx, const struct hcall_head *head)
 {
 	struct genreq *gr = ctx;
--- a/src/command/genreq.h
+++ b/src/command/genreq.h
@@ -58,6 +58,7 @@
 	bool exact;   /* engines continue this output exactly */
 	bool admitted;
 	bool paused;
+	bool reached;	/* a request for it may have reached an engine */
 	bool abandoned; /* the caller left; the stream is cancelled soon */
 	bool ended;
 	bool limited;
--- a/src/main/load_request.c
+++ b/src/main/load_request.c
@@ -125,10 +125,11 @@
 				      .gap_count = lr->gaps->len };
 
 	load_record(lr,
-		    json_pack("{s:s, s:s, s:I, s:I, s:b, s:s, s:s*, s:I, s:i, s:b, s:s%}", "ev",
-			      "end", "kind", load_kind_names[lr->kind], "index",
+		    json_pack("{s:s, s:s, s:I, s:I, s:b, s:s, s:s, s:i, s:s*, s:I, s:i, s:b, s:s%}",
+			      "ev", "end", "kind", load_kind_names[lr->kind], "index",
 			      (json_int_t)lr->index, "seed", (json_int_t)(run->seed + lr->index),
-			      "ok", ok, "error", result.error, "last_id", lr->last_id, "tokens",
+			      "ok", ok, "error", result.error, "ran", lr->ran ? lr->ran : "",
+			      "attempts", (int)lr->attempts, "last_id", lr->last_id, "tokens",
 			      (json_int_t)lr->next_offset, "resumes", (int)lr->resumes,
 			      "out_of_order", lr->out_of_order, "text", lr->text->str,
 			      lr->text->len));
--- a/test/history/history.c
+++ b/test/history/history.c
@@ -105,6 +105,30 @@
 	return ends;
 }
 
+/* Seeds of generations that an engine began. */
+static GHashTable *collect_opens(const json_t *engines)
+{
+	GHashTable *opens = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (size_t i = 0; i < json_array_size(engines); i++) {
+		const json_t *line = json_array_get(engines, i);
+
+		if (is_event(line, "open"))
+			g_hash_table_add(opens,
+					 g_strdup_printf("%" PRIu64, number_of(line, "seed")));
+	}
+	return opens;
+}
+
+static void check_not_run(const json_t *line, GHashTable *opens, struct history_counts *counts)
+{
+	g_autofree char *seed = g_strdup_printf("%" PRIu64, number_of(line, "seed"));
+
+	if (strcmp(text_of(line, "ran"), "not_run") == 0 && number_of(line, "attempts") == 1 &&
+	    g_hash_table_contains(opens, seed))
+		violation(counts, "seed %s was begun by an engine and called \"not run\"", seed);
+}
+
 static void check_stream(const json_t *line, GHashTable *ends, struct history_counts *counts)
 {
 	uint64_t seed = number_of(line, "seed");
@@ -138,16 +162,20 @@
 			   struct history_counts *counts)
 {
 	GHashTable *ends = collect_ends(engines);
+	GHashTable *opens = collect_opens(engines);
 
 	for (size_t i = 0; i < json_array_size(history); i++) {
 		const json_t *line = json_array_get(history, i);
 		const char *kind = text_of(line, "kind");
 
 		if (is_event(line, "end") &&
-		    (strcmp(kind, "stream") == 0 || strcmp(kind, "whole") == 0))
+		    (strcmp(kind, "stream") == 0 || strcmp(kind, "whole") == 0)) {
 			check_stream(line, ends, counts);
+			check_not_run(line, opens, counts);
+		}
 	}
 	g_hash_table_destroy(ends);
+	g_hash_table_destroy(opens);
 }
 
 /* calls */
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -54,6 +54,11 @@
 	g_assert_cmpuint(streams(END(" a.7.0", "1", "false", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END(" a.7.0 a.7.1", "2", "true", ""), MADE), ==, 1);
 	g_assert_cmpuint(streams(END("", "0", "true", ""), MADE), ==, 1);
+	/* begun by an engine and called "not run" */
+	g_assert_cmpuint(streams("[{\"ev\":\"end\",\"kind\":\"stream\",\"seed\":10,\"ok\":false,"
+				 "\"error\":\"deadline\",\"ran\":\"not_run\",\"attempts\":1}]",
+				 "[{\"ev\":\"open\",\"seed\":10}]"),
+			 ==, 1);
 }
 
 #define SEED "{\"ev\":\"end\",\"kind\":\"call\",\"index\":4,\"seed\":14}"
--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -273,6 +273,23 @@
 	proc_destroy(proc);
 }
 
+/* The only engine begins a held answer and dies: that is never "not run". */
+static void test_engine_dies(void)
+{
+	struct proc_conf conf = {
+		.entries = 1, .engines = 1, .median_tokens = 4000, .step_us = 20000
+	};
+	struct proc *proc = proc_create(&conf);
+
+	proc_load_start(proc, "--seconds=1", "--wholes=5", "--streams=5", "--max-tokens=2000",
+			NULL);
+	g_usleep(SECOND_US * 3 / 2);
+	proc_signal_engine(proc, 0, SIGKILL);
+	g_assert_cmpint(proc_load_wait(proc), !=, 0);
+	check_all(proc);
+	proc_destroy(proc);
+}
+
 static uint32_t count_events(struct proc *proc, const char *name)
 {
 	json_t *log = proc_engine_logs(proc);
@@ -484,6 +501,7 @@
 	g_test_add_func("/proc/orders", test_orders);
 	g_test_add_func("/proc/ledger", test_ledger);
 	g_test_add_func("/proc/tls", test_tls);
+	g_test_add_func("/proc/engine-dies", test_engine_dies);
 	g_test_add_func("/proc/abandon", test_abandon);
 	g_test_add_func("/proc/collect", test_collect);
 	return g_test_run();
