--- a/bench/control.c
+++ b/bench/control.c
@@ -8,12 +8,12 @@
  * change is in force, a leaving engine and a dead entry are known on all.
  */
 #include "proc.h"
+#include "usage.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #define SECOND_US  1000000
 #define MEASURE_US (10 * SECOND_US)
@@ -37,35 +37,14 @@
 	double writes;
 };
 
-static double cpu_seconds(int pid)
-{
-	g_autofree char *path = g_strdup_printf("/proc/%d/stat", pid);
-	g_autofree char *text = NULL;
-	g_auto(GStrv) parts = NULL;
-
-	if (!g_file_get_contents(path, &text, NULL, NULL))
-		return 0.0;
-	parts = g_strsplit(strrchr(text, ')') + 2, " ", 0);
-	return (atof(parts[11]) + atof(parts[12])) / (double)sysconf(_SC_CLK_TCK);
-}
-
-static double resident_mb(int pid)
-{
-	g_autofree char *path = g_strdup_printf("/proc/%d/statm", pid);
-	g_autofree char *text = NULL;
-	unsigned long pages = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		sscanf(text, "%*u %lu", &pages);
-	return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
-}
-
 static struct sample take_sample(struct proc *proc, uint32_t entries)
 {
 	struct sample sample = { 0 };
 
 	for (uint32_t i = 0; i < entries; i++) {
-		sample.cpu_s += cpu_seconds(proc_entry_pid(proc, i));
+		struct usage usage = usage_of(proc_entry_pid(proc, i));
+
+		sample.cpu_s += usage.user_s + usage.system_s;
 		sample.sent += (double)proc_metric(proc, i, "bus_sent_total");
 		sample.sent_bytes += (double)proc_metric(proc, i, "bus_sent_bytes_total");
 		sample.reads += (double)proc_metric(proc, i, "table_reads_total");
@@ -146,7 +125,7 @@
 	before = take_sample(proc, size->entries);
 	g_usleep(MEASURE_US);
 	after = take_sample(proc, size->entries);
-	memory = resident_mb(proc_entry_pid(proc, 0));
+	memory = usage_resident_bytes(proc_entry_pid(proc, 0)) / 1e6;
 	change_s = change_in_force(proc, size->entries);
 	proc_fault_engine(proc, 0, "{\"leave\":true}");
 	leaving_s = until_all(proc, 0, size->entries, "upstreams", "leaving", 1);
--- a/bench/relay.c
+++ b/bench/relay.c
@@ -7,44 +7,15 @@
  * memory per open stream.
  */
 #include "proc.h"
+#include "usage.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #define SECOND_US 1000000
 #define PAIRS	  300
 
-struct usage {
-	double user_s;
-	double system_s;
-};
-
-static struct usage usage(int pid)
-{
-	g_autofree char *path = g_strdup_printf("/proc/%d/stat", pid);
-	g_autofree char *text = NULL;
-	g_auto(GStrv) parts = NULL;
-	double tick = (double)sysconf(_SC_CLK_TCK);
-
-	if (!g_file_get_contents(path, &text, NULL, NULL))
-		return (struct usage){ 0 };
-	parts = g_strsplit(strrchr(text, ')') + 2, " ", 0);
-	return (struct usage){ atof(parts[11]) / tick, atof(parts[12]) / tick };
-}
-
-static double resident_kb(int pid)
-{
-	g_autofree char *path = g_strdup_printf("/proc/%d/statm", pid);
-	g_autofree char *text = NULL;
-	unsigned long pages = 0;
-
-	if (g_file_get_contents(path, &text, NULL, NULL))
-		sscanf(text, "%*u %lu", &pages);
-	return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e3;
-}
-
 static gint compare(gconstpointer a, gconstpointer b)
 {
 	double left = *(const double *)a;
@@ -94,14 +65,14 @@
 		 const char *tokens)
 {
 	int pid = proc_entry_pid(proc, 0);
-	struct usage before = usage(pid);
+	struct usage before = usage_of(pid);
 	uint64_t from = proc_metric(proc, 0, counter);
 	double count;
 	struct usage after;
 
 	proc_load_start(proc, "--seconds=8", rate, tokens, NULL);
 	proc_load_wait(proc);
-	after = usage(pid);
+	after = usage_of(pid);
 	count = (double)(proc_metric(proc, 0, counter) - from);
 	printf("%s: %.0f, %.1f us of processor time each (%.1f user, %.1f system)\n", what, count,
 	       1e6 * (after.user_s + after.system_s - before.user_s - before.system_s) / count,
@@ -112,7 +83,7 @@
 static void memory(struct proc *proc)
 {
 	int pid = proc_entry_pid(proc, 0);
-	double before = resident_kb(pid);
+	double before = usage_resident_bytes(pid) / 1e3;
 	double after = 0.0;
 	double open = 0.0;
 
@@ -124,7 +95,7 @@
 		now = (double)proc_metric(proc, 0, "open_requests");
 		if (now > open) {
 			open = now;
-			after = resident_kb(pid);
+			after = usage_resident_bytes(pid) / 1e3;
 		}
 	}
 	proc_load_wait(proc);
--- /dev/null
+++ b/bench/usage.c
@@ -0,0 +1,34 @@
+#include "usage.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define USAGE_UTIME 11 /* fields of /proc/PID/stat after the name */
+#define USAGE_STIME 12
+
+struct usage usage_of(int pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/stat", pid);
+	g_autofree char *text = NULL;
+	g_auto(GStrv) parts = NULL;
+	double tick = (double)sysconf(_SC_CLK_TCK);
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return (struct usage){ 0.0, 0.0 };
+	parts = g_strsplit(strrchr(text, ')') + 2, " ", 0);
+	return (struct usage){ atof(parts[USAGE_UTIME]) / tick, atof(parts[USAGE_STIME]) / tick };
+}
+
+double usage_resident_bytes(int pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/statm", pid);
+	g_autofree char *text = NULL;
+	unsigned long pages = 0;
+
+	if (g_file_get_contents(path, &text, NULL, NULL))
+		sscanf(text, "%*u %lu", &pages);
+	return (double)pages * (double)sysconf(_SC_PAGESIZE);
+}
--- a/test/test_history.c
+++ b/test/test_history.c
@@ -6,33 +6,31 @@
 
 #include <glib.h>
 
+typedef void (*check_fn)(const json_t *history, const json_t *log, struct history_counts *counts);
+
 /* Runs one check on JSON texts. @return the number of violations */
-static uint64_t streams(const char *history, const char *engines)
+static uint64_t violations(check_fn check, const char *history, const char *log)
 {
 	struct history_counts counts = { 0 };
 	json_t *left = json_loads(history, 0, NULL);
-	json_t *right = json_loads(engines, 0, NULL);
+	json_t *right = json_loads(log, 0, NULL);
 
 	g_assert_nonnull(left);
 	g_assert_nonnull(right);
-	history_check_streams(left, right, &counts);
+	check(left, right, &counts);
 	json_decref(left);
 	json_decref(right);
 	return counts.violations;
 }
 
-static uint64_t calls(const char *history, const char *service)
+static uint64_t streams(const char *history, const char *engines)
 {
-	struct history_counts counts = { 0 };
-	json_t *left = json_loads(history, 0, NULL);
-	json_t *right = json_loads(service, 0, NULL);
+	return violations(history_check_streams, history, engines);
+}
 
-	g_assert_nonnull(left);
-	g_assert_nonnull(right);
-	history_check_calls(left, right, &counts);
-	json_decref(left);
-	json_decref(right);
-	return counts.violations;
+static uint64_t calls(const char *history, const char *service)
+{
+	return violations(history_check_calls, history, service);
 }
 
 #define END(text, tokens, ok, error)                                                               \
