--- a/src/command/genreq.c
+++ b/src/command/genreq.c
@@ -35,8 +35,10 @@
 	genreq_wait, genreq_finish, genreq_fail,       genreq_can_continue,
 };
 
-static const struct hcall_ops genreq_call_ops = { genreq_on_connected, genreq_on_head,
-						  genreq_on_data, genreq_on_end };
+static const struct hcall_ops genreq_call_ops = { .connected = genreq_on_connected,
+						  .head = genreq_on_head,
+						  .data = genreq_on_data,
+						  .end = genreq_on_end };
 
 /* lifetime */
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -279,12 +279,14 @@
 static bool entry_open_ports(struct entry *entry, GError **error)
 {
 	const struct settings *set = entry->set;
-	struct hsrv_conf callers = { set->caller.address, (uint16_t)set->caller.port,
-				     (uint32_t)set->max_body_bytes, set->caller.certificate_file,
-				     set->caller.key_file };
-	struct hsrv_conf operators = { set->operator_port.address,
-				       (uint16_t)set->operator_port.port, ENTRY_OPERATOR_MAX, NULL,
-				       NULL };
+	struct hsrv_conf callers = { .address = set->caller.address,
+				     .port = (uint16_t)set->caller.port,
+				     .max_body_bytes = (uint32_t)set->max_body_bytes,
+				     .cert_file = set->caller.certificate_file,
+				     .key_file = set->caller.key_file };
+	struct hsrv_conf operators = { .address = set->operator_port.address,
+				       .port = (uint16_t)set->operator_port.port,
+				       .max_body_bytes = ENTRY_OPERATOR_MAX };
 	struct bus_conf bus = { set->bus.address, (uint16_t)set->bus.port, set->bus_public_key,
 				set->bus_secret_key };
 
--- a/src/io/fetch.c
+++ b/src/io/fetch.c
@@ -17,8 +17,10 @@
 static void fetch_on_data(void *ctx, const char *buf, size_t len);
 static void fetch_on_end(void *ctx, enum hcall_result result, bool sent);
 
-static const struct hcall_ops fetch_ops = { fetch_on_connected, fetch_on_head, fetch_on_data,
-					    fetch_on_end };
+static const struct hcall_ops fetch_ops = { .connected = fetch_on_connected,
+					    .head = fetch_on_head,
+					    .data = fetch_on_data,
+					    .end = fetch_on_end };
 
 /* lifetime */
 
--- a/src/main/load_request.c
+++ b/src/main/load_request.c
@@ -49,7 +49,9 @@
 static void load_on_end(void *ctx, enum hcall_result result, bool sent);
 static void load_on_timer(uv_timer_t *timer);
 
-static const struct hcall_ops load_ops = { NULL, load_on_head, load_on_data, load_on_end };
+static const struct hcall_ops load_ops = { .head = load_on_head,
+					   .data = load_on_data,
+					   .end = load_on_end };
 static const char *const load_kind_names[LOAD_KIND_COUNT] = { "stream", "whole", "call", "lookup" };
 
 /* lifetime */
