Gateway: the thin path on the users' platform

New modules: routes, upstream fleet, freshness of the configuration, placing, budget of further sends, what follows a send (core); following the store, requests' lives, peers, composition (serve). Ruled out: the product's gossip of membership and configuration on the platform; the store's feed gives both. Before: nothing ran there.

--- a/include/flamingolatch/conf.h
+++ b/include/flamingolatch/conf.h
@@ -22,6 +22,7 @@
 	CONF_STRING, /**< char *, allocated */
 	CONF_NAME,   /**< char *, allocated; [a-z0-9-], at most 63 bytes */
 	CONF_U64,    /**< uint64_t */
+	CONF_F64,    /**< double, at least 0 */
 	CONF_BOOL,   /**< bool */
 	CONF_ENUM,   /**< uint32_t, index into names */
 	CONF_NAMES,  /**< char **, NULL-terminated strings */
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -3,8 +3,10 @@
  * Structured log of numbered events.
  *
  * Every event is one row of LOG_EVENTS: symbol, number, level, name, meaning.
- * log_event() writes one JSON object a line to standard error through GLib's
- * structured logging. docs/EVENTS.md lists the same rows; a test compares.
+ * log_event() writes one JSON object a line to standard output through GLib's
+ * structured logging. The volume is bounded: beyond LOG_LINES_PER_S lines of
+ * level info in a second further ones are counted and left out. A pipe that is
+ * full costs lines, never time. docs/EVENTS.md lists the same rows; a test compares.
  */
 #ifndef FLAMINGOLATCH_LOG_H
 #define FLAMINGOLATCH_LOG_H
@@ -39,9 +41,32 @@
 	X(LOG_MEMBER_JOINED, 500, INFO, "member-joined", "An entry instance became known.") \
 	X(LOG_MEMBER_SUSPECT, 501, INFO, "member-suspect", "An entry instance was not heard from.") \
 	X(LOG_MEMBER_DEAD, 502, WARNING, "member-dead", "An entry instance is considered dead.") \
-	X(LOG_BUS_BAD_FRAME, 510, WARNING, "bus-bad-frame", "A peer's message did not decode.")
+	X(LOG_BUS_BAD_FRAME, 510, WARNING, "bus-bad-frame", "A peer's message did not decode.") \
+	X(LOG_REQUEST_PLACED, 600, INFO, "request-placed", "A request was sent to an upstream.") \
+	X(LOG_REQUEST_QUEUED, 601, INFO, "request-queued", "No engine has room; a generation waits.") \
+	X(LOG_REQUEST_REFUSED, 602, INFO, "request-refused", "A request was answered without having run.") \
+	X(LOG_REQUEST_REPEATED, 603, INFO, "request-repeated", "A request is sent once more.") \
+	X(LOG_REQUEST_ENDED, 604, INFO, "request-ended", "A request was answered by an upstream.") \
+	X(LOG_REQUEST_FAILED, 605, WARNING, "request-failed", "A request failed after it was sent; it may have run.") \
+	X(LOG_REQUEST_LEFT, 606, INFO, "request-left", "The caller left before the answer ended.") \
+	X(LOG_STREAM_TAKEN_OVER, 610, INFO, "stream-taken-over", "A running stream goes on at another engine.") \
+	X(LOG_STREAM_CUT, 611, WARNING, "stream-cut", "A running stream could not go on and was broken off.") \
+	X(LOG_MOVE_FAILED, 612, WARNING, "move-failed", "An engine did not hand a running generation over.") \
+	X(LOG_UPSTREAM_STATE, 620, INFO, "upstream-state", "An upstream was listed or changed its state.") \
+	X(LOG_UPSTREAM_BROKEN, 621, WARNING, "upstream-broken", "An entry of the instance list does not decode.") \
+	X(LOG_SOURCE_LOST, 630, WARNING, "source-lost", "The store does not answer.") \
+	X(LOG_SOURCE_REGAINED, 631, INFO, "source-regained", "The store answers again.") \
+	X(LOG_SOURCE_GAP, 632, INFO, "source-gap", "The store dropped its history; the table is read anew.") \
+	X(LOG_KEYS_STALE, 640, WARNING, "keys-stale", "The configuration was not confirmed in time; requests with keys are refused.") \
+	X(LOG_KEYS_FRESH, 641, INFO, "keys-fresh", "The configuration is confirmed again.") \
+	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was read again.") \
+	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the last good settings stay.") \
+	X(LOG_SUPPRESSED, 690, WARNING, "log-suppressed", "Lines were left out since the last one of this kind.")
 // clang-format on
 
+/** Lines of level info that a process writes in a second. */
+#define LOG_LINES_PER_S 400
+
 /** Event symbols; the values index the event table. */
 enum log_event_id {
 #define LOG_SYMBOL(sym, num, level, name, meaning) sym,
@@ -61,8 +86,12 @@
 /** Returns the row of an event. */
 const struct log_event_info *log_event_info(enum log_event_id id);
 
-/** Sends GLib's structured log to standard error as JSON lines. */
+/** Sends GLib's structured log to standard output as JSON lines. */
 void log_init(const char *instance);
+/** Writes how many lines were left out since it was last called, if any. */
+void log_tell_suppressed(void);
+/** Returns how many lines were left out so far. */
+uint64_t log_suppressed(void);
 
 /**
  * Writes one event.
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -38,6 +38,7 @@
 	X(METRIC_BUS_BAD, "bus_bad_total", "Peer messages that did not decode.") \
 	X(METRIC_ROWS_COLLECTED, "rows_collected_total", "Settled claim rows deleted after their time to live.") \
 	X(METRIC_ORDERS, "orders_total", "Orders given to engines.") \
+	X(METRIC_CLOSING_ANSWERS, "closing_answers_total", "Answers of engines that close their connection.") \
 	X(METRIC_SPILLED, "spilled_total", "Generations sent to another availability zone.")
 #define METRIC_GAUGES(X) \
 	X(METRIC_OPEN, "open_requests", "Requests not answered in full.") \
--- a/src/core/err.c
+++ b/src/core/err.c
@@ -42,6 +42,11 @@
 			   "winner." },
 	[ERR_NOT_OBSERVED] = { "not_observed", 504, ERR_RAN_YES, 1000, 8,
 			       "Accepted, but not every instance has confirmed it yet." },
+	[ERR_TIMED_OUT] = { "timed_out", 504, ERR_RAN_UNKNOWN, 0, 6,
+			    "The request was sent and not answered in the time that it had." },
+	[ERR_UNCONFIRMED] = { "unconfirmed", 503, ERR_RAN_NOT, 1000, 5,
+			      "The instance cannot show that its configuration is the newest; "
+			      "nothing was sent." },
 	[ERR_SETTINGS] = { "settings", 500, ERR_RAN_NOT, 0, 2,
 			   "A settings or profile file is wrong; the message names the line." },
 	[ERR_IO] = { "io", 502, ERR_RAN_UNKNOWN, 500, 6, "A connection failed." },
--- a/src/entry/answer.c
+++ b/src/entry/answer.c
@@ -1,27 +1,15 @@
 #include "entry_internal.h"
 
-#include <stdlib.h>
-#include <string.h>
+#include "flamingolatch/reply.h"
 
 json_t *answer_error_json(enum err_kind kind, const char *message)
 {
-	const struct err_info *info = err_info(kind);
-	json_t *error =
-		json_pack("{s:s, s:s, s:s}", "kind", info->name, "ran", err_ran_name(info->ran),
-			  "message", message ? message : info->meaning);
-
-	if (info->retry_after_ms)
-		json_object_set_new(error, "retry_after_ms", json_integer(info->retry_after_ms));
-	return json_pack("{s:o}", "error", error);
+	return rpl_error_json(kind, message);
 }
 
 void answer_json(struct hreq *req, uint16_t status, json_t *root)
 {
-	char *text = json_dumps(root, JSON_COMPACT);
-
-	hreq_reply(req, status, "application/json", text, strlen(text));
-	free(text);
-	json_decref(root);
+	rpl_json(req, status, root);
 }
 
 void answer_error(struct entry *entry, struct hreq *req, enum err_kind kind, const char *message)
@@ -35,5 +23,5 @@
 		seconds = g_strdup_printf("%u", (info->retry_after_ms + 999) / 1000);
 		hreq_add_header(req, "retry-after", seconds);
 	}
-	answer_json(req, info->http_status, answer_error_json(kind, message));
+	rpl_json(req, info->http_status, rpl_error_json(kind, message));
 }
--- a/src/io/conf.c
+++ b/src/io/conf.c
@@ -1,6 +1,7 @@
 #include "flamingolatch/conf.h"
 #include "flamingolatch/err.h"
 
+#include <math.h>
 #include <string.h>
 #include <yaml.h>
 
@@ -59,6 +60,14 @@
 	return g_ascii_string_to_unsigned(text, 10, field->min, max, out, NULL);
 }
 
+static bool conf_f64(const char *text, double *out)
+{
+	char *end = NULL;
+
+	*out = g_ascii_strtod(text, &end);
+	return end != text && *end == '\0' && isfinite(*out) && *out >= 0.0;
+}
+
 static bool conf_bool(const char *text, bool *out)
 {
 	*out = strcmp(text, "true") == 0;
@@ -133,6 +142,8 @@
 			   "a whole number from %" G_GUINT64_FORMAT " to %" G_GUINT64_FORMAT,
 			   field->min, field->max ? field->max : UINT64_MAX);
 		return buf;
+	case CONF_F64:
+		return "a number of 0 or more";
 	case CONF_BOOL:
 		return "true or false";
 	case CONF_ENUM:
@@ -165,6 +176,9 @@
 		case CONF_U64:
 			ok = conf_u64(text, field, at);
 			break;
+		case CONF_F64:
+			ok = conf_f64(text, at);
+			break;
 		case CONF_BOOL:
 			ok = conf_bool(text, at);
 			break;
@@ -241,6 +255,8 @@
 		return *(char *const *)at ? json_string(*(char *const *)at) : NULL;
 	case CONF_U64:
 		return json_integer((json_int_t) * (const uint64_t *)at);
+	case CONF_F64:
+		return json_real(*(const double *)at);
 	case CONF_BOOL:
 		return json_boolean(*(const bool *)at);
 	case CONF_ENUM:
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -1,10 +1,12 @@
 #include "flamingolatch/log.h"
 
-#include <jansson.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LOG_FIELDS_MAX 24
 
@@ -16,6 +18,14 @@
 
 static char log_instance[64];
 
+/* The program has one log; its volume is counted here. */
+static struct {
+	int64_t second;
+	uint64_t lines; /* of level info in this second */
+	uint64_t suppressed;
+	uint64_t told; /* of the suppressed ones */
+} log_volume;
+
 static GLogWriterOutput log_write(GLogLevelFlags level, const GLogField *fields, gsize count,
 				  gpointer data);
 
@@ -54,8 +64,24 @@
 			       fields, count);
 }
 
+void log_tell_suppressed(void)
+{
+	char text[24];
+
+	if (log_volume.suppressed == log_volume.told)
+		return;
+	snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, log_volume.suppressed - log_volume.told);
+	log_volume.told = log_volume.suppressed;
+	log_event(LOG_SUPPRESSED, "lines", text, NULL);
+}
+
 /* queries */
 
+uint64_t log_suppressed(void)
+{
+	return log_volume.suppressed;
+}
+
 const struct log_event_info *log_event_info(enum log_event_id id)
 {
 	return &log_table[id];
@@ -74,31 +100,79 @@
 	return "debug";
 }
 
+/* Writes a line unless that would block. */
+static bool log_put(const char *line, size_t len)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	/* A pipe that is ready takes PIPE_BUF bytes at once. */
+	if (len > PIPE_BUF || poll(&out, 1, 0) != 1 || !(out.revents & POLLOUT))
+		return false;
+	return write(STDOUT_FILENO, line, len) == (ssize_t)len;
+}
+
+/* Tells whether a line of level info is within this second's volume. */
+static bool log_admit(GLogLevelFlags level)
+{
+	int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
+
+	if (second != log_volume.second) {
+		log_volume.second = second;
+		log_volume.lines = 0;
+	}
+	if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING))
+		return true;
+	return log_volume.lines++ < LOG_LINES_PER_S;
+}
+
+static void log_append(GString *line, const char *key, const char *value, bool quoted)
+{
+	g_string_append_printf(line, ",\"%s\":", key);
+	if (!quoted) {
+		g_string_append(line, value);
+		return;
+	}
+	g_string_append_c(line, '"');
+	for (; *value; value++) {
+		unsigned char c = (unsigned char)*value;
+
+		if (c == '"' || c == '\\')
+			g_string_append_printf(line, "\\%c", c);
+		else if (c < 0x20)
+			g_string_append_printf(line, "\\u%04x", c);
+		else
+			g_string_append_c(line, (gchar)c);
+	}
+	g_string_append_c(line, '"');
+}
+
 static GLogWriterOutput log_write(GLogLevelFlags level, const GLogField *fields, gsize count,
 				  gpointer data)
 {
-	json_t *line = json_object();
-	g_autoptr(GDateTime) now = g_date_time_new_now_utc();
-	g_autofree char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
-	char *text;
+	static GString *line;
+	g_autoptr(GDateTime) now = NULL;
+	g_autofree char *stamp = NULL;
 
 	(void)data;
-	json_object_set_new(line, "time", json_string(stamp));
-	json_object_set_new(line, "level", json_string(log_level_name(level)));
-	json_object_set_new(line, "instance", json_string(log_instance));
+	if (!log_admit(level)) {
+		log_volume.suppressed++;
+		return G_LOG_WRITER_HANDLED;
+	}
+	now = g_date_time_new_now_utc();
+	stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+	if (!line)
+		line = g_string_new(NULL);
+	g_string_printf(line, "{\"time\":\"%s\"", stamp);
+	log_append(line, "level", log_level_name(level), true);
+	log_append(line, "instance", log_instance, true);
 	for (gsize i = 0; i < count; i++) {
 		g_autofree char *key = g_ascii_strdown(fields[i].key, -1);
 
-		if (strcmp(key, "event") == 0)
-			json_object_set_new(line, key,
-					    json_integer(atoi((const char *)fields[i].value)));
-		else if (fields[i].length < 0)
-			json_object_set_new(line, key, json_string(fields[i].value));
+		if (fields[i].length < 0)
+			log_append(line, key, fields[i].value, strcmp(key, "event") != 0);
 	}
-	text = json_dumps(line, JSON_COMPACT | JSON_PRESERVE_ORDER);
-	if (text)
-		fprintf(stderr, "%s\n", text);
-	free(text);
-	json_decref(line);
+	g_string_append(line, "}\n");
+	if (!log_put(line->str, line->len))
+		log_volume.suppressed++;
 	return G_LOG_WRITER_HANDLED;
 }
--- a/src/main/cli.h
+++ b/src/main/cli.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 
 int cmd_serve(int argc, char **argv);
+int cmd_gateway(int argc, char **argv);
 int cmd_check(int argc, char **argv);
 int cmd_profile(int argc, char **argv);
 int cmd_state(int argc, char **argv);
--- /dev/null
+++ b/src/serve/env.h
@@ -0,0 +1,51 @@
+/**
+ * @file env.h
+ * What the parts of a gateway instance share: its dependencies and beliefs.
+ *
+ * gateway.c owns and fills it; the other files of this folder read it. Nothing
+ * in it refers to a request.
+ */
+#ifndef FLAMINGOLATCH_SERVE_ENV_H
+#define FLAMINGOLATCH_SERVE_ENV_H
+
+#include "flamingolatch/fleet.h"
+#include "flamingolatch/fresh.h"
+#include "flamingolatch/gset.h"
+#include "flamingolatch/http_client.h"
+#include "flamingolatch/log.h"
+#include "flamingolatch/metric.h"
+#include "flamingolatch/repeat.h"
+#include "flamingolatch/route.h"
+#include "flamingolatch/source.h"
+#include "flamingolatch/surface.h"
+
+#include <uv.h>
+
+struct env {
+	uv_loop_t *loop;
+	const struct gset *set;
+	struct hcli *cli;
+	struct fleet *fleet;
+	struct metric *metric;
+	struct source *source;
+	const struct srf_ops *surface;
+	struct rt_config *config; /**< in force; NULL before the first */
+	struct fresh fresh;	  /**< of the configuration */
+	GHashTable *budgets;	  /**< service to struct rep */
+	GRand *rand;
+	uint32_t instances; /**< live instances, this one included */
+	bool stopping;
+};
+
+/** Returns the monotonic time in us. */
+uint64_t env_now_us(void);
+/** Returns the monotonic time in us that goes on while the machine is suspended. */
+uint64_t env_boot_us(void);
+/** Returns the budget of further sends to a service. */
+struct rep *env_budget(struct env *env, const char *service);
+/** Takes the rules of the settings into all budgets. */
+void env_apply_rules(struct env *env);
+/** Tells whether requests with a key may be passed on now. */
+bool env_keys_fresh(const struct env *env);
+
+#endif
--- /dev/null
+++ b/src/serve/follow.c
@@ -0,0 +1,270 @@
+#include "follow.h"
+
+#include <string.h>
+
+#define FOL_RETRY_FIRST_MS 100
+#define FOL_RETRY_MAX_MS   800
+#define FOL_LOST_FAILURES  2 /* in a row; one cut connection is no outage */
+#define FOL_TICK_MS	   250
+
+/* One table that is followed. */
+struct fol_table {
+	struct fol *fol;
+	enum src_table table;
+	struct src_call *call;
+	uv_timer_t timer; /* until the next call */
+	uint64_t version;
+	uint64_t sent_us; /* on the clock that counts suspension */
+	uint64_t sent_ms;
+	uint32_t failures; /* in a row */
+	bool synced;
+	bool ever;
+};
+
+struct fol {
+	struct env *env;
+	struct fol_table tables[2]; /* SRC_CONFIG and SRC_UPSTREAMS */
+	uv_timer_t tick;
+	uint64_t regained_us; /* when the store last came back; 0 before */
+	uint32_t handles;
+	bool lost;
+	fol_config_cb cb;
+	void *ctx;
+};
+
+static const char *const fol_result_names[SRC_RESULT_COUNT] = { "ok", "history-gone", "refused",
+								"no-answer" };
+
+static void fol_call(struct fol_table *table);
+static void fol_on_timer(uv_timer_t *timer);
+static void fol_on_tick(uv_timer_t *timer);
+static void fol_on_answer(void *arg, const struct src_answer *answer);
+
+/* lifetime */
+
+struct fol *fol_create(struct env *env, fol_config_cb cb, void *ctx)
+{
+	struct fol *fol = g_new0(struct fol, 1);
+
+	fol->env = env;
+	fol->cb = cb;
+	fol->ctx = ctx;
+	fol->handles = 3;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(fol->tables); i++) {
+		struct fol_table *table = &fol->tables[i];
+
+		table->fol = fol;
+		table->table = i == 0 ? SRC_CONFIG : SRC_UPSTREAMS;
+		uv_timer_init(env->loop, &table->timer);
+		table->timer.data = table;
+		fol_call(table);
+	}
+	uv_timer_init(env->loop, &fol->tick);
+	fol->tick.data = fol;
+	uv_timer_start(&fol->tick, fol_on_tick, FOL_TICK_MS, FOL_TICK_MS);
+	return fol;
+}
+
+static void fol_on_closed(uv_handle_t *handle)
+{
+	struct fol *fol = handle == (uv_handle_t *)&((struct fol *)handle->data)->tick
+				  ? handle->data
+				  : ((struct fol_table *)handle->data)->fol;
+
+	if (--fol->handles == 0)
+		g_free(fol);
+}
+
+void fol_destroy(struct fol *fol)
+{
+	if (!fol)
+		return;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(fol->tables); i++) {
+		struct fol_table *table = &fol->tables[i];
+
+		if (table->call)
+			fol->env->source->ops->cancel(table->call);
+		uv_close((uv_handle_t *)&table->timer, fol_on_closed);
+	}
+	uv_close((uv_handle_t *)&fol->tick, fol_on_closed);
+}
+
+/* queries */
+
+bool fol_synced(const struct fol *fol)
+{
+	return fol->tables[0].ever && fol->tables[1].ever;
+}
+
+/* helpers */
+
+static void fol_call(struct fol_table *table)
+{
+	struct env *env = table->fol->env;
+	const struct src_ops *ops = env->source->ops;
+	uint32_t wait_ms = (uint32_t)(table->table == SRC_CONFIG ? env->set->config_wait_ms
+								 : env->set->list_wait_ms);
+
+	table->sent_us = env_boot_us();
+	table->sent_ms = uv_now(env->loop);
+	metric_add(env->metric, METRIC_TABLE_READS, 1);
+	if (table->synced)
+		table->call = ops->follow(env->source->ctx, table->table, table->version, wait_ms,
+					  fol_on_answer, table);
+	else
+		table->call = ops->read(env->source->ctx, table->table, fol_on_answer, table);
+}
+
+static void fol_on_timer(uv_timer_t *timer)
+{
+	fol_call(timer->data);
+}
+
+static void fol_call_in(struct fol_table *table, uint64_t delay_ms)
+{
+	uv_timer_start(&table->timer, fol_on_timer, delay_ms, 0);
+}
+
+/* Notes that the store does not answer, or answers again. */
+static void fol_set_lost(struct fol *fol, bool lost, const char *why)
+{
+	if (fol->lost == lost)
+		return;
+	fol->lost = lost;
+	if (!lost)
+		fol->regained_us = env_now_us();
+	log_event(lost ? LOG_SOURCE_LOST : LOG_SOURCE_REGAINED, "reason", why, NULL);
+	metric_set(fol->env->metric, METRIC_TABLE_REACHABLE, !lost);
+}
+
+/* Until when entries that are missing now may come back; 0 when they are gone. */
+static uint64_t fol_lapse_until(const struct fol *fol)
+{
+	uint64_t recheck_us = (uint64_t)(fol->env->set->bounds.recheck_s * 1e6);
+	uint64_t now_us = env_now_us();
+
+	if (fol->lost)
+		return now_us + recheck_us;
+	if (fol->regained_us && now_us < fol->regained_us + recheck_us)
+		return fol->regained_us + recheck_us;
+	return 0;
+}
+
+static void fol_apply_config(struct fol *fol, const struct src_change *change)
+{
+	struct env *env = fol->env;
+
+	if (change->broken)
+		log_event(LOG_CONFIG_REJECTED, "source", "store", NULL);
+	if (!change->config)
+		return;
+	if (env->config && rt_config_version(change->config) <= rt_config_version(env->config))
+		return;
+	fol->cb(fol->ctx, change->config);
+}
+
+static void fol_apply_listing(struct fol *fol, const struct src_change *change)
+{
+	struct env *env = fol->env;
+	uint64_t now_us = env_now_us();
+	struct fleet_listing listing = {
+		.id = change->id,
+		.service = change->service,
+		.address = change->address,
+		.zone = change->zone,
+		.started_ms = change->started_ms,
+		.slots = change->slots,
+		.cold_ms = change->cold_ms,
+		.leaving = change->leaving,
+	};
+
+	if (change->broken)
+		log_event(LOG_UPSTREAM_BROKEN, "upstream", change->id, NULL);
+	if (change->gone || change->broken)
+		fleet_unlist(env->fleet, change->id, fol_lapse_until(fol), now_us);
+	else
+		fleet_list(env->fleet, &listing, now_us);
+	metric_set(env->metric, METRIC_UPSTREAMS, fleet_count(env->fleet));
+}
+
+/* After a full read, what is not in it is gone. */
+static void fol_unlist_missing(struct fol *fol, const GPtrArray *changes)
+{
+	g_autoptr(GHashTable) listed = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GPtrArray) known = fleet_ids(fol->env->fleet);
+
+	for (guint i = 0; i < changes->len; i++)
+		g_hash_table_add(listed, ((struct src_change *)changes->pdata[i])->id);
+	for (guint i = 0; i < known->len; i++) {
+		if (!g_hash_table_contains(listed, known->pdata[i]))
+			fleet_unlist(fol->env->fleet, known->pdata[i], fol_lapse_until(fol),
+				     env_now_us());
+	}
+}
+
+static void fol_apply(struct fol_table *table, const struct src_answer *answer)
+{
+	struct fol *fol = table->fol;
+
+	for (guint i = 0; i < answer->changes->len; i++) {
+		const struct src_change *change = answer->changes->pdata[i];
+
+		if (table->table == SRC_CONFIG)
+			fol_apply_config(fol, change);
+		else
+			fol_apply_listing(fol, change);
+	}
+	if (table->table == SRC_UPSTREAMS && !table->synced)
+		fol_unlist_missing(fol, answer->changes);
+	if (table->table == SRC_CONFIG && fol->env->config)
+		fresh_confirm(&fol->env->fresh, table->sent_us);
+	table->version = answer->version;
+	table->synced = true;
+	table->ever = table->table != SRC_CONFIG || fol->env->config;
+}
+
+static void fol_failed(struct fol_table *table, enum src_result result)
+{
+	uint64_t delay_ms = FOL_RETRY_FIRST_MS << MIN(table->failures, 3);
+	gint32 spread = g_rand_int_range(table->fol->env->rand, 0, FOL_RETRY_FIRST_MS);
+
+	metric_add(table->fol->env->metric, METRIC_TABLE_ERRORS, 1);
+	table->failures++;
+	if (table->failures >= FOL_LOST_FAILURES)
+		fol_set_lost(table->fol, true, fol_result_names[result]);
+	fol_call_in(table, MIN(delay_ms, FOL_RETRY_MAX_MS) + (uint64_t)spread);
+}
+
+static void fol_on_answer(void *arg, const struct src_answer *answer)
+{
+	struct fol_table *table = arg;
+	struct fol *fol = table->fol;
+	uint64_t spent_ms = uv_now(fol->env->loop) - table->sent_ms;
+	uint64_t pace_ms = table->table == SRC_UPSTREAMS ? fol->env->set->list_pace_ms : 0;
+
+	table->call = NULL;
+	if (answer->result == SRC_HISTORY_GONE) {
+		log_event(LOG_SOURCE_GAP, "table",
+			  table->table == SRC_CONFIG ? "configuration" : "upstreams", NULL);
+		table->synced = false;
+		table->failures = 0;
+		fol_call_in(table, 0);
+		return;
+	}
+	if (answer->result != SRC_OK) {
+		fol_failed(table, answer->result);
+		return;
+	}
+	table->failures = 0;
+	if (fol->tables[0].failures == 0 && fol->tables[1].failures == 0)
+		fol_set_lost(fol, false, "answered");
+	fol_apply(table, answer);
+	fol_call_in(table, spent_ms < pace_ms ? pace_ms - spent_ms : 0);
+}
+
+static void fol_on_tick(uv_timer_t *timer)
+{
+	struct fol *fol = timer->data;
+
+	fleet_tick(fol->env->fleet, env_now_us());
+}
--- /dev/null
+++ b/src/serve/peers.c
@@ -0,0 +1,359 @@
+#include "peers.h"
+
+#include "flamingolatch/bus.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PRS_TYPE	   "(sstba(suuu))" /* instance, address, incarnation, leaving, loads */
+#define PRS_LOAD_TYPE	   "(suuu)"	   /* upstream, open, memory, unread prompt tokens */
+#define PRS_TICK_MS	   100
+#define PRS_REST_US	   (500ULL * 1000)	 /* between messages that tell nothing new */
+#define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
+#define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
+#define PRS_READ_FIRST_MS  1500 /* after the start, when others have announced themselves */
+#define PRS_READ_EVERY_MS  20000
+#define PRS_RETRY_MS	   2000
+#define PRS_READ_SPREAD_MS 1000
+
+struct prs_peer {
+	char *address;
+	char *instance;
+	uint64_t incarnation;
+	uint64_t known_us; /* when it was last read of or heard of */
+	uint64_t heard_us; /* 0 before */
+};
+
+struct prs {
+	struct env *env;
+	struct bus *bus;
+	char *address;
+	uint64_t incarnation;
+	GHashTable *peers; /* address to struct prs_peer */
+	GByteArray *last;  /* told last */
+	GByteArray *next;
+	uint64_t told_us;
+	uv_timer_t tick;
+	uv_timer_t read;
+	struct src_call *announce;
+	struct src_call *reading;
+	bool announced;
+	bool leaving;
+};
+
+static void prs_on_message(void *ctx, const void *buf, size_t len);
+static void prs_on_tick(uv_timer_t *timer);
+static void prs_on_read_timer(uv_timer_t *timer);
+static void prs_on_announced(void *arg, const struct src_answer *answer);
+static void prs_on_rows(void *arg, const struct src_answer *answer);
+static void prs_announce(struct prs *prs);
+
+/* lifetime */
+
+static void prs_peer_free(gpointer data)
+{
+	struct prs_peer *peer = data;
+
+	g_free(peer->address);
+	g_free(peer->instance);
+	g_free(peer);
+}
+
+struct prs *prs_create(struct env *env, GError **error)
+{
+	struct prs *prs = g_new0(struct prs, 1);
+	struct bus_conf conf = { 0 };
+	g_autofree char *host = NULL;
+
+	gset_split(env->set->bus, &host, &conf.port);
+	conf.address = host;
+	prs->env = env;
+	prs->incarnation = (uint64_t)(g_get_real_time() / 1000);
+	prs->bus = bus_create(env->loop, &conf, prs_on_message, prs, error);
+	if (!prs->bus) {
+		g_free(prs);
+		return NULL;
+	}
+	prs->address = g_strdup_printf("%s:%u", host, bus_port(prs->bus));
+	prs->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, prs_peer_free);
+	prs->last = g_byte_array_new();
+	prs->next = g_byte_array_new();
+	uv_timer_init(env->loop, &prs->tick);
+	uv_timer_init(env->loop, &prs->read);
+	prs->tick.data = prs;
+	prs->read.data = prs;
+	uv_timer_start(&prs->tick, prs_on_tick, PRS_TICK_MS, PRS_TICK_MS);
+	uv_timer_start(&prs->read, prs_on_read_timer, PRS_READ_FIRST_MS, 0);
+	prs_announce(prs);
+	return prs;
+}
+
+static void prs_on_closed(uv_handle_t *handle)
+{
+	struct prs *prs = handle->data;
+
+	g_hash_table_destroy(prs->peers);
+	g_byte_array_free(prs->last, TRUE);
+	g_byte_array_free(prs->next, TRUE);
+	g_free(prs->address);
+	g_free(prs);
+}
+
+void prs_destroy(struct prs *prs)
+{
+	if (!prs)
+		return;
+	if (prs->announce)
+		prs->env->source->ops->cancel(prs->announce);
+	if (prs->reading)
+		prs->env->source->ops->cancel(prs->reading);
+	bus_destroy(prs->bus);
+	uv_close((uv_handle_t *)&prs->tick, NULL);
+	uv_close((uv_handle_t *)&prs->read, prs_on_closed);
+}
+
+/* commands */
+
+void prs_encode(GByteArray *out, const struct prs_message *message)
+{
+	GVariantBuilder loads;
+	GVariant *root;
+
+	g_variant_builder_init(&loads, G_VARIANT_TYPE("a" PRS_LOAD_TYPE));
+	for (guint i = 0; i < message->loads->len; i++) {
+		const struct prs_load *load = &g_array_index(message->loads, struct prs_load, i);
+
+		g_variant_builder_add(&loads, PRS_LOAD_TYPE, load->upstream, load->load.open,
+				      (guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
+				      (guint32)MIN(load->load.prefill_tokens, G_MAXUINT32));
+	}
+	root = g_variant_ref_sink(g_variant_new(PRS_TYPE, message->instance, message->address,
+						message->incarnation, message->leaving, &loads));
+	g_byte_array_append(out, g_variant_get_data(root), (guint)g_variant_get_size(root));
+	g_variant_unref(root);
+}
+
+static void prs_collect(const struct prs *prs, const char *service, GArray *loads)
+{
+	const GPtrArray *ups = fleet_of_service(prs->env->fleet, service);
+
+	for (guint i = 0; i < ups->len; i++) {
+		struct prs_load load = { fups_id(ups->pdata[i]), *fups_own(ups->pdata[i]) };
+
+		if (load.load.open || load.load.kv_tokens)
+			g_array_append_val(loads, load);
+	}
+}
+
+static void prs_collect_all(const struct prs *prs, GArray *loads)
+{
+	g_autoptr(GPtrArray) ids = fleet_ids(prs->env->fleet);
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct fups *up = fleet_find(prs->env->fleet, ids->pdata[i]);
+
+		if (up && g_hash_table_add(seen, (gpointer)fups_service(up)))
+			prs_collect(prs, fups_service(up), loads);
+	}
+}
+
+/* Tells the peers of the present load, when it changed or after a rest. */
+static void prs_tell(struct prs *prs, bool urgent)
+{
+	uint64_t now_us = env_now_us();
+	g_autoptr(GArray) loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
+	struct prs_message message = { prs->env->set->instance, prs->address, prs->incarnation,
+				       prs->leaving, loads };
+	GByteArray *swap = prs->last;
+	GHashTableIter iter;
+	struct prs_peer *peer;
+
+	if (g_hash_table_size(prs->peers) == 0)
+		return;
+	prs_collect_all(prs, loads);
+	g_byte_array_set_size(prs->next, 0);
+	prs_encode(prs->next, &message);
+	if (!urgent && now_us - prs->told_us < PRS_REST_US && prs->next->len == prs->last->len &&
+	    memcmp(prs->next->data, prs->last->data, prs->last->len) == 0)
+		return;
+	prs->told_us = now_us;
+	prs->last = prs->next;
+	prs->next = swap;
+	g_hash_table_iter_init(&iter, prs->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (now_us - MAX(peer->known_us, peer->heard_us) > PRS_FORGET_US) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		if (bus_send(prs->bus, peer->address, prs->last->data, prs->last->len)) {
+			metric_add(prs->env->metric, METRIC_BUS_SENT, 1);
+			metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, prs->last->len);
+		}
+	}
+}
+
+void prs_leave(struct prs *prs)
+{
+	prs->leaving = true;
+	prs_tell(prs, true);
+	prs_announce(prs);
+}
+
+/* helpers */
+
+static struct prs_peer *prs_know(struct prs *prs, const char *address, const char *instance)
+{
+	struct prs_peer *peer = g_hash_table_lookup(prs->peers, address);
+
+	if (!peer) {
+		peer = g_new0(struct prs_peer, 1);
+		peer->address = g_strdup(address);
+		g_hash_table_insert(prs->peers, peer->address, peer);
+	}
+	if (g_strcmp0(peer->instance, instance) != 0) {
+		g_free(peer->instance);
+		peer->instance = g_strdup(instance);
+	}
+	peer->known_us = env_now_us();
+	return peer;
+}
+
+static void prs_announce(struct prs *prs)
+{
+	struct env *env = prs->env;
+
+	if (prs->announce)
+		env->source->ops->cancel(prs->announce);
+	metric_add(env->metric, METRIC_TABLE_WRITES, 1);
+	prs->announce = env->source->ops->announce(env->source->ctx, env->set->instance,
+						   prs->leaving ? NULL : prs->address,
+						   prs_on_announced, prs);
+}
+
+static void prs_on_announced(void *arg, const struct src_answer *answer)
+{
+	struct prs *prs = arg;
+
+	prs->announce = NULL;
+	prs->announced = answer->result == SRC_OK;
+}
+
+static void prs_on_rows(void *arg, const struct src_answer *answer)
+{
+	struct prs *prs = arg;
+
+	prs->reading = NULL;
+	if (answer->result != SRC_OK) {
+		uv_timer_start(&prs->read, prs_on_read_timer, PRS_RETRY_MS, 0);
+		return;
+	}
+	for (guint i = 0; i < answer->changes->len; i++) {
+		const struct src_change *change = answer->changes->pdata[i];
+		g_autofree char *host = NULL;
+		uint16_t port;
+
+		if (change->gone || !gset_split(change->text, &host, &port) ||
+		    strcmp(change->text, prs->address) == 0)
+			continue;
+		prs_know(prs, change->text, change->id);
+	}
+	prs_tell(prs, true);
+	uv_timer_start(&prs->read, prs_on_read_timer,
+		       PRS_READ_EVERY_MS +
+			       (uint64_t)g_rand_int_range(prs->env->rand, 0, PRS_READ_SPREAD_MS),
+		       0);
+}
+
+static void prs_on_read_timer(uv_timer_t *timer)
+{
+	struct prs *prs = timer->data;
+	struct env *env = prs->env;
+
+	if (!prs->announced && !prs->announce)
+		prs_announce(prs);
+	metric_add(env->metric, METRIC_TABLE_READS, 1);
+	prs->reading = env->source->ops->read(env->source->ctx, SRC_INSTANCES, prs_on_rows, prs);
+}
+
+bool prs_decode(const void *buf, size_t len, struct prs_message *out, GVariant **keep)
+{
+	g_autoptr(GBytes) bytes = g_bytes_new(buf, len);
+	GVariant *root = g_variant_ref_sink(
+		g_variant_new_from_bytes(G_VARIANT_TYPE(PRS_TYPE), bytes, FALSE));
+	g_autoptr(GVariantIter) iter = NULL;
+	struct prs_load load;
+	guint32 kv;
+	guint32 prefill;
+
+	if (!g_variant_is_normal_form(root)) {
+		g_variant_unref(root);
+		return false;
+	}
+	g_variant_get(root, "(&s&stba" PRS_LOAD_TYPE ")", &out->instance, &out->address,
+		      &out->incarnation, &out->leaving, &iter);
+	out->loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
+	while (g_variant_iter_next(iter, "(&suuu)", &load.upstream, &load.load.open, &kv,
+				   &prefill)) {
+		load.load.kv_tokens = kv;
+		load.load.prefill_tokens = prefill;
+		g_array_append_val(out->loads, load);
+	}
+	*keep = root;
+	return true;
+}
+
+static void prs_on_message(void *ctx, const void *buf, size_t len)
+{
+	struct prs *prs = ctx;
+	struct prs_message message;
+	g_autoptr(GVariant) keep = NULL;
+	struct prs_peer *peer;
+	uint64_t now_us = env_now_us();
+
+	metric_add(prs->env->metric, METRIC_BUS_RECEIVED, 1);
+	if (!prs_decode(buf, len, &message, &keep)) {
+		metric_add(prs->env->metric, METRIC_BUS_BAD, 1);
+		log_event(LOG_BUS_BAD_FRAME, NULL);
+		return;
+	}
+	/* What a peer no longer names it has no load on. */
+	fleet_drop_peer(prs->env->fleet, message.instance);
+	if (message.leaving) {
+		g_hash_table_remove(prs->peers, message.address);
+	} else {
+		peer = prs_know(prs, message.address, message.instance);
+		if (peer->incarnation != message.incarnation)
+			log_event(LOG_MEMBER_JOINED, "member", message.instance, "address",
+				  message.address, NULL);
+		peer->incarnation = message.incarnation;
+		peer->heard_us = now_us;
+	}
+	/* An instance that stops still has work under way. */
+	for (guint i = 0; i < message.loads->len; i++) {
+		const struct prs_load *load = &g_array_index(message.loads, struct prs_load, i);
+
+		fleet_set_peer(prs->env->fleet, load->upstream, message.instance, &load->load,
+			       now_us);
+	}
+	g_array_free(message.loads, TRUE);
+}
+
+static void prs_on_tick(uv_timer_t *timer)
+{
+	struct prs *prs = timer->data;
+	uint64_t now_us = env_now_us();
+	uint32_t live = 1;
+	GHashTableIter iter;
+	const struct prs_peer *peer;
+
+	g_hash_table_iter_init(&iter, prs->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->heard_us && now_us - peer->heard_us < PRS_LIVE_US)
+			live++;
+	}
+	prs->env->instances = live;
+	metric_set(prs->env->metric, METRIC_MEMBERS, live);
+	if (!prs->leaving)
+		prs_tell(prs, false);
+}
--- /dev/null
+++ b/src/serve/peers.h
@@ -0,0 +1,47 @@
+/**
+ * @file peers.h
+ * Tells the other instances of the load that this one puts on upstreams, and
+ * takes what they tell.
+ *
+ * Instances find one another in a table of the store, which each reads when it
+ * starts and seldom after; a newcomer then speaks to all it found. What is told
+ * is soft: without it an instance places work by its own load alone.
+ */
+#ifndef FLAMINGOLATCH_SERVE_PEERS_H
+#define FLAMINGOLATCH_SERVE_PEERS_H
+
+#include "env.h"
+
+struct prs;
+
+/** @return the exchange, or NULL with ERR_IO */
+struct prs *prs_create(struct env *env, GError **error);
+void prs_destroy(struct prs *prs);
+/** Tells the peers that this instance stops. */
+void prs_leave(struct prs *prs);
+
+/** One upstream's load in a message. */
+struct prs_load {
+	const char *upstream;
+	struct fups_load load;
+};
+
+/** What an instance tells. Strings are borrowed. */
+struct prs_message {
+	const char *instance;
+	const char *address;
+	uint64_t incarnation;
+	bool leaving;
+	GArray *loads; /**< struct prs_load */
+};
+
+/** Encodes a message into @p out. */
+void prs_encode(GByteArray *out, const struct prs_message *message);
+/**
+ * Decodes a message.
+ * @param keep owns the strings of @p out; free it with g_variant_unref()
+ * @return false when the bytes are no message
+ */
+bool prs_decode(const void *buf, size_t len, struct prs_message *out, GVariant **keep);
+
+#endif
--- a/test/proc.c
+++ b/test/proc.c
@@ -117,7 +117,12 @@
 		g_subprocess_launcher_take_stderr_fd(
 			launcher, open(err_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
 	/* Inherited output would keep the test runner waiting for a stray process. */
-	g_subprocess_launcher_set_stdout_file_path(launcher, out_file ? out_file : "/dev/null");
+	if (out_file || !err_file)
+		g_subprocess_launcher_set_stdout_file_path(launcher,
+							   out_file ? out_file : "/dev/null");
+	else
+		g_subprocess_launcher_take_stdout_fd(
+			launcher, open(err_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
 	child = g_subprocess_launcher_spawnv(launcher, argv, &error);
 	if (!child)
 		g_error("%s", error->message);
