A run that was under way is never begun a second time; copies on any engine with memory to spare

Copies were kept in the own region only, below 0.6 of an engine's memory. Ruled out: a lost closing of the first run (its engine reports it cut at once). Young runs are moved by the engine's own call, since their copy is not there yet.

--- a/src/core/again.c
+++ b/src/core/again.c
@@ -17,10 +17,12 @@
 enum again_action again_decide(const struct again_case *c)
 {
 	bool certain = c->outcome == AGAIN_NOT_SENT || c->outcome == AGAIN_NOT_RUN;
+	/* A run that was under way is not begun a second time. */
+	bool untouched = !c->begun && !c->may_have_run;
 	/* A send that did not arrive is no repeat for the service. */
 	bool budget = c->outcome == AGAIN_NOT_SENT || c->budget_left;
 
-	if (certain && (!c->may_have_run || c->repeatable) && c->time_left && c->upstream_left &&
+	if (certain && (untouched || c->repeatable) && c->time_left && c->upstream_left &&
 	    budget)
 		return AGAIN_REPEAT;
 	if (certain)
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -1,6 +1,6 @@
 #include "dispatch.h"
 
-#define DSP_BACKUP_FILL 0.6 /* of an engine's memory, copies included */
+#define DSP_BACKUP_FILL 0.8 /* of an engine's memory, copies included */
 
 struct dsp {
 	struct env *env;
@@ -205,7 +205,7 @@
 
 	other.avoid = main;
 	up = dsp_pick_engine(dsp, &other, &basis);
-	if (!up || fups_distance(up) == FUPS_FAR)
+	if (!up)
 		return NULL;
 	full = (double)(basis.load + need->place.prompt_tokens + need->place.output_tokens) /
 	       (double)MAX(need->engine->kv_tokens, 1);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -21,6 +21,7 @@
 #define RELAY_MOVE_ANSWER_MAX 4096
 #define RELAY_MOVE_TIMEOUT_MS 4000
 #define RELAY_MOVE_RETRY_US   (150ULL * 1000) /* between two tries to move a run */
+#define RELAY_COPY_LAG_US      (600ULL * 1000) /* until a copy has most of a run's memory */
 #define RELAY_OUTPUT_SHARE    0.6 /* expected output of a request that only names a maximum */
 
 enum relay_phase {
@@ -56,6 +57,7 @@
 	struct fetch *move;   /* call that moves the run */
 	struct fups *move_to; /* held while a move goes on */
 	GPtrArray *tried;     /* upstreams that had the request; held */
+	GPtrArray *move_tried; /* engines that took no copy; held */
 	struct evs *events;
 	GString *answer;       /* body that is gathered */
 	GString *answer_lines; /* name and value of headers, each ended by a zero byte */
@@ -65,7 +67,8 @@
 	uint64_t give_up_us;
 	uint64_t sent_us;
 	uint64_t progress_us;
-	uint64_t evacuated_us; /* when a move was last tried; 0 before */
+	uint64_t first_event_us; /* of the present run at its engine; 0 before */
+	uint64_t evacuated_us;	 /* when a move was last tried; 0 before */
 	uint64_t event_count;
 	uint64_t expected_output;
 	uint32_t runs;
@@ -142,6 +145,7 @@
 	relay->arrived_us = env_now_us();
 	relay->progress_us = relay->arrived_us;
 	relay->tried = g_ptr_array_new_with_free_func(relay_release_up);
+	relay->move_tried = g_ptr_array_new_with_free_func(relay_release_up);
 	relay->answer = g_string_new(NULL);
 	relay->answer_lines = g_string_new(NULL);
 	rly->env->surface->decode(req, &relay->request);
@@ -184,6 +188,7 @@
 	g_queue_unlink(&rly->relays, &relay->link);
 	evs_destroy(relay->events);
 	g_ptr_array_free(relay->tried, TRUE);
+	g_ptr_array_free(relay->move_tried, TRUE);
 	g_string_free(relay->answer, TRUE);
 	g_string_free(relay->answer_lines, TRUE);
 	srf_request_clear(&relay->request);
@@ -406,11 +411,18 @@
 	g_autofree char *waited = g_strdup_printf("%" G_GUINT64_FORMAT, relay_age_ms(relay));
 	g_autofree char *version =
 		g_strdup_printf("%" G_GUINT64_FORMAT, rt_config_version(relay->config));
+	g_autofree char *prompt =
+		g_strdup_printf("%" G_GUINT64_FORMAT, relay->request.prompt_tokens);
+	g_autofree char *output = g_strdup_printf(
+		"%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+		relay->expected_output, relay->request.hinted_output_tokens,
+		relay->request.max_output_tokens);
 
 	log_event(LOG_REQUEST_PLACED, "request", relay_id(relay), "route", relay_route(relay),
 		  "customer", relay->customer ? relay->customer->name : "-", "upstream",
 		  fups_id(up), "state", fups_state_name(fups_state(up)), "candidates", candidates,
-		  "load", load, "waited_ms", waited, "config", version, NULL);
+		  "load", load, "waited_ms", waited, "config", version, "prompt", prompt, "output", output, "backup",
+		  relay->backup.up ? fups_id(relay->backup.up) : "-", NULL);
 }
 
 /* Lets a generation wait for an engine, or refuses it when the wait would be too long. */
@@ -457,8 +469,8 @@
 					   "no-upstream");
 		return;
 	}
-	relay_log_placed(relay, up, &basis);
 	relay_send(relay, up, NULL, NULL);
+	relay_log_placed(relay, up, &basis);
 }
 
 static void relay_on_granted(void *ctx, struct fups *up, const struct dsp_basis *basis)
@@ -472,8 +484,8 @@
 		relay_answer_error(relay, ERR_UNCONFIRMED, relay_retry_ms(relay), "unconfirmed");
 		return;
 	}
-	relay_log_placed(relay, up, basis);
 	relay_send(relay, up, NULL, NULL);
+	relay_log_placed(relay, up, basis);
 }
 
 /* Picks the engine that keeps a copy of the run's memory. */
@@ -541,6 +553,9 @@
 	relay->foreign = false;
 	relay->not_run = false;
 	relay->stream = false;
+	relay->first_event_us = 0;
+	relay->evacuated_us = 0;
+	g_ptr_array_set_size(relay->move_tried, 0);
 	relay->sent_us = env_now_us();
 	relay->progress_us = relay->sent_us;
 	g_string_truncate(relay->answer, 0);
@@ -652,6 +667,8 @@
 	} else {
 		metric_observe(env->metric, METRIC_TOKEN_GAP_US, now_us - relay->progress_us);
 	}
+	if (relay->first_event_us == 0)
+		relay->first_event_us = now_us;
 	dsp_prefilled(&relay->part);
 	relay->event_count++;
 	relay->progress_us = now_us;
@@ -787,6 +804,7 @@
 	metric_add(relay->rly->env->metric, METRIC_RESUMES, 1);
 	relay_drop_call(relay);
 	dsp_leave(&relay->backup);
+	relay->may_have_run = true;
 	relay_send(relay, up, fups_address(up), handle);
 	fups_release(up);
 }
@@ -886,9 +904,11 @@
 	struct fups *to;
 
 	need.avoid = relay->part.up;
-	need.tried = NULL;
+	need.tried = relay->move_tried;
 	need.place.resumes = true;
-	to = dsp_pick_engine(relay->rly->dsp, &need, &basis);
+	to = relay_has_copy(relay) && relay->move_tried->len == 0
+		     ? relay->backup.up
+		     : dsp_pick_engine(relay->rly->dsp, &need, &basis);
 	if (!to) {
 		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "reason", "no-room", NULL);
@@ -926,7 +946,9 @@
 		relay_send(relay, to, source, handle);
 	} else {
 		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
-			  relay_up_id(relay), "reason", "refused", "status", status, NULL);
+			  relay_up_id(relay), "to", fups_id(to), "reason", "refused", "status",
+			  status, NULL);
+		g_ptr_array_add(relay->move_tried, fups_hold(to));
 		if (!relay->call)
 			relay_outcome(relay, AGAIN_BROKEN);
 	}
@@ -945,7 +967,8 @@
 	if (expected && relay->event_count + RELAY_FINISH_EVENTS > expected &&
 	    relay->event_count < expected)
 		return;
-	if (relay_has_copy(relay))
+	if (relay_has_copy(relay) &&
+	    env_now_us() - relay->first_event_us > RELAY_COPY_LAG_US)
 		relay_take_over(relay, "upstream-leaves");
 	else if (relay->service->engine.moves)
 		relay_start_move(relay);
