An answer without a length is not whole when its connection was reset

Ruled out: a longer wait for the reset (it is there at the first look), a length within the signature (opaque). The head's size is counted by its bytes, as a head that came in one read was never refused.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -523,6 +523,23 @@
 	*buf = uv_buf_init(link->cli->read_buf, sizeof(link->cli->read_buf));
 }
 
+/* Whether the peer reset the connection, though the stream only shows its end. */
+static bool hlink_was_reset(struct hlink *link)
+{
+	struct tcp_info info = { 0 };
+	socklen_t info_len = sizeof(info);
+	int err = 0;
+	socklen_t err_len = sizeof(err);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&link->tcp, &fd) != 0)
+		return true;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &err_len) != 0 || err != 0)
+		return true;
+	return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &info_len) == 0 &&
+	       info.tcpi_state == TCP_CLOSE;
+}
+
 static void hlink_on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
 {
 	struct hlink *link = stream->data;
@@ -541,7 +558,7 @@
 		return;
 	}
 	/* The end of the connection ends an answer that gave no length. */
-	if (count == UV_EOF && !link->disowned)
+	if (count == UV_EOF && !link->disowned && !hlink_was_reset(link))
 		http_parser_execute(&link->parser, &hlink_parser_settings, NULL, 0);
 	if (link->closing)
 		return;
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -455,12 +455,22 @@
 	return 0;
 }
 
+/* Counts bytes of a head. @return 0, or -1 when it is too large */
+static int hconn_count(struct hconn *conn, size_t len)
+{
+	conn->head_bytes += (uint32_t)len;
+	if (conn->head_bytes <= conn->srv->limits.max_header_bytes)
+		return 0;
+	conn->refusal = 431;
+	return -1;
+}
+
 static int hconn_on_url(http_parser *parser, const char *at, size_t len)
 {
 	struct hconn *conn = parser->data;
 
 	g_string_append_len(conn->req->target, at, (gssize)len);
-	return 0;
+	return hconn_count(conn, len);
 }
 
 /* Keeps the header that was read last. */
@@ -495,7 +505,7 @@
 		hconn_take_header(conn);
 	conn->in_value = false;
 	g_string_append_len(conn->name, at, (gssize)len);
-	return 0;
+	return hconn_count(conn, len);
 }
 
 static int hconn_on_value(http_parser *parser, const char *at, size_t len)
@@ -504,7 +514,7 @@
 
 	conn->in_value = true;
 	g_string_append_len(conn->value, at, (gssize)len);
-	return 0;
+	return hconn_count(conn, len);
 }
 
 static int hconn_on_head(http_parser *parser)
@@ -703,11 +713,6 @@
 	size_t used = http_parser_execute(&conn->parser, &hconn_parser_settings, sock->input->bytes,
 					  size);
 
-	if (conn->state == HCONN_HEAD) {
-		conn->head_bytes += (uint32_t)used;
-		if (conn->head_bytes > conn->srv->limits.max_header_bytes)
-			conn->refusal = 431;
-	}
 	if (conn->state == HCONN_HANDLED) {
 		struct hreq *req = conn->req;
 
