Moves stop a run only when its engine's link is idle, and stay within a region

A call that stops the run waited behind the other runs' full copies, 0.2 to 1 s without an event, which makes a stream late (15 of 109). A copy to another region did not end within 1.8 s and every other move of that engine was refused meanwhile (503 within 3 ms, though reports show 3,904 of 34,403 tokens in use at the destination). Ruled out: full destinations (reports), the copies' own size (2 to 20 ms when the link is idle). Expected lengths come from the route's past, the caller's hint and what was made (guess.h).

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -102,6 +102,8 @@
 enum fups_state fups_state(const struct fups *up);
 const char *fups_state_name(enum fups_state state);
 enum fups_distance fups_distance(const struct fups *up);
+/** Returns the distance between two upstreams. */
+enum fups_distance fups_distance_between(const struct fups *a, const struct fups *b);
 uint32_t fups_slots(const struct fups *up);
 /** When its leaving became known; 0 while it is not leaving. */
 uint64_t fups_leaving_since_us(const struct fups *up);
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -52,6 +52,7 @@
 	X(LOG_STREAM_TAKEN_OVER, 610, INFO, "stream-taken-over", "A running stream goes on at another engine.") \
 	X(LOG_STREAM_CUT, 611, WARNING, "stream-cut", "A running stream could not go on and was broken off.") \
 	X(LOG_MOVE_FAILED, 612, WARNING, "move-failed", "An engine did not hand a running generation over.") \
+	X(LOG_MOVE_COPIED, 613, INFO, "move-copied", "A running generation's memory was copied; the copy of what is new follows.") \
 	X(LOG_UPSTREAM_STATE, 620, INFO, "upstream-state", "An upstream was listed or changed its state.") \
 	X(LOG_UPSTREAM_BROKEN, 621, WARNING, "upstream-broken", "An entry of the instance list does not decode.") \
 	X(LOG_SOURCE_LOST, 630, WARNING, "source-lost", "The store does not answer.") \
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -52,6 +52,7 @@
 	X(METRIC_FIRST_TOKEN_US, "first_token_us", "Time from request to first token.") \
 	X(METRIC_TOKEN_GAP_US, "token_gap_us", "Time between tokens of one stream.") \
 	X(METRIC_QUEUE_US, "queue_us", "Time in the admission queue.") \
+	X(METRIC_MOVE_US, "move_us", "Time of calls that move a running generation.") \
 	X(METRIC_CALL_US, "call_us", "Time of plain-service calls.")
 // clang-format on
 
--- a/src/core/again.c
+++ b/src/core/again.c
@@ -22,8 +22,7 @@
 	/* A send that did not arrive is no repeat for the service. */
 	bool budget = c->outcome == AGAIN_NOT_SENT || c->budget_left;
 
-	if (certain && (untouched || c->repeatable) && c->time_left && c->upstream_left &&
-	    budget)
+	if (certain && (untouched || c->repeatable) && c->time_left && c->upstream_left && budget)
 		return AGAIN_REPEAT;
 	if (certain)
 		return again_give_up(c, false);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -114,14 +114,14 @@
 
 /* commands */
 
-static enum fups_distance fleet_distance(const struct fleet *fleet, const char *zone)
+static enum fups_distance fleet_distance(const struct fleet *fleet, const char *a, const char *b)
 {
-	const char *own = fleet->region_of(fleet->ctx, fleet->zone);
-	const char *other = fleet->region_of(fleet->ctx, zone);
+	const char *left = fleet->region_of(fleet->ctx, a);
+	const char *right = fleet->region_of(fleet->ctx, b);
 
-	if (strcmp(zone, fleet->zone) == 0)
+	if (strcmp(a, b) == 0)
 		return FUPS_SAME_ZONE;
-	return g_strcmp0(own, other) == 0 ? FUPS_SAME_REGION : FUPS_FAR;
+	return g_strcmp0(left, right) == 0 ? FUPS_SAME_REGION : FUPS_FAR;
 }
 
 static struct fups *fleet_add(struct fleet *fleet, const struct fleet_listing *listing,
@@ -138,7 +138,7 @@
 	up->zone = g_strdup(listing->zone);
 	up->started_ms = listing->started_ms;
 	up->listed_us = now_us;
-	up->distance = fleet_distance(fleet, listing->zone);
+	up->distance = fleet_distance(fleet, fleet->zone, listing->zone);
 	up->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	up->refs = 1;
 	if (!of_service) {
@@ -356,6 +356,11 @@
 	return up->distance;
 }
 
+enum fups_distance fups_distance_between(const struct fups *a, const struct fups *b)
+{
+	return fleet_distance(a->fleet, a->zone, b->zone);
+}
+
 uint32_t fups_slots(const struct fups *up)
 {
 	return up->slots;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -4,7 +4,7 @@
 
 /* Round trips of a zone, a region and between regions, and what they cost of
  * the link between regions; in ms of a first event's time. */
-static const double place_distance_ms[] = { 0.0, 40.0, 250.0 };
+static const double place_distance_ms[] = { 0.0, 40.0, 400.0 };
 
 #define PLACE_MEMORY_MS	       600.0 /* weight of a full engine against an empty one */
 #define PLACE_FAILURE_MS       4000.0
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -45,6 +45,14 @@
 	own->prefill_tokens += prefill_tokens;
 }
 
+void dsp_expect(struct dsp_part *part, uint64_t kv_tokens)
+{
+	if (!part->up)
+		return;
+	fups_own(part->up)->kv_tokens += kv_tokens - part->kv_tokens;
+	part->kv_tokens = kv_tokens;
+}
+
 void dsp_prefilled(struct dsp_part *part)
 {
 	if (!part->up)
@@ -144,7 +152,7 @@
 		.prefill_tokens = own->prefill_tokens + peers.prefill_tokens,
 		.slots = need->engine->slots,
 		.open = own->open + peers.open,
-		.distance = fups_distance(up),
+		.distance = need->near ? fups_distance_between(up, need->near) : fups_distance(up),
 		.failure_share = fups_failure_share(up),
 		.usable = dsp_usable(up, need, now_us),
 	};
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -31,6 +31,7 @@
 	struct place_need place;
 	const GPtrArray *tried; /**< upstreams not to be chosen; may be NULL */
 	const struct fups *avoid;
+	const struct fups *near; /**< distances count from it, not from here; may be NULL */
 };
 
 /** What a choice was based on, for the log. */
@@ -57,6 +58,8 @@
 
 /** Counts a request on an upstream and holds it. */
 void dsp_enter(struct dsp_part *part, struct fups *up, uint64_t kv_tokens, uint64_t prefill_tokens);
+/** Takes a new expectation of a generation's memory. */
+void dsp_expect(struct dsp_part *part, uint64_t kv_tokens);
 /** The engine has read the prompt. */
 void dsp_prefilled(struct dsp_part *part);
 void dsp_leave(struct dsp_part *part);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -3,6 +3,7 @@
 #include "flamingolatch/again.h"
 #include "flamingolatch/evs.h"
 #include "flamingolatch/fetch.h"
+#include "flamingolatch/guess.h"
 #include "flamingolatch/reply.h"
 
 #include <stdlib.h>
@@ -21,8 +22,10 @@
 #define RELAY_MOVE_ANSWER_MAX 4096
 #define RELAY_MOVE_TIMEOUT_MS 4000
 #define RELAY_MOVE_RETRY_US   (150ULL * 1000) /* between two tries to move a run */
-#define RELAY_COPY_LAG_US      (600ULL * 1000) /* until a copy has most of a run's memory */
-#define RELAY_OUTPUT_SHARE    0.6 /* expected output of a request that only names a maximum */
+#define RELAY_COPY_LAG_US     (600ULL * 1000) /* until a copy has most of a run's memory */
+#define RELAY_EXPECT_EVENTS   16	      /* between two looks at how long a stream will be */
+#define RELAY_MOVE_IDLE_MS    60	      /* a copy this fast found the engine's link idle */
+#define RELAY_NOTICE_MS	      1250 /* of an engine that leaves: the shortest seen, less a copy */
 
 enum relay_phase {
 	RELAY_WAITING,	 /* for an engine */
@@ -36,8 +39,9 @@
 struct rly {
 	struct env *env;
 	struct dsp *dsp;
-	GQueue relays; /* struct relay */
-	bool freed;    /* a request ended since engines were last granted */
+	GQueue relays;	     /* struct relay */
+	bool freed;	     /* a request ended since engines were last granted */
+	GHashTable *guesses; /* route's name to struct guess */
 };
 
 struct relay {
@@ -54,9 +58,9 @@
 	struct dsp_part backup; /* on the engine that keeps a copy */
 	struct dsp_ticket *ticket;
 	struct hcall *call;
-	struct fetch *move;   /* call that moves the run */
-	struct fups *move_to; /* held while a move goes on */
-	GPtrArray *tried;     /* upstreams that had the request; held */
+	struct fetch *move;    /* call that moves the run */
+	struct fups *move_to;  /* held while a move goes on */
+	GPtrArray *tried;      /* upstreams that had the request; held */
 	GPtrArray *move_tried; /* engines that took no copy; held */
 	struct evs *events;
 	GString *answer;       /* body that is gathered */
@@ -82,6 +86,7 @@
 	bool stream;	   /* the present answer is a stream of events */
 	bool stopping;	   /* the run is being stopped by a move */
 	bool move_last;
+	uint64_t move_sent_us;
 	bool not_run;
 };
 
@@ -118,6 +123,7 @@
 	rly->env = env;
 	rly->dsp = dsp;
 	g_queue_init(&rly->relays);
+	rly->guesses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return rly;
 }
 
@@ -127,6 +133,7 @@
 		return;
 	while (rly->relays.head)
 		relay_free(rly->relays.head->data);
+	g_hash_table_destroy(rly->guesses);
 	g_free(rly);
 }
 
@@ -232,6 +239,39 @@
 	return relay->service && relay->service->generates;
 }
 
+/* helpers: expected lengths */
+
+/* Returns what is known of the lengths of a request's route. */
+static struct guess *relay_guess(const struct relay *relay)
+{
+	GHashTable *guesses = relay->rly->guesses;
+	const char *name = relay_route(relay);
+	struct guess *guess = g_hash_table_lookup(guesses, name);
+
+	if (!guess) {
+		guess = g_new0(struct guess, 1);
+		gss_init(guess, relay->request.max_output_tokens);
+		g_hash_table_insert(guesses, g_strdup(name), guess);
+	}
+	return guess;
+}
+
+/* Returns the tokens that a generation has made. */
+static uint64_t relay_made(const struct relay *relay)
+{
+	return relay->event_count * relay->service->engine.tokens_per_event;
+}
+
+/* Takes the memory that a generation is expected to reach into account. */
+static void relay_expect(struct relay *relay)
+{
+	relay->expected_output =
+		gss_expected(relay_guess(relay), relay->request.hinted_output_tokens,
+			     relay->request.max_output_tokens, relay_made(relay));
+	dsp_expect(&relay->part, relay->request.prompt_tokens + relay->expected_output);
+	dsp_expect(&relay->backup, relay->request.prompt_tokens + relay->expected_output);
+}
+
 /* helpers: the end of a request */
 
 static void relay_log_end(struct relay *relay, enum log_event_id event, const char *reason)
@@ -292,6 +332,9 @@
 
 	relay->caller = NULL;
 	relay_log_end(relay, LOG_REQUEST_ENDED, relay->stream ? "stream" : "answer");
+	if (relay->stream && !relay->request.last_event_id)
+		gss_learn(relay_guess(relay), relay_made(relay),
+			  relay_made(relay) >= relay->request.max_output_tokens);
 	if (caller)
 		hreq_stream_end(caller);
 	if (relay->stream)
@@ -339,16 +382,6 @@
 	return false;
 }
 
-/* Returns the output that a generation is expected to make, in tokens. */
-static uint64_t relay_expected_output(const struct srf_request *request)
-{
-	uint64_t most = request->max_output_tokens;
-
-	if (request->hinted_output_tokens == 0)
-		return (uint64_t)((double)most * RELAY_OUTPUT_SHARE);
-	return most ? MIN(request->hinted_output_tokens, most) : request->hinted_output_tokens;
-}
-
 static uint32_t relay_priority(const struct relay *relay)
 {
 	if (relay->customer && relay->customer->priority >= 0)
@@ -396,7 +429,8 @@
 		relay_answer_error(relay, ERR_NO_UPSTREAM, relay_retry_ms(relay), "no-service");
 		return;
 	}
-	relay->expected_output = relay_expected_output(&relay->request);
+	if (relay_is_generation(relay))
+		relay_expect(relay);
 	rep_request(env_budget(rly->env, relay->service_name), relay->arrived_us);
 	relay_place(relay);
 }
@@ -413,16 +447,16 @@
 		g_strdup_printf("%" G_GUINT64_FORMAT, rt_config_version(relay->config));
 	g_autofree char *prompt =
 		g_strdup_printf("%" G_GUINT64_FORMAT, relay->request.prompt_tokens);
-	g_autofree char *output = g_strdup_printf(
-		"%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
-		relay->expected_output, relay->request.hinted_output_tokens,
-		relay->request.max_output_tokens);
+	g_autofree char *output =
+		g_strdup_printf("%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+				relay->expected_output, relay->request.hinted_output_tokens,
+				relay->request.max_output_tokens);
 
 	log_event(LOG_REQUEST_PLACED, "request", relay_id(relay), "route", relay_route(relay),
 		  "customer", relay->customer ? relay->customer->name : "-", "upstream",
 		  fups_id(up), "state", fups_state_name(fups_state(up)), "candidates", candidates,
-		  "load", load, "waited_ms", waited, "config", version, "prompt", prompt, "output", output, "backup",
-		  relay->backup.up ? fups_id(relay->backup.up) : "-", NULL);
+		  "load", load, "waited_ms", waited, "config", version, "prompt", prompt, "output",
+		  output, "backup", relay->backup.up ? fups_id(relay->backup.up) : "-", NULL);
 }
 
 /* Lets a generation wait for an engine, or refuses it when the wait would be too long. */
@@ -672,6 +706,8 @@
 	dsp_prefilled(&relay->part);
 	relay->event_count++;
 	relay->progress_us = now_us;
+	if (relay->event_count % RELAY_EXPECT_EVENTS == 0)
+		relay_expect(relay);
 	if (*id) {
 		g_free(relay->last_event_id);
 		relay->last_event_id = g_strdup(id);
@@ -892,6 +928,7 @@
 	req.body_len = strlen(body);
 	relay->move_last = last;
 	relay->stopping = last;
+	relay->move_sent_us = env_now_us();
 	relay->move =
 		fetch_start(env->cli, &req, RELAY_MOVE_ANSWER_MAX, NULL, relay_on_moved, relay);
 	free(body);
@@ -906,9 +943,13 @@
 	need.avoid = relay->part.up;
 	need.tried = relay->move_tried;
 	need.place.resumes = true;
+	need.near = relay->part.up;
 	to = relay_has_copy(relay) && relay->move_tried->len == 0
 		     ? relay->backup.up
 		     : dsp_pick_engine(relay->rly->dsp, &need, &basis);
+	/* A copy between regions takes longer than any notice, and holds up the others. */
+	if (to && fups_distance_between(to, relay->part.up) == FUPS_FAR)
+		to = NULL;
 	if (!to) {
 		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "reason", "no-room", NULL);
@@ -918,19 +959,53 @@
 	relay_call_move(relay, false);
 }
 
+/* Whether the next copy may stop the run: the engine's link is idle, so that the copy is
+ * quick, or the engine is about to end. */
+static bool relay_may_stop(const struct relay *relay)
+{
+	uint64_t now_us = env_now_us();
+
+	if (now_us - relay->move_sent_us < RELAY_MOVE_IDLE_MS * 1000ULL)
+		return true;
+	return now_us - fups_leaving_since_us(relay->part.up) > RELAY_NOTICE_MS * 1000ULL;
+}
+
+/* Goes on after a move that stopped the run did not reach the other engine: the run's own
+ * engine keeps its memory. */
+static bool relay_resume_at_source(struct relay *relay, const char *handle)
+{
+	struct fups *up = relay->part.up;
+	g_autofree char *source = NULL;
+
+	if (!handle || !relay->caller || relay->call)
+		return false;
+	source = g_strdup(fups_address(up));
+	fups_hold(up);
+	relay->may_have_run = true;
+	relay_send(relay, up, source, handle);
+	fups_release(up);
+	return true;
+}
+
 static void relay_on_moved(void *ctx, const struct fetch_answer *answer)
 {
 	struct relay *relay = ctx;
 	struct srf_moved moved = { 0 };
 	struct fups *to = relay->move_to;
-	bool done = answer->result == HCALL_OK && answer->status == 200 &&
-		    relay->rly->env->surface->decode_moved(answer->body, answer->body_len, &moved);
+	bool whole = answer->result == HCALL_OK &&
+		     relay->rly->env->surface->decode_moved(answer->body, answer->body_len, &moved);
+	bool done = whole && answer->status == 200;
 	g_autofree char *status = g_strdup_printf("%u", answer->status);
 	g_autofree char *handle = moved.handle;
+	g_autofree char *took =
+		g_strdup_printf("%" G_GUINT64_FORMAT, (env_now_us() - relay->move_sent_us) / 1000);
 
 	relay->move = NULL;
-	if (done && !relay->move_last) {
-		relay_call_move(relay, true);
+	metric_observe(relay->rly->env->metric, METRIC_MOVE_US, env_now_us() - relay->move_sent_us);
+	if (done && !relay->move_last && relay->call) {
+		log_event(LOG_MOVE_COPIED, "request", relay_id(relay), "upstream",
+			  relay_up_id(relay), "to", fups_id(to), "move_ms", took, NULL);
+		relay_call_move(relay, relay_may_stop(relay));
 		return;
 	}
 	relay->move_to = NULL;
@@ -940,16 +1015,15 @@
 
 		log_event(LOG_STREAM_TAKEN_OVER, "request", relay_id(relay), "from",
 			  relay_up_id(relay), "to", fups_id(to), "reason", "moved", "last_event",
-			  relay->last_event_id ? relay->last_event_id : "", NULL);
+			  relay->last_event_id ? relay->last_event_id : "", "move_ms", took, NULL);
 		metric_add(relay->rly->env->metric, METRIC_RESUMES, 1);
 		relay_drop_call(relay);
 		relay_send(relay, to, source, handle);
 	} else {
 		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "to", fups_id(to), "reason", "refused", "status",
-			  status, NULL);
-		g_ptr_array_add(relay->move_tried, fups_hold(to));
-		if (!relay->call)
+			  status, "move_ms", took, NULL);
+		if (!relay->call && !relay_resume_at_source(relay, handle))
 			relay_outcome(relay, AGAIN_BROKEN);
 	}
 	fups_release(to);
@@ -967,11 +1041,12 @@
 	if (expected && relay->event_count + RELAY_FINISH_EVENTS > expected &&
 	    relay->event_count < expected)
 		return;
-	if (relay_has_copy(relay) &&
-	    env_now_us() - relay->first_event_us > RELAY_COPY_LAG_US)
-		relay_take_over(relay, "upstream-leaves");
-	else if (relay->service->engine.moves)
+	/* The copy at the backup engine may be missing: it is kept only while there is room. A
+	 * run that goes on is not given up for it. */
+	if (relay->service->engine.moves)
 		relay_start_move(relay);
+	else if (relay_has_copy(relay) && env_now_us() - relay->first_event_us > RELAY_COPY_LAG_US)
+		relay_take_over(relay, "upstream-leaves");
 }
 
 /* Whether a run is to be moved now, since its engine leaves. */
