Runs that leave an engine stay in its zone; peers tell of upstreams that leave

Cause: five runs of an engine with 1.54 s of notice were copied to another zone at 0.3 s each and died before the calls that stop them; engines of the own zone had room but were a little fuller. While the store is away, an instance that still reaches it can tell the others of a notice. Ruled out: the order of the copies (all five were too late by the sum alone).

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -97,6 +97,7 @@
 /** Tells this incarnation from others of the same id; scopes its connections. */
 const char *fups_scope(const struct fups *up);
 const char *fups_service(const struct fups *up);
+uint64_t fups_started_ms(const struct fups *up);
 const char *fups_address(const struct fups *up);
 const char *fups_zone(const struct fups *up);
 enum fups_state fups_state(const struct fups *up);
--- a/include/flamingolatch/place.h
+++ b/include/flamingolatch/place.h
@@ -37,6 +37,7 @@
 	uint64_t output_tokens; /**< expected */
 	uint32_t left_ms;	/**< until its first event is late */
 	bool resumes;		/**< goes on from a copy; goes before memory is reserved */
+	bool copies;		/**< its memory has to be copied there, one run after the other */
 };
 
 /** Trades of the choice. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -331,6 +331,11 @@
 	return up->service;
 }
 
+uint64_t fups_started_ms(const struct fups *up)
+{
+	return up->started_ms;
+}
+
 const char *fups_address(const struct fups *up)
 {
 	return up->address;
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -6,6 +6,10 @@
  * the link between regions; in ms of a first event's time. */
 static const double place_distance_ms[] = { 0.0, 40.0, 400.0 };
 
+/* A copy to another zone takes twice as long as one within it, and an engine that leaves has
+ * time for a few copies only; between regions none ends in time. */
+static const double place_copy_ms[] = { 0.0, 2000.0, 1e6 };
+
 #define PLACE_MEMORY_MS	       600.0 /* weight of a full engine against an empty one */
 #define PLACE_FAILURE_MS       4000.0
 #define PLACE_FAILURE_IGNORED  0.25 /* ordinary errors of a service */
@@ -54,7 +58,8 @@
 		if (held > limit && engine->kv_expected > 0)
 			continue;
 		score = place_first_event_ms(rules, need, engine) +
-			place_distance_ms[MIN(engine->distance, 2)] +
+			(need->copies ? place_copy_ms
+				      : place_distance_ms)[MIN(engine->distance, 2)] +
 			PLACE_MEMORY_MS * held / (double)MAX(engine->kv_tokens, 1) +
 			PLACE_FAILURE_MS * place_failure(engine->failure_share);
 		if (best == PLACE_NONE || score < best_score) {
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PRS_TYPE	   "(sstba(suuu))" /* instance, address, incarnation, leaving, loads */
-#define PRS_LOAD_TYPE	   "(suuu)"	   /* upstream, open, memory, unread prompt tokens */
+#define PRS_TYPE	   "(sstba(stuuub))" /* instance, address, incarnation, leaving, loads */
+#define PRS_LOAD_TYPE	   "(stuuub)" /* upstream, start, open, memory, unread tokens, leaving */
 #define PRS_TICK_MS	   100
 #define PRS_REST_US	   (500ULL * 1000)	 /* between messages that tell nothing new */
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
@@ -123,9 +123,10 @@
 	for (guint i = 0; i < message->loads->len; i++) {
 		const struct prs_load *load = &g_array_index(message->loads, struct prs_load, i);
 
-		g_variant_builder_add(&loads, PRS_LOAD_TYPE, load->upstream, load->load.open,
-				      (guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
-				      (guint32)MIN(load->load.prefill_tokens, G_MAXUINT32));
+		g_variant_builder_add(
+			&loads, PRS_LOAD_TYPE, load->upstream, load->started_ms, load->load.open,
+			(guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
+			(guint32)MIN(load->load.prefill_tokens, G_MAXUINT32), load->leaving);
 	}
 	root = g_variant_ref_sink(g_variant_new(PRS_TYPE, message->instance, message->address,
 						message->incarnation, message->leaving, &loads));
@@ -138,9 +139,11 @@
 	const GPtrArray *ups = fleet_of_service(prs->env->fleet, service);
 
 	for (guint i = 0; i < ups->len; i++) {
-		struct prs_load load = { fups_id(ups->pdata[i]), *fups_own(ups->pdata[i]) };
+		struct fups *up = ups->pdata[i];
+		struct prs_load load = { fups_id(up), fups_started_ms(up), *fups_own(up),
+					 fups_state(up) == FUPS_LEAVING };
 
-		if (load.load.open || load.load.kv_tokens)
+		if (load.load.open || load.load.kv_tokens || load.leaving)
 			g_array_append_val(loads, load);
 	}
 }
@@ -285,16 +288,20 @@
 	struct prs_load load;
 	guint32 kv;
 	guint32 prefill;
+	gboolean leaving;
+	gboolean ends;
 
 	if (!g_variant_is_normal_form(root)) {
 		g_variant_unref(root);
 		return false;
 	}
 	g_variant_get(root, "(&s&stba" PRS_LOAD_TYPE ")", &out->instance, &out->address,
-		      &out->incarnation, &out->leaving, &iter);
+		      &out->incarnation, &ends, &iter);
+	out->leaving = ends;
 	out->loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
-	while (g_variant_iter_next(iter, "(&suuu)", &load.upstream, &load.load.open, &kv,
-				   &prefill)) {
+	while (g_variant_iter_next(iter, "(&stuuub)", &load.upstream, &load.started_ms,
+				   &load.load.open, &kv, &prefill, &leaving)) {
+		load.leaving = leaving;
 		load.load.kv_tokens = kv;
 		load.load.prefill_tokens = prefill;
 		g_array_append_val(out->loads, load);
@@ -303,6 +310,19 @@
 	return true;
 }
 
+/* Takes what a peer tells of one upstream. */
+static void prs_take(struct prs *prs, const struct prs_load *load, const char *peer,
+		     uint64_t now_us)
+{
+	struct fups *up = fleet_find(prs->env->fleet, load->upstream);
+
+	if (!up || fups_started_ms(up) != load->started_ms)
+		return;
+	fleet_set_peer(prs->env->fleet, load->upstream, peer, &load->load, now_us);
+	if (load->leaving)
+		fups_set_leaving(up, now_us);
+}
+
 static void prs_on_message(void *ctx, const void *buf, size_t len)
 {
 	struct prs *prs = ctx;
@@ -333,8 +353,7 @@
 	for (guint i = 0; i < message.loads->len; i++) {
 		const struct prs_load *load = &g_array_index(message.loads, struct prs_load, i);
 
-		fleet_set_peer(prs->env->fleet, load->upstream, message.instance, &load->load,
-			       now_us);
+		prs_take(prs, load, message.instance, now_us);
 	}
 	g_array_free(message.loads, TRUE);
 }
--- a/src/serve/peers.h
+++ b/src/serve/peers.h
@@ -20,10 +20,12 @@
 /** Tells the peers that this instance stops. */
 void prs_leave(struct prs *prs);
 
-/** One upstream's load in a message. */
+/** What a message tells of one upstream. */
 struct prs_load {
 	const char *upstream;
+	uint64_t started_ms; /**< tells it from others that had its id */
 	struct fups_load load;
+	bool leaving; /**< it was said to leave; the store may be out of the peer's reach */
 };
 
 /** What an instance tells. Strings are borrowed. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -943,6 +943,7 @@
 	need.avoid = relay->part.up;
 	need.tried = relay->move_tried;
 	need.place.resumes = true;
+	need.place.copies = true;
 	need.near = relay->part.up;
 	to = relay_has_copy(relay) && relay->move_tried->len == 0
 		     ? relay->backup.up
