A stopping instance refuses what would outlast it

Ruled out: the balancer (all were on kept connections). Kept connections that are idle are closed at the signal, and a request that cannot end for certain before the process does is refused with when to come back.

--- a/include/flamingolatch/http_server.h
+++ b/include/flamingolatch/http_server.h
@@ -60,6 +60,8 @@
 void hsrv_drain(struct hsrv *srv);
 /** Lets connections close after their next answer; the listener stays open. */
 void hsrv_set_closing(struct hsrv *srv);
+/** Closes connections that served a request and wait for the next one. */
+void hsrv_close_idle(struct hsrv *srv);
 /** Replaces the limits, for requests that begin from now on. */
 void hsrv_set_limits(struct hsrv *srv, const struct hsrv_limits *limits, uint32_t max_body_bytes);
 /** Returns the port in use. */
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -61,6 +61,7 @@
 	uint32_t head_bytes;
 	uint16_t refusal; /* status with which the message is refused */
 	bool in_value;
+	bool served; /* answered a request */
 	bool sending;
 	bool closed;
 	uint32_t depth; /* callbacks on the stack that still use the connection */
@@ -193,6 +194,19 @@
 	srv->closing = true;
 }
 
+void hsrv_close_idle(struct hsrv *srv)
+{
+	GList *next;
+
+	for (GList *item = srv->conns.head; item; item = next) {
+		struct hconn *conn = item->data;
+
+		next = item->next;
+		if (conn->state == HCONN_IDLE && conn->served && conn->sock->input->size == 0)
+			hconn_close(conn);
+	}
+}
+
 void hsrv_set_limits(struct hsrv *srv, const struct hsrv_limits *limits, uint32_t max_body_bytes)
 {
 	srv->max_body_bytes = max_body_bytes;
@@ -769,6 +783,7 @@
 		shutdown(h2o_socket_get_fd(conn->sock), SHUT_WR);
 		return;
 	}
+	conn->served = true;
 	hconn_set_state(conn, HCONN_IDLE);
 	if (conn->sock->input->size > 0 && conn->depth <= 1)
 		hconn_parse(conn);
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -38,7 +38,6 @@
 	uv_signal_t terminate;
 	uv_signal_t interrupt;
 	uv_signal_t reload;
-	uint64_t stopping_us;
 	bool was_ready;
 	bool was_fresh;
 	uint64_t told_ms; /* when suppressed lines were last counted */
@@ -216,6 +215,14 @@
 		hcli_forget(gw->env.cli, fups_address(up), fups_scope(up));
 }
 
+/* Returns how long the process may go on after the signal to stop. */
+static uint64_t gw_grace_ms(const struct gw *gw)
+{
+	uint64_t grace_ms = (uint64_t)(gw->set->bounds.grace_s * 1000);
+
+	return grace_ms > GW_EXIT_MARGIN_MS ? grace_ms - GW_EXIT_MARGIN_MS : 0;
+}
+
 static void gw_on_stop(uv_signal_t *signal, int number)
 {
 	struct gw *gw = signal->data;
@@ -225,10 +232,12 @@
 	if (gw->env.stopping)
 		return;
 	gw->env.stopping = true;
-	gw->stopping_us = env_now_us();
+	gw->env.stop_us = env_now_us();
+	gw->env.exit_us = gw->env.stop_us + gw_grace_ms(gw) * 1000;
 	snprintf(open, sizeof(open), "%u", rly_open(gw->rly));
 	log_event(LOG_STOPPING, "open", open, NULL);
 	hsrv_set_closing(gw->callers);
+	hsrv_close_idle(gw->callers);
 	prs_leave(gw->prs);
 }
 
@@ -254,14 +263,14 @@
 /* Ends the process once nothing is open, or the grace is nearly over. */
 static void gw_check_stop(struct gw *gw)
 {
-	uint64_t spent_ms = (env_now_us() - gw->stopping_us) / 1000;
-	uint64_t grace_ms = (uint64_t)(gw->set->bounds.grace_s * 1000);
+	uint64_t spent_ms = (env_now_us() - gw->env.stop_us) / 1000;
+	uint64_t grace_ms = gw_grace_ms(gw);
 	uint32_t open = rly_open(gw->rly);
 	char text[16];
 
 	if (spent_ms < MIN(GW_READY_LAG_MS, grace_ms / 2))
 		return;
-	if (open > 0 && spent_ms + GW_EXIT_MARGIN_MS < grace_ms)
+	if (open > 0 && spent_ms < grace_ms)
 		return;
 	snprintf(text, sizeof(text), "%u", open);
 	log_event(LOG_STOPPED, "open", text, NULL);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -19,6 +19,9 @@
 #define RELAY_RETRY_SPREAD_MS 600
 #define RELAY_FINISH_EVENTS   12 /* a stream that is this near its end is not moved */
 #define RELAY_MAX_PRIORITY    9
+#define RELAY_CALL_MS	      1500 /* that a call needs at most, when its upstream is sound */
+#define RELAY_TOKEN_MS	      13   /* a token's time in a full batch */
+#define RELAY_STOP_TAKES_MS   2700 /* after the signal, until callers were sent elsewhere */
 #define RELAY_MOVE_ANSWER_MAX 4096
 #define RELAY_MOVE_TIMEOUT_MS 4000
 #define RELAY_MOVE_RETRY_US   (150ULL * 1000) /* between two tries to move a run */
@@ -406,6 +409,20 @@
 	};
 }
 
+/* Whether a request ends for certain before this process does, or comes so early in its stop
+ * that callers could not know of it. */
+static bool relay_fits_before_exit(const struct relay *relay)
+{
+	const struct env *env = relay->rly->env;
+	uint64_t needs_ms = RELAY_CALL_MS;
+
+	if (!env->stopping || relay->arrived_us < env->stop_us + RELAY_STOP_TAKES_MS * 1000ULL)
+		return true;
+	if (relay_is_generation(relay))
+		needs_ms += relay->request.max_output_tokens * RELAY_TOKEN_MS;
+	return relay->arrived_us + needs_ms * 1000 < env->exit_us;
+}
+
 void rly_handle(void *ctx, struct hreq *req)
 {
 	struct rly *rly = ctx;
@@ -431,6 +448,11 @@
 	}
 	if (relay_is_generation(relay))
 		relay_expect(relay);
+	if (!relay_fits_before_exit(relay)) {
+		hreq_close_after(relay->caller);
+		relay_answer_error(relay, ERR_NOT_READY, RELAY_RETRY_MIN_MS, "stopping");
+		return;
+	}
 	rep_request(env_budget(rly->env, relay->service_name), relay->arrived_us);
 	relay_place(relay);
 }
