Requests' lives in layers: state, sends, moves, decisions

Cause: relay.c held four jobs in 1,177 lines. Ruled out: one header for all with calls in both directions; what a send or a move finds goes up through a callback.

--- /dev/null
+++ b/src/serve/relay_move.h
@@ -0,0 +1,22 @@
+/**
+ * @file relay_move.h
+ * Hands a running generation from one engine to another.
+ *
+ * The load that it answers: engines that leave with one or two seconds of
+ * notice and several long generations each. An engine copies one run after the
+ * other, so a run is copied while it goes on, again until the engine's link is
+ * idle, and stopped only for the last, short copy.
+ */
+#ifndef FLAMINGOLATCH_SERVE_RELAY_MOVE_H
+#define FLAMINGOLATCH_SERVE_RELAY_MOVE_H
+
+#include "relay_state.h"
+
+/** Goes on from the copy that the backup engine keeps. @param reason for the log */
+void relay_take_over(struct relay *relay, const char *reason);
+/** Begins to move a run off the engine that it is on. */
+void relay_evacuate(struct relay *relay);
+/** Whether a run is to be moved now, since its engine leaves. */
+bool relay_must_move(const struct relay *relay, uint64_t now_us);
+
+#endif
