The stop scenario holds the process, so that it fails without the refusal

Cause: the scenario passed without the fix that it is for: the process ended before the late request came. An endless stream now keeps it up. Before: passes with and without the fix. After: fails without it (200 instead of 503), passes with it.

--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -320,30 +320,31 @@
 	struct site_request request = generation("/long/", 2000);
 	struct site_request endless = generation("/long/", 40000);
 	struct site_answer early;
+	struct site_answer holder;
 	struct site_answer late;
-	uint32_t tries = 0;
 
 	fixture_open(&f);
 	site_begin(f.gateway, &request, &early);
+	/* keeps the process from ending before its grace does */
+	site_begin(f.gateway, &endless, &holder);
 	site_run(f.site, 200);
 	site_signal(f.gateway, SIGTERM);
 	site_run(f.site, 50);
 	g_assert_false(site_is_ready(f.gateway));
 	/* callers go on using what is open */
 	g_assert_cmpuint(expect(&f, &once, 200).runs, ==, 1);
-	site_run(f.site, 2900);
-	while (f.gateway->process && tries++ < 20) {
-		late = site_call(f.gateway, &endless);
-		if (late.status) {
-			g_assert_cmpuint(late.status, ==, 503);
-			g_assert_cmpuint(stand_run(f.stand, late.id).arrivals, ==, 0);
-		}
-		site_answer_clear(&late);
-		site_run(f.site, 20);
-	}
+	site_run(f.site, 2800);
+	late = site_call(f.gateway, &endless);
+	g_assert_cmpuint(late.status, ==, 503);
+	g_assert_cmpfloat(late.retry_after_s, >, 0.0);
+	g_assert_cmpuint(stand_run(f.stand, late.id).arrivals, ==, 0);
+	site_answer_clear(&late);
 	g_assert_true(site_wait(f.site, &early, 30000));
 	g_assert_true(site_is_whole(&early, 2000));
 	site_answer_clear(&early);
+	g_assert_true(site_wait(f.site, &holder, 30000));
+	g_assert_true(site_is_beginning(&holder, 40000));
+	site_answer_clear(&holder);
 	g_assert_true(site_wait_exit(f.gateway, SITE_GRACE_S * 1000));
 	fixture_close(&f);
 }
