--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -75,9 +75,10 @@
 void fleet_unlist(struct fleet *fleet, const char *id, uint64_t lapse_until_us, uint64_t now_us);
 /** Ends lapses that are over and forgets what is gone and unused. */
 void fleet_tick(struct fleet *fleet, uint64_t now_us);
-/** Replaces what a peer says of its load on an upstream. */
+/** Replaces what a peer says of its load on an upstream.
+ * @param until_us when it no longer counts, unless it is said again */
 void fleet_set_peer(struct fleet *fleet, const char *id, const char *peer,
-		    const struct fups_load *load, uint64_t now_us);
+		    const struct fups_load *load, uint64_t until_us);
 /** Forgets the load of a peer that ended. */
 void fleet_drop_peer(struct fleet *fleet, const char *peer);
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -2,16 +2,15 @@
 
 #include <string.h>
 
-#define FLEET_PEER_MAX_AGE_US  (2000ULL * 1000) /* a few missed announcements */
-#define FLEET_FAILURE_WEIGHT   0.15		/* of the newest outcome */
-#define FLEET_CIRCUIT_FAILURES 2		/* unanswered in a row */
-#define FLEET_CIRCUIT_FIRST_US (400ULL * 1000)	/* above the longest round trip */
+#define FLEET_FAILURE_WEIGHT   0.15	       /* of the newest outcome */
+#define FLEET_CIRCUIT_FAILURES 2	       /* unanswered in a row */
+#define FLEET_CIRCUIT_FIRST_US (400ULL * 1000) /* above the longest round trip */
 #define FLEET_CIRCUIT_MAX_US   (3200ULL * 1000)
 #define FLEET_FORGET_US	       (30ULL * 1000 * 1000) /* longer than leaving upstreams go on */
 
 struct fleet_peer {
 	struct fups_load load;
-	uint64_t at_us;
+	uint64_t until_us;
 };
 
 struct fups {
@@ -234,7 +233,7 @@
 }
 
 void fleet_set_peer(struct fleet *fleet, const char *id, const char *peer,
-		    const struct fups_load *load, uint64_t now_us)
+		    const struct fups_load *load, uint64_t until_us)
 {
 	struct fups *up = g_hash_table_lookup(fleet->by_id, id);
 	struct fleet_peer *slot;
@@ -247,7 +246,7 @@
 		g_hash_table_insert(up->peers, g_strdup(peer), slot);
 	}
 	slot->load = *load;
-	slot->at_us = now_us;
+	slot->until_us = until_us;
 }
 
 void fleet_drop_peer(struct fleet *fleet, const char *peer)
@@ -394,7 +393,7 @@
 
 	g_hash_table_iter_init(&iter, up->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_us > peer->at_us + FLEET_PEER_MAX_AGE_US)
+		if (now_us > peer->until_us)
 			continue;
 		sum.open += peer->load.open;
 		sum.kv_tokens += peer->load.kv_tokens;
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -5,10 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PRS_TYPE	   "(sstba(stuuub))" /* instance, address, incarnation, leaving, loads */
+#define PRS_TYPE	   "(ssstuba(stuuub))" /* instance, address, zone, incarnation, validity, ... */
 #define PRS_LOAD_TYPE	   "(stuuub)" /* upstream, start, open, memory, unread tokens, leaving */
-#define PRS_TICK_MS	   100
-#define PRS_REST_US	   (500ULL * 1000)	 /* between messages that tell nothing new */
+#define PRS_TICK_MS	   50
+#define PRS_VALID_ROUNDS   4 /* a class's rounds for which a message holds */
+#define PRS_VALID_MIN_MS   1500
+#define PRS_REST_ROUNDS	   3 /* a message that tells nothing new is sent this seldom */
+#define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
 #define PRS_READ_FIRST_MS  1500 /* after the start, when others have announced themselves */
@@ -16,9 +19,25 @@
 #define PRS_RETRY_MS	   2000
 #define PRS_READ_SPREAD_MS 1000
 
+/* What is spent on the peers of one distance. */
+struct prs_class {
+	uint32_t sends_per_s;
+	uint32_t rest_ms; /* least time between two rounds */
+	uint32_t most;	  /* peers that are told, by rank; 0 means all */
+};
+
+static const struct prs_class prs_classes[PRS_CLASSES] = {
+	[FUPS_SAME_ZONE] = { .sends_per_s = 40, .rest_ms = 100 },
+	[FUPS_SAME_REGION] = { .sends_per_s = 16, .rest_ms = 150, .most = 24 },
+	[FUPS_FAR] = { .sends_per_s = 8, .rest_ms = 300, .most = 8 },
+};
+
 struct prs_peer {
 	char *address;
 	char *instance;
+	char *zone;
+	enum fups_distance distance;
+	uint32_t rank; /* orders the peers of a class, other for every instance */
 	uint64_t incarnation;
 	uint64_t known_us; /* when it was last read of or heard of */
 	uint64_t heard_us; /* 0 before */
@@ -30,9 +49,11 @@
 	char *address;
 	uint64_t incarnation;
 	GHashTable *peers; /* address to struct prs_peer */
-	GByteArray *last;  /* told last */
 	GByteArray *next;
-	uint64_t told_us;
+	struct {
+		GByteArray *last; /* told last */
+		uint64_t told_us;
+	} rounds[PRS_CLASSES];
 	uv_timer_t tick;
 	uv_timer_t read;
 	struct src_call *announce;
@@ -56,6 +77,7 @@
 
 	g_free(peer->address);
 	g_free(peer->instance);
+	g_free(peer->zone);
 	g_free(peer);
 }
 
@@ -76,8 +98,9 @@
 	}
 	prs->address = g_strdup_printf("%s:%u", host, bus_port(prs->bus));
 	prs->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, prs_peer_free);
-	prs->last = g_byte_array_new();
 	prs->next = g_byte_array_new();
+	for (uint32_t i = 0; i < PRS_CLASSES; i++)
+		prs->rounds[i].last = g_byte_array_new();
 	uv_timer_init(env->loop, &prs->tick);
 	uv_timer_init(env->loop, &prs->read);
 	prs->tick.data = prs;
@@ -93,7 +116,8 @@
 	struct prs *prs = handle->data;
 
 	g_hash_table_destroy(prs->peers);
-	g_byte_array_free(prs->last, TRUE);
+	for (uint32_t i = 0; i < PRS_CLASSES; i++)
+		g_byte_array_free(prs->rounds[i].last, TRUE);
 	g_byte_array_free(prs->next, TRUE);
 	g_free(prs->address);
 	g_free(prs);
@@ -128,8 +152,9 @@
 			(guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
 			(guint32)MIN(load->load.prefill_tokens, G_MAXUINT32), load->leaving);
 	}
-	root = g_variant_ref_sink(g_variant_new(PRS_TYPE, message->instance, message->address,
-						message->incarnation, message->leaving, &loads));
+	root = g_variant_ref_sink(g_variant_new(
+		PRS_TYPE, message->instance, message->address, message->zone, message->incarnation,
+		(guint32)message->valid_ms, message->leaving, &loads));
 	g_byte_array_append(out, g_variant_get_data(root), (guint)g_variant_get_size(root));
 	g_variant_unref(root);
 }
@@ -161,41 +186,85 @@
 	}
 }
 
-/* Tells the peers of the present load, when it changed or after a rest. */
-static void prs_tell(struct prs *prs, bool urgent)
+static gint prs_by_rank(gconstpointer a, gconstpointer b)
 {
-	uint64_t now_us = env_now_us();
-	g_autoptr(GArray) loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
-	struct prs_message message = { prs->env->set->instance, prs->address, prs->incarnation,
-				       prs->leaving, loads };
-	GByteArray *swap = prs->last;
+	const struct prs_peer *const *left = a;
+	const struct prs_peer *const *right = b;
+
+	return (*left)->rank < (*right)->rank ? -1 : (*left)->rank > (*right)->rank;
+}
+
+/* Returns the peers of a class that are told. */
+static GPtrArray *prs_of_class(struct prs *prs, uint32_t class, uint64_t now_us)
+{
+	GPtrArray *peers = g_ptr_array_new();
 	GHashTableIter iter;
 	struct prs_peer *peer;
 
-	if (g_hash_table_size(prs->peers) == 0)
+	g_hash_table_iter_init(&iter, prs->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (now_us - MAX(peer->known_us, peer->heard_us) > PRS_FORGET_US)
+			g_hash_table_iter_remove(&iter);
+		else if (peer->distance == (enum fups_distance) class)
+			g_ptr_array_add(peers, peer);
+	}
+	if (prs_classes[class].most && peers->len > prs_classes[class].most) {
+		g_ptr_array_sort(peers, prs_by_rank);
+		g_ptr_array_set_size(peers, (gint)prs_classes[class].most);
+	}
+	return peers;
+}
+
+/* Tells the peers of one class, when the load changed or after a rest. */
+static void prs_tell_class(struct prs *prs, uint32_t class, bool urgent, GArray *loads)
+{
+	const struct prs_class *rules = &prs_classes[class];
+	uint64_t now_us = env_now_us();
+	g_autoptr(GPtrArray) peers = prs_of_class(prs, class, now_us);
+	uint64_t round_ms = MAX(rules->rest_ms, peers->len * 1000ULL / rules->sends_per_s);
+	uint64_t rested_ms = (now_us - prs->rounds[class].told_us) / 1000;
+	struct prs_message message = { .instance = prs->env->set->instance,
+				       .address = prs->address,
+				       .zone = prs->env->set->zone,
+				       .incarnation = prs->incarnation,
+				       .valid_ms = (uint32_t)MAX(round_ms * PRS_VALID_ROUNDS,
+								 PRS_VALID_MIN_MS),
+				       .leaving = prs->leaving,
+				       .loads = loads };
+	GByteArray *swap = prs->rounds[class].last;
+
+	if (peers->len == 0 || (!urgent && rested_ms < round_ms))
 		return;
-	prs_collect_all(prs, loads);
 	g_byte_array_set_size(prs->next, 0);
 	prs_encode(prs->next, &message);
-	if (!urgent && now_us - prs->told_us < PRS_REST_US && prs->next->len == prs->last->len &&
-	    memcmp(prs->next->data, prs->last->data, prs->last->len) == 0)
+	if (!urgent && rested_ms < round_ms * PRS_REST_ROUNDS && prs->next->len == swap->len &&
+	    memcmp(prs->next->data, swap->data, swap->len) == 0)
 		return;
-	prs->told_us = now_us;
-	prs->last = prs->next;
+	prs->rounds[class].told_us = now_us;
+	prs->rounds[class].last = prs->next;
 	prs->next = swap;
-	g_hash_table_iter_init(&iter, prs->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (now_us - MAX(peer->known_us, peer->heard_us) > PRS_FORGET_US) {
-			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		if (bus_send(prs->bus, peer->address, prs->last->data, prs->last->len)) {
+	for (guint i = 0; i < peers->len; i++) {
+		const struct prs_peer *peer = peers->pdata[i];
+		const GByteArray *bytes = prs->rounds[class].last;
+
+		if (bus_send(prs->bus, peer->address, bytes->data, bytes->len)) {
 			metric_add(prs->env->metric, METRIC_BUS_SENT, 1);
-			metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, prs->last->len);
+			metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, bytes->len);
 		}
 	}
 }
 
+static void prs_tell(struct prs *prs, bool urgent)
+{
+	g_autoptr(GArray) loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
+
+	if (g_hash_table_size(prs->peers) == 0)
+		return;
+	prs_collect_all(prs, loads);
+	for (uint32_t class = 0; class < PRS_CLASSES; class ++)
+		prs_tell_class(prs, class, urgent, loads);
+}
+
 void prs_leave(struct prs *prs)
 {
 	prs->leaving = true;
@@ -205,15 +274,32 @@
 
 /* helpers */
 
-static struct prs_peer *prs_know(struct prs *prs, const char *address, const char *instance)
+/* Returns how far a zone is. */
+static enum fups_distance prs_distance(const struct prs *prs, const char *zone)
+{
+	const struct gset *set = prs->env->set;
+
+	if (strcmp(zone, set->zone) == 0)
+		return FUPS_SAME_ZONE;
+	return g_strcmp0(gset_region(set, zone), set->region) == 0 ? FUPS_SAME_REGION : FUPS_FAR;
+}
+
+static struct prs_peer *prs_know(struct prs *prs, const char *address, const char *instance,
+				 const char *zone)
 {
 	struct prs_peer *peer = g_hash_table_lookup(prs->peers, address);
 
 	if (!peer) {
 		peer = g_new0(struct prs_peer, 1);
 		peer->address = g_strdup(address);
+		peer->rank = g_str_hash(address) ^ g_str_hash(prs->address) * 2654435761U;
 		g_hash_table_insert(prs->peers, peer->address, peer);
 	}
+	if (g_strcmp0(peer->zone, zone) != 0) {
+		g_free(peer->zone);
+		peer->zone = g_strdup(zone);
+		peer->distance = prs_distance(prs, zone);
+	}
 	if (g_strcmp0(peer->instance, instance) != 0) {
 		g_free(peer->instance);
 		peer->instance = g_strdup(instance);
@@ -225,13 +311,14 @@
 static void prs_announce(struct prs *prs)
 {
 	struct env *env = prs->env;
+	g_autofree char *text = g_strdup_printf("%s %s", prs->address, env->set->zone);
 
 	if (prs->announce)
 		env->source->ops->cancel(prs->announce);
 	metric_add(env->metric, METRIC_TABLE_WRITES, 1);
-	prs->announce = env->source->ops->announce(env->source->ctx, env->set->instance,
-						   prs->leaving ? NULL : prs->address,
-						   prs_on_announced, prs);
+	prs->announce =
+		env->source->ops->announce(env->source->ctx, env->set->instance,
+					   prs->leaving ? NULL : text, prs_on_announced, prs);
 }
 
 static void prs_on_announced(void *arg, const struct src_answer *answer)
@@ -253,13 +340,15 @@
 	}
 	for (guint i = 0; i < answer->changes->len; i++) {
 		const struct src_change *change = answer->changes->pdata[i];
+		g_auto(GStrv) words = g_strsplit(change->text ? change->text : "", " ", 2);
 		g_autofree char *host = NULL;
 		uint16_t port;
 
-		if (change->gone || !gset_split(change->text, &host, &port) ||
-		    strcmp(change->text, prs->address) == 0)
+		/* Rows hold an address and a zone. */
+		if (change->gone || g_strv_length(words) != 2 ||
+		    !gset_split(words[0], &host, &port) || strcmp(words[0], prs->address) == 0)
 			continue;
-		prs_know(prs, change->text, change->id);
+		prs_know(prs, words[0], change->id, words[1]);
 	}
 	prs_tell(prs, true);
 	uv_timer_start(&prs->read, prs_on_read_timer,
@@ -290,13 +379,15 @@
 	guint32 prefill;
 	gboolean leaving;
 	gboolean ends;
+	guint32 valid;
 
 	if (!g_variant_is_normal_form(root)) {
 		g_variant_unref(root);
 		return false;
 	}
-	g_variant_get(root, "(&s&stba" PRS_LOAD_TYPE ")", &out->instance, &out->address,
-		      &out->incarnation, &ends, &iter);
+	g_variant_get(root, "(&s&s&stuba" PRS_LOAD_TYPE ")", &out->instance, &out->address,
+		      &out->zone, &out->incarnation, &valid, &ends, &iter);
+	out->valid_ms = valid;
 	out->leaving = ends;
 	out->loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
 	while (g_variant_iter_next(iter, "(&stuuub)", &load.upstream, &load.started_ms,
@@ -311,14 +402,15 @@
 }
 
 /* Takes what a peer tells of one upstream. */
-static void prs_take(struct prs *prs, const struct prs_load *load, const char *peer,
+static void prs_take(struct prs *prs, const struct prs_load *load, const struct prs_message *from,
 		     uint64_t now_us)
 {
 	struct fups *up = fleet_find(prs->env->fleet, load->upstream);
 
 	if (!up || fups_started_ms(up) != load->started_ms)
 		return;
-	fleet_set_peer(prs->env->fleet, load->upstream, peer, &load->load, now_us);
+	fleet_set_peer(prs->env->fleet, load->upstream, from->instance, &load->load,
+		       now_us + from->valid_ms * 1000ULL);
 	if (load->leaving)
 		fups_set_leaving(up, now_us);
 }
@@ -342,7 +434,7 @@
 	if (message.leaving) {
 		g_hash_table_remove(prs->peers, message.address);
 	} else {
-		peer = prs_know(prs, message.address, message.instance);
+		peer = prs_know(prs, message.address, message.instance, message.zone);
 		if (peer->incarnation != message.incarnation)
 			log_event(LOG_MEMBER_JOINED, "member", message.instance, "address",
 				  message.address, NULL);
@@ -353,7 +445,7 @@
 	for (guint i = 0; i < message.loads->len; i++) {
 		const struct prs_load *load = &g_array_index(message.loads, struct prs_load, i);
 
-		prs_take(prs, load, message.instance, now_us);
+		prs_take(prs, load, &message, now_us);
 	}
 	g_array_free(message.loads, TRUE);
 }
--- a/src/serve/peers.h
+++ b/src/serve/peers.h
@@ -6,6 +6,11 @@
  * Instances find one another in a table of the store, which each reads when it
  * starts and seldom after; a newcomer then speaks to all it found. What is told
  * is soft: without it an instance places work by its own load alone.
+ *
+ * The load that it answers: with n instances, telling all costs n messages a
+ * round from each. So an instance spends a fixed number of messages a second on
+ * each class of peers (own zone, own region, farther), tells a class the more
+ * seldom the larger it is, and beyond its own zone only some peers.
  */
 #ifndef FLAMINGOLATCH_SERVE_PEERS_H
 #define FLAMINGOLATCH_SERVE_PEERS_H
@@ -32,7 +37,9 @@
 struct prs_message {
 	const char *instance;
 	const char *address;
+	const char *zone;
 	uint64_t incarnation;
+	uint32_t valid_ms; /**< how long the loads hold without a further message */
 	bool leaving;
 	GArray *loads; /**< struct prs_load */
 };
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -157,8 +157,8 @@
 
 	fleet_list(fleet, &entry, 1 * S);
 	up = fleet_find(fleet, "a");
-	fleet_set_peer(fleet, "a", "p", &load, 1 * S);
-	fleet_set_peer(fleet, "a", "q", &load, 1 * S);
+	fleet_set_peer(fleet, "a", "p", &load, 3 * S);
+	fleet_set_peer(fleet, "a", "q", &load, 3 * S);
 	g_assert_cmpuint(fups_peers(up, 1 * S).kv_tokens, ==, 1000);
 	fleet_drop_peer(fleet, "q");
 	g_assert_cmpuint(fups_peers(up, 1 * S).open, ==, 2);
