--- /dev/null
+++ b/src/serve/delegate.h
@@ -0,0 +1,54 @@
+/**
+ * @file delegate.h
+ * Lets one instance of a group follow the store for the others.
+ *
+ * The load that it answers: every change of the instance list ends the waiting
+ * call of every instance that follows it, and every instance has to confirm its
+ * configuration every few seconds; at 60 instances these calls cost more than
+ * anything else. So the instances of a group ask the first of them that answers,
+ * in an order that all share. It tells them of changes, and how long ago its
+ * configuration was confirmed. Nothing is agreed on: any number may follow the
+ * store themselves, and whoever gets no sound answer does.
+ *
+ * An answer confirms the configuration as of the moment at which the question
+ * was sent, less the age that the delegate states; a late answer proves no more.
+ */
+#ifndef FLAMINGOLATCH_SERVE_DELEGATE_H
+#define FLAMINGOLATCH_SERVE_DELEGATE_H
+
+#include "follow.h"
+#include "peers.h"
+
+struct dlg;
+
+struct dlg *dlg_create(struct env *env, struct fol *fol, struct prs *prs);
+void dlg_destroy(struct dlg *dlg);
+
+/** A question to the delegate, in an exchange of messages. */
+struct dlg_ask {
+	const char *address; /**< where to answer */
+	uint64_t asked_us;   /**< the asker's clock; comes back unchanged */
+};
+
+/** The delegate's answer. */
+struct dlg_reply {
+	const char *address; /**< of the delegate */
+	uint64_t asked_us;
+	uint64_t age_us;	 /**< since the configuration was confirmed */
+	uint64_t config_version; /**< of the configuration in force there */
+	uint64_t list_version;	 /**< of the instance list known there */
+	bool sound;		 /**< it follows the store itself, and the store answers */
+};
+
+/** @name Messages; used by tests
+ * @{ */
+void dlg_encode_ask(GByteArray *out, const struct dlg_ask *ask);
+bool dlg_decode_ask(const void *buf, size_t len, struct dlg_ask *out, GVariant **keep);
+void dlg_encode_reply(GByteArray *out, const struct dlg_reply *reply);
+bool dlg_decode_reply(const void *buf, size_t len, struct dlg_reply *out, GVariant **keep);
+void dlg_encode_changes(GByteArray *out, const struct fol_changes *changes);
+/** @param out its changes are freed with g_ptr_array_unref() */
+bool dlg_decode_changes(const void *buf, size_t len, struct fol_changes *out);
+/** @} */
+
+#endif
--- a/src/serve/follow.c
+++ b/src/serve/follow.c
@@ -2,10 +2,14 @@
 
 #include <string.h>
 
-#define FOL_RETRY_FIRST_MS 100
-#define FOL_RETRY_MAX_MS   800
-#define FOL_LOST_FAILURES  2 /* in a row; one cut connection is no outage */
-#define FOL_TICK_MS	   250
+#define FOL_RETRY_FIRST_MS    100
+#define FOL_RETRY_MAX_MS      800
+#define FOL_LOST_FAILURES     2 /* in a row; one cut connection is no outage */
+#define FOL_DELEGATED_WAIT_MS 12000
+#define FOL_SERVING_WAIT_MS   700
+#define FOL_CONFIRM_AGE_US    (3000ULL * 1000) /* two questions to a delegate went unanswered */
+#define FOL_CONFIRM_REST_MS   500
+#define FOL_TICK_MS	      250
 
 /* One table that is followed. */
 struct fol_table {
@@ -19,6 +23,7 @@
 	uint32_t failures; /* in a row */
 	bool synced;
 	bool ever;
+	bool behind; /* another instance knows more */
 };
 
 struct fol {
@@ -28,14 +33,24 @@
 	uint64_t regained_us; /* when the store last came back; 0 before */
 	uint32_t handles;
 	bool lost;
+	bool delegated;
+	bool serving;
 	fol_config_cb cb;
 	void *ctx;
+	fol_changes_cb changes_cb;
+	void *changes_ctx;
+	struct src_call *confirm; /* asks whether the configuration is still the newest */
+	uint64_t confirm_us;	  /* when it was sent */
+	uint64_t confirm_ms;
 };
 
 static const char *const fol_result_names[SRC_RESULT_COUNT] = { "ok", "history-gone", "refused",
 								"no-answer" };
 
 static void fol_call(struct fol_table *table);
+static void fol_call_in(struct fol_table *table, uint64_t delay_ms);
+static void fol_apply_listing(struct fol *fol, const struct src_change *change,
+			      uint64_t lapse_until_us);
 static void fol_on_timer(uv_timer_t *timer);
 static void fol_on_tick(uv_timer_t *timer);
 static void fol_on_answer(void *arg, const struct src_answer *answer);
@@ -86,11 +101,87 @@
 			fol->env->source->ops->cancel(table->call);
 		uv_close((uv_handle_t *)&table->timer, fol_on_closed);
 	}
+	if (fol->confirm)
+		fol->env->source->ops->cancel(fol->confirm);
 	uv_close((uv_handle_t *)&fol->tick, fol_on_closed);
 }
 
+/* commands */
+
+void fol_on_changes(struct fol *fol, fol_changes_cb cb, void *ctx)
+{
+	fol->changes_cb = cb;
+	fol->changes_ctx = ctx;
+}
+
+void fol_set_delegated(struct fol *fol, bool delegated)
+{
+	struct fol_table *list = &fol->tables[1];
+
+	if (fol->delegated == delegated)
+		return;
+	fol->delegated = delegated;
+	log_event(LOG_DELEGATED, "delegated", delegated ? "yes" : "no", NULL);
+	/* A call that waits goes on and ends by itself. */
+	if (!delegated && !list->call)
+		fol_call_in(list, 0);
+}
+
+void fol_set_serving(struct fol *fol, bool serving)
+{
+	fol->serving = serving;
+}
+
+void fol_take_changes(struct fol *fol, const struct fol_changes *changes)
+{
+	struct fol_table *list = &fol->tables[1];
+	uint64_t until_us = changes->lapse_ms ? env_now_us() + changes->lapse_ms * 1000ULL : 0;
+
+	if (!list->synced || changes->to <= list->version)
+		return;
+	if (changes->from > list->version) {
+		fol_take_versions(fol, 0, changes->to);
+		return;
+	}
+	for (guint i = 0; i < changes->changes->len; i++)
+		fol_apply_listing(fol, changes->changes->pdata[i], until_us);
+	list->version = changes->to;
+}
+
+static void fol_hurry(struct fol_table *table)
+{
+	if (table->behind)
+		return;
+	table->behind = true;
+	if (table->call)
+		table->fol->env->source->ops->cancel(table->call);
+	table->call = NULL;
+	fol_call_in(table, 0);
+}
+
+void fol_take_versions(struct fol *fol, uint64_t config_version, uint64_t list_version)
+{
+	const struct rt_config *config = fol->env->config;
+
+	if (fol->tables[0].synced && config && config_version > rt_config_version(config))
+		fol_hurry(&fol->tables[0]);
+	if (fol->tables[1].synced && list_version > fol->tables[1].version)
+		fol_hurry(&fol->tables[1]);
+}
+
 /* queries */
 
+uint64_t fol_list_version(const struct fol *fol)
+{
+	return fol->tables[1].version;
+}
+
+bool fol_sound(const struct fol *fol)
+{
+	return fol_synced(fol) && !fol->lost && !fol->delegated && fol->tables[1].synced &&
+	       fol->tables[0].failures == 0 && fol->tables[1].failures == 0;
+}
+
 bool fol_synced(const struct fol *fol)
 {
 	return fol->tables[0].ever && fol->tables[1].ever;
@@ -105,6 +196,14 @@
 	uint32_t wait_ms = (uint32_t)(table->table == SRC_CONFIG ? env->set->config_wait_ms
 								 : env->set->list_wait_ms);
 
+	/* Confirmations come from the delegate; the call is for news alone. */
+	if (table->table == SRC_CONFIG && table->fol->delegated)
+		wait_ms = FOL_DELEGATED_WAIT_MS;
+	else if (table->table == SRC_CONFIG && table->fol->serving)
+		wait_ms = MIN(wait_ms, FOL_SERVING_WAIT_MS);
+	if (table->behind)
+		wait_ms = 0;
+	table->behind = false;
 	table->sent_us = env_boot_us();
 	table->sent_ms = uv_now(env->loop);
 	metric_add(env->metric, METRIC_TABLE_READS, 1);
@@ -163,7 +262,8 @@
 	fol->cb(fol->ctx, change->config);
 }
 
-static void fol_apply_listing(struct fol *fol, const struct src_change *change)
+static void fol_apply_listing(struct fol *fol, const struct src_change *change,
+			      uint64_t lapse_until_us)
 {
 	struct env *env = fol->env;
 	uint64_t now_us = env_now_us();
@@ -181,7 +281,7 @@
 	if (change->broken)
 		log_event(LOG_UPSTREAM_BROKEN, "upstream", change->id, NULL);
 	if (change->gone || change->broken)
-		fleet_unlist(env->fleet, change->id, fol_lapse_until(fol), now_us);
+		fleet_unlist(env->fleet, change->id, lapse_until_us, now_us);
 	else
 		fleet_list(env->fleet, &listing, now_us);
 	metric_set(env->metric, METRIC_UPSTREAMS, fleet_count(env->fleet));
@@ -202,6 +302,22 @@
 	}
 }
 
+/* Tells those who learn of the list from here. */
+static void fol_tell(struct fol *fol, uint64_t from, const struct src_answer *answer)
+{
+	uint64_t until_us = fol_lapse_until(fol);
+	uint64_t now_us = env_now_us();
+	struct fol_changes changes = { .from = from,
+				       .to = answer->version,
+				       .lapse_ms = until_us > now_us
+							   ? (uint32_t)((until_us - now_us) / 1000)
+							   : 0,
+				       .changes = (GPtrArray *)answer->changes };
+
+	if (fol->changes_cb && answer->changes->len > 0)
+		fol->changes_cb(fol->changes_ctx, &changes);
+}
+
 static void fol_apply(struct fol_table *table, const struct src_answer *answer)
 {
 	struct fol *fol = table->fol;
@@ -212,13 +328,15 @@
 		if (table->table == SRC_CONFIG)
 			fol_apply_config(fol, change);
 		else
-			fol_apply_listing(fol, change);
+			fol_apply_listing(fol, change, fol_lapse_until(fol));
 	}
 	if (table->table == SRC_UPSTREAMS && !table->synced)
 		fol_unlist_missing(fol, answer->changes);
+	else if (table->table == SRC_UPSTREAMS)
+		fol_tell(fol, table->version, answer);
 	if (table->table == SRC_CONFIG && fol->env->config)
 		fresh_confirm(&fol->env->fresh, table->sent_us);
-	table->version = answer->version;
+	table->version = MAX(table->version, answer->version);
 	table->synced = true;
 	table->ever = table->table != SRC_CONFIG || fol->env->config;
 }
@@ -259,12 +377,50 @@
 	if (fol->tables[0].failures == 0 && fol->tables[1].failures == 0)
 		fol_set_lost(fol, false, "answered");
 	fol_apply(table, answer);
+	/* Another instance follows the list while it answers. */
+	if (table->table == SRC_UPSTREAMS && fol->delegated && !table->behind)
+		return;
 	fol_call_in(table, spent_ms < pace_ms ? pace_ms - spent_ms : 0);
 }
 
+static void fol_on_confirmed(void *arg, const struct src_answer *answer)
+{
+	struct fol *fol = arg;
+
+	fol->confirm = NULL;
+	if (answer->result != SRC_OK) {
+		metric_add(fol->env->metric, METRIC_TABLE_ERRORS, 1);
+		return;
+	}
+	for (guint i = 0; i < answer->changes->len; i++)
+		fol_apply_config(fol, answer->changes->pdata[i]);
+	if (fol->env->config)
+		fresh_confirm(&fol->env->fresh, fol->confirm_us);
+}
+
+/* Asks the store itself when neither its waiting call nor a delegate confirms in time. */
+static void fol_check_confirmed(struct fol *fol)
+{
+	struct env *env = fol->env;
+	const struct fol_table *table = &fol->tables[0];
+	uint64_t now_us = env_boot_us();
+	uint64_t age_us = fresh_age_us(&env->fresh, now_us);
+	uint64_t now_ms = uv_now(env->loop);
+
+	if (!fol->delegated || !table->synced || fol->confirm || age_us < FOL_CONFIRM_AGE_US ||
+	    now_ms - fol->confirm_ms < FOL_CONFIRM_REST_MS)
+		return;
+	fol->confirm_us = now_us;
+	fol->confirm_ms = now_ms;
+	metric_add(env->metric, METRIC_TABLE_READS, 1);
+	fol->confirm = env->source->ops->follow(env->source->ctx, SRC_CONFIG, table->version, 0,
+						fol_on_confirmed, fol);
+}
+
 static void fol_on_tick(uv_timer_t *timer)
 {
 	struct fol *fol = timer->data;
 
+	fol_check_confirmed(fol);
 	fleet_tick(fol->env->fleet, env_now_us());
 }
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "delegate.h"
 #include "dispatch.h"
 #include "env.h"
 #include "follow.h"
@@ -30,6 +31,7 @@
 	struct rly *rly;
 	struct fol *fol;
 	struct prs *prs;
+	struct dlg *dlg;
 	struct hsrv *callers;
 	struct hsrv *ready;
 	struct hsrv *metrics;
@@ -133,6 +135,7 @@
 		return NULL;
 	}
 	gw->fol = fol_create(&gw->env, gw_on_config, gw);
+	gw->dlg = dlg_create(&gw->env, gw->fol, gw->prs);
 	return gw;
 }
 
@@ -145,6 +148,7 @@
 {
 	if (!gw)
 		return;
+	dlg_destroy(gw->dlg);
 	fol_destroy(gw->fol);
 	prs_destroy(gw->prs);
 	rly_destroy(gw->rly);
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -11,6 +11,7 @@
 #define PRS_VALID_ROUNDS   4 /* a class's rounds for which a message holds */
 #define PRS_VALID_MIN_MS   1500
 #define PRS_REST_ROUNDS	   3 /* a message that tells nothing new is sent this seldom */
+#define PRS_LOADS	   1 /* type of the messages of this file; the others are passed on */
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
@@ -60,6 +61,8 @@
 	struct src_call *reading;
 	bool announced;
 	bool leaving;
+	prs_message_cb other;
+	void *other_ctx;
 };
 
 static void prs_on_message(void *ctx, const void *buf, size_t len);
@@ -215,6 +218,24 @@
 	return peers;
 }
 
+void prs_on_other(struct prs *prs, prs_message_cb cb, void *ctx)
+{
+	prs->other = cb;
+	prs->other_ctx = ctx;
+}
+
+void prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes)
+{
+	g_autoptr(GByteArray) message = g_byte_array_sized_new(bytes->len + 1);
+
+	g_byte_array_append(message, &type, 1);
+	g_byte_array_append(message, bytes->data, bytes->len);
+	if (!bus_send(prs->bus, address, message->data, message->len))
+		return;
+	metric_add(prs->env->metric, METRIC_BUS_SENT, 1);
+	metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, message->len);
+}
+
 /* Tells the peers of one class, when the load changed or after a rest. */
 static void prs_tell_class(struct prs *prs, uint32_t class, bool urgent, GArray *loads)
 {
@@ -247,10 +268,7 @@
 		const struct prs_peer *peer = peers->pdata[i];
 		const GByteArray *bytes = prs->rounds[class].last;
 
-		if (bus_send(prs->bus, peer->address, bytes->data, bytes->len)) {
-			metric_add(prs->env->metric, METRIC_BUS_SENT, 1);
-			metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, bytes->len);
-		}
+		prs_send(prs, peer->address, PRS_LOADS, bytes);
 	}
 }
 
@@ -272,6 +290,42 @@
 	prs_announce(prs);
 }
 
+/* queries */
+
+const char *prs_address(const struct prs *prs)
+{
+	return prs->address;
+}
+
+static gint prs_by_hash(gconstpointer a, gconstpointer b)
+{
+	const char *left = *(const char *const *)a;
+	const char *right = *(const char *const *)b;
+	guint left_hash = g_str_hash(left) * 2654435761U;
+	guint right_hash = g_str_hash(right) * 2654435761U;
+
+	if (left_hash != right_hash)
+		return left_hash < right_hash ? -1 : 1;
+	return strcmp(left, right);
+}
+
+GPtrArray *prs_group(struct prs *prs, bool region)
+{
+	GPtrArray *group = g_ptr_array_new();
+	GHashTableIter iter;
+	const struct prs_peer *peer;
+
+	g_hash_table_iter_init(&iter, prs->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->distance == FUPS_SAME_ZONE ||
+		    (region && peer->distance == FUPS_SAME_REGION))
+			g_ptr_array_add(group, peer->address);
+	}
+	g_ptr_array_add(group, prs->address);
+	g_ptr_array_sort(group, prs_by_hash);
+	return group;
+}
+
 /* helpers */
 
 /* Returns how far a zone is. */
@@ -423,8 +477,15 @@
 	struct prs_peer *peer;
 	uint64_t now_us = env_now_us();
 
+	const uint8_t *bytes = buf;
+
 	metric_add(prs->env->metric, METRIC_BUS_RECEIVED, 1);
-	if (!prs_decode(buf, len, &message, &keep)) {
+	if (len > 0 && bytes[0] != PRS_LOADS) {
+		if (prs->other)
+			prs->other(prs->other_ctx, bytes[0], bytes + 1, len - 1);
+		return;
+	}
+	if (len == 0 || !prs_decode(bytes + 1, len - 1, &message, &keep)) {
 		metric_add(prs->env->metric, METRIC_BUS_BAD, 1);
 		log_event(LOG_BUS_BAD_FRAME, NULL);
 		return;
--- a/src/serve/peers.h
+++ b/src/serve/peers.h
@@ -22,6 +22,15 @@
 /** @return the exchange, or NULL with ERR_IO */
 struct prs *prs_create(struct env *env, GError **error);
 void prs_destroy(struct prs *prs);
+/** Called with messages of other types than loads. */
+typedef void (*prs_message_cb)(void *ctx, uint8_t type, const void *buf, size_t len);
+void prs_on_other(struct prs *prs, prs_message_cb cb, void *ctx);
+/** Sends a message of another type. */
+void prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes);
+const char *prs_address(const struct prs *prs);
+/** Returns the addresses of the peers of the own zone, or of the own region, this instance
+ * included, in an order that all instances share. */
+GPtrArray *prs_group(struct prs *prs, bool region);
 /** Tells the peers that this instance stops. */
 void prs_leave(struct prs *prs);
 
