Placed generations are told to the zone at once; what is old counts less

Ruled out: engines (same parameters), processor time of the instances (0.02 of a core at the median).

--- a/include/flamingolatch/place.h
+++ b/include/flamingolatch/place.h
@@ -35,6 +35,8 @@
 struct place_need {
 	uint64_t prompt_tokens;
 	uint64_t output_tokens; /**< expected */
+	uint32_t stale_ms;	/**< age of what is known of engines beyond the own zone */
+	uint32_t draw;		/**< evenly distributed; spreads instances that see the same */
 	uint32_t left_ms;	/**< until its first event is late */
 	bool resumes;		/**< goes on from a copy; goes before memory is reserved */
 	bool copies;		/**< its memory has to be copied there, one run after the other */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -10,6 +10,8 @@
  * time for a few copies only; between regions none ends in time. */
 static const double place_copy_ms[] = { 0.0, 2000.0, 1e6 };
 
+#define PLACE_STALE_MOST_MS    600
+#define PLACE_JITTER_MS	       60.0 /* a tenth of a prompt's time, between engines that look alike */
 #define PLACE_MEMORY_MS	       600.0 /* weight of a full engine against an empty one */
 #define PLACE_FAILURE_MS       4000.0
 #define PLACE_FAILURE_IGNORED  0.25 /* ordinary errors of a service */
@@ -39,6 +41,24 @@
 	return share > PLACE_FAILURE_IGNORED ? share - PLACE_FAILURE_IGNORED : 0.0;
 }
 
+/* What is known of other zones is old: engines there may have been chosen by others too. */
+static double place_distance(const struct place_need *need, uint32_t distance)
+{
+	uint32_t at = MIN(distance, 2);
+
+	if (need->copies)
+		return place_copy_ms[at];
+	return place_distance_ms[at] + (at ? MIN(need->stale_ms, PLACE_STALE_MOST_MS) : 0);
+}
+
+/* Differs from engine to engine and from draw to draw. */
+static double place_jitter(uint32_t draw, uint32_t index)
+{
+	uint32_t mixed = (draw + index * 2654435761U) * 2246822519U;
+
+	return PLACE_JITTER_MS * (mixed >> 16) / 65536.0;
+}
+
 int32_t place_engine(const struct place_rules *rules, const struct place_need *need,
 		     const struct place_engine *engines, uint32_t count)
 {
@@ -57,9 +77,8 @@
 		/* A request that is larger than the limit may still have an empty engine. */
 		if (held > limit && engine->kv_expected > 0)
 			continue;
-		score = place_first_event_ms(rules, need, engine) +
-			(need->copies ? place_copy_ms
-				      : place_distance_ms)[MIN(engine->distance, 2)] +
+		score = place_first_event_ms(rules, need, engine) + place_jitter(need->draw, i) +
+			place_distance(need, engine->distance) +
 			PLACE_MEMORY_MS * held / (double)MAX(engine->kv_tokens, 1) +
 			PLACE_FAILURE_MS * place_failure(engine->failure_share);
 		if (best == PLACE_NONE || score < best_score) {
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -34,6 +34,8 @@
 	GHashTable *budgets;	  /**< service to struct rep */
 	GRand *rand;
 	uint32_t instances; /**< live instances, this one included */
+	bool placed;	    /**< a generation was placed since the peers were told */
+	uint32_t far_ms;    /**< age of what is known of the load in other zones */
 	uint64_t stop_us;   /**< when the process was told to stop; 0 before */
 	uint64_t exit_us;   /**< when the process ends at the latest; 0 unless it stops */
 	bool stopping;
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -302,6 +302,8 @@
 	struct gw *gw = prepare->data;
 
 	rly_serve(gw->rly);
+	if (gw->prs)
+		prs_hurry(gw->prs);
 }
 
 static void gw_on_tick(uv_timer_t *timer)
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -10,8 +10,9 @@
 #define PRS_TICK_MS	   50
 #define PRS_VALID_ROUNDS   4 /* a class's rounds for which a message holds */
 #define PRS_VALID_MIN_MS   1500
-#define PRS_REST_ROUNDS	   3 /* a message that tells nothing new is sent this seldom */
-#define PRS_LOADS	   1 /* type of the messages of this file; the others are passed on */
+#define PRS_REST_ROUNDS	   3  /* a message that tells nothing new is sent this seldom */
+#define PRS_LOADS	   1  /* type of the messages of this file; the others are passed on */
+#define PRS_HURRY_MS	   15 /* least time between two messages about placed generations */
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
@@ -28,7 +29,7 @@
 };
 
 static const struct prs_class prs_classes[PRS_CLASSES] = {
-	[FUPS_SAME_ZONE] = { .sends_per_s = 40, .rest_ms = 100 },
+	[FUPS_SAME_ZONE] = { .sends_per_s = 30, .rest_ms = 100 },
 	[FUPS_SAME_REGION] = { .sends_per_s = 16, .rest_ms = 150, .most = 24 },
 	[FUPS_FAR] = { .sends_per_s = 8, .rest_ms = 300, .most = 8 },
 };
@@ -261,6 +262,8 @@
 	if (!urgent && rested_ms < round_ms * PRS_REST_ROUNDS && prs->next->len == swap->len &&
 	    memcmp(prs->next->data, swap->data, swap->len) == 0)
 		return;
+	if (class == FUPS_SAME_REGION)
+		prs->env->far_ms = (uint32_t)round_ms;
 	prs->rounds[class].told_us = now_us;
 	prs->rounds[class].last = prs->next;
 	prs->next = swap;
@@ -283,6 +286,19 @@
 		prs_tell_class(prs, class, urgent, loads);
 }
 
+void prs_hurry(struct prs *prs)
+{
+	g_autoptr(GArray) loads = NULL;
+	uint64_t rested_us = env_now_us() - prs->rounds[FUPS_SAME_ZONE].told_us;
+
+	if (!prs->env->placed || prs->leaving || rested_us < PRS_HURRY_MS * 1000ULL)
+		return;
+	prs->env->placed = false;
+	loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
+	prs_collect_all(prs, loads);
+	prs_tell_class(prs, FUPS_SAME_ZONE, true, loads);
+}
+
 void prs_leave(struct prs *prs)
 {
 	prs->leaving = true;
@@ -526,6 +542,7 @@
 	}
 	prs->env->instances = live;
 	metric_set(prs->env->metric, METRIC_MEMBERS, live);
+	prs_hurry(prs);
 	if (!prs->leaving)
 		prs_tell(prs, false);
 }
--- a/src/serve/peers.h
+++ b/src/serve/peers.h
@@ -22,6 +22,9 @@
 /** @return the exchange, or NULL with ERR_IO */
 struct prs *prs_create(struct env *env, GError **error);
 void prs_destroy(struct prs *prs);
+/** Tells the peers of the own zone at once when a generation was placed. */
+void prs_hurry(struct prs *prs);
+
 /** Called with messages of other types than loads. */
 typedef void (*prs_message_cb)(void *ctx, uint8_t type, const void *buf, size_t len);
 void prs_on_other(struct prs *prs, prs_message_cb cb, void *ctx);
--- a/src/serve/relay_send.c
+++ b/src/serve/relay_send.c
@@ -81,6 +81,7 @@
 		  relay_is_generation(relay) ? relay->request.prompt_tokens + relay->expected_output
 					     : 0,
 		  from_address ? 0 : relay->request.prompt_tokens);
+	env->placed |= relay_is_generation(relay);
 	send.backup = relay_pick_backup(relay, up);
 	headers = env->surface->encode(&relay->request, &send);
 	req.headers = headers;
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -260,6 +260,8 @@
 			   .output_tokens = relay->expected_output,
 			   .left_ms =
 				   spent_ms < objective_ms ? objective_ms - (uint32_t)spent_ms : 0,
+			   .stale_ms = relay->rly->env->far_ms,
+			   .draw = g_rand_int(relay->rly->env->rand),
 			   .resumes = relay->resumed },
 		.tried = relay->tried,
 	};
