--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -408,6 +408,70 @@
 	fixture_close(&f);
 }
 
+/* Instances of a region: one follows the store for the others, and its death, a notice and a
+ * revoked key reach them all the same. */
+static void test_delegate(void)
+{
+	struct fixture f;
+	struct site_gateway *gateways[3];
+	struct site_request request = once;
+	uint32_t calls;
+
+	fixture_open(&f);
+	request.key = SITE_OTHER_KEY;
+	gateways[0] = f.gateway;
+	for (uint32_t i = 1; i < 3; i++) {
+		g_autofree char *name = g_strdup_printf("gw-%u", i + 1);
+
+		gateways[i] = site_gateway(f.site, name, NULL);
+		site_start(gateways[i]);
+		g_assert_true(site_wait_ready(gateways[i], READY_MS));
+	}
+	for (uint32_t i = 0; i < 200; i++) {
+		uint32_t delegated = 0;
+
+		for (uint32_t g = 0; g < 3; g++) {
+			g_autofree char *log = site_log(gateways[g], "\"delegated\":\"yes\"");
+
+			delegated += *log != '\0';
+		}
+		if (delegated == 2)
+			break;
+		g_assert_cmpuint(i, <, 199);
+		site_run(f.site, 50);
+	}
+	/* a notice reaches those that do not follow the list */
+	stand_up_drain(f.shops[0]);
+	site_run(f.site, 1000);
+	for (uint32_t g = 0; g < 3; g++) {
+		struct site_answer answer = site_call(gateways[g], &once);
+
+		g_assert_cmpuint(answer.status, ==, 200);
+		g_assert_cmpuint(stand_run(f.stand, answer.id).leaving_ms, ==, 0);
+		site_answer_clear(&answer);
+	}
+	/* the calls to the store stay few: two waiting calls a second, and one in twelve */
+	calls = stand_calls(f.stand);
+	site_run(f.site, 3000);
+	g_assert_cmpuint(stand_calls(f.stand) - calls, <, 3 * 3 * 2);
+	/* each may be the delegate: whichever dies, the others go on */
+	for (uint32_t g = 0; g < 2; g++) {
+		site_signal(gateways[g], SIGKILL);
+		site_run(f.site, 300);
+		site_configure(f.site, g ? NULL : ",\"" SITE_OTHER_KEY "\"", NULL);
+		stand_up_drain(g ? f.engines[1] : f.engines[0]);
+		site_run(f.site, 2000);
+		g_assert_true(site_wait_ready(gateways[2], READY_MS));
+	}
+	for (uint32_t i = 0; i < 5; i++) {
+		struct site_answer answer = site_call(gateways[2], &request);
+
+		g_assert_cmpuint(answer.status, ==, 401);
+		site_answer_clear(&answer);
+	}
+	fixture_close(&f);
+}
+
 /* Each kind of failed request is explained by the lines of its id. */
 static void test_explained(void)
 {
@@ -467,6 +531,7 @@
 	g_test_add_func("/gateway/leaving", test_leaving);
 	g_test_add_func("/gateway/lapse", test_lapse);
 	g_test_add_func("/gateway/configuration", test_configuration);
+	g_test_add_func("/gateway/delegate", test_delegate);
 	g_test_add_func("/gateway/explained", test_explained);
 	return g_test_run();
 }
