--- a/test/stand/site.h
+++ b/test/stand/site.h
@@ -74,6 +74,8 @@
 struct site_gateway *site_gateway(struct site *site, const char *name, const char *store);
 void site_start(struct site_gateway *gateway);
 void site_signal(struct site_gateway *gateway, int signal);
+/** Tells whether a process ended, and takes note of it. */
+bool site_has_exited(struct site_gateway *gateway);
 /** Waits for the end of a process. @return false when it still runs */
 bool site_wait_exit(struct site_gateway *gateway, uint32_t ms);
 /** Waits until the instance says that it is ready. */
