--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -386,10 +386,14 @@
 
 static void hlink_take_header(struct hlink *link)
 {
+	char *value;
+
 	if (link->name->len == 0)
 		return;
+	value = g_strndup(link->value->str, link->value->len);
+	g_strchomp(value);
 	g_ptr_array_add(link->headers, g_ascii_strdown(link->name->str, (gssize)link->name->len));
-	g_ptr_array_add(link->headers, g_strchomp(g_strndup(link->value->str, link->value->len)));
+	g_ptr_array_add(link->headers, value);
 	g_string_truncate(link->name, 0);
 	g_string_truncate(link->value, 0);
 }
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -375,8 +375,10 @@
 			  json_string_value(json_object_get(row, "key")), text);
 	}
 	json_array_foreach(json_object_get(root, "remove"), i, row)
+	{
 		stand_put(stand, json_string_value(json_object_get(row, "table")),
 			  json_string_value(json_object_get(row, "key")), NULL);
+	}
 	json_decref(root);
 	stand->calls++;
 	stand_reply(req, 200, json_pack("{s:I}", "row_version", (json_int_t)stand->version));
