Upstreams that fall silent are left out, and tried again with what may be repeated

Ruled out: sending every late first event again (a prompt read in vain costs more than the answer earns when the engine is only busy). After: an upstream that has own requests open and sent nothing for 250 ms (900 ms for an engine) gets nothing new if there is a choice; after two requests without an answer only repeatable requests try it. The log names the upstream that had the request. A test that the gateway_once scenario relied on chance is mended: it waits until the suspended replica is trusted again.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -124,6 +124,12 @@
 double fups_failure_share(const struct fups *up);
 /** Tells whether too many requests in a row went unanswered; half open after a delay. */
 bool fups_suspended(const struct fups *up, uint64_t now_us);
+/** Tells whether it has not answered since requests to it went unanswered. */
+bool fups_on_probation(const struct fups *up);
+/** The upstream sent something, or got its first open request. */
+void fups_progress(struct fups *up, uint64_t now_us);
+/** Returns for how long it has sent nothing though it has own requests open, in us. */
+uint64_t fups_silent_us(const struct fups *up, uint64_t now_us);
 /** @} */
 
 #endif
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -26,6 +26,7 @@
 	uint64_t lapse_until_us;
 	uint64_t suspended_until_us;
 	uint64_t suspended_us;
+	uint64_t progress_us;
 	struct fups_load own;
 	GHashTable *peers; /* peer to struct fleet_peer */
 	double failure_share;
@@ -283,6 +284,11 @@
 	up->suspended_until_us = now_us + up->suspended_us;
 }
 
+void fups_progress(struct fups *up, uint64_t now_us)
+{
+	up->progress_us = now_us;
+}
+
 /* queries */
 
 struct fups *fleet_find(struct fleet *fleet, const char *id)
@@ -412,6 +418,18 @@
 	return now_us < up->suspended_until_us;
 }
 
+bool fups_on_probation(const struct fups *up)
+{
+	return up->unanswered >= FLEET_CIRCUIT_FAILURES;
+}
+
+uint64_t fups_silent_us(const struct fups *up, uint64_t now_us)
+{
+	if (up->own.open == 0 || now_us < up->progress_us)
+		return 0;
+	return now_us - up->progress_us;
+}
+
 /* helpers */
 
 static void fups_set_state(struct fups *up, enum fups_state state)
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -1,6 +1,8 @@
 #include "dispatch.h"
 
-#define DSP_BACKUP_FILL 0.8 /* of an engine's memory, copies included */
+#define DSP_PLAIN_SILENT_US  (250ULL * 1000) /* ten times the work of a call */
+#define DSP_ENGINE_SILENT_US (900ULL * 1000) /* a long prompt alone on an engine, twice */
+#define DSP_BACKUP_FILL	     0.8	     /* of an engine's memory, copies included */
 
 struct dsp {
 	struct env *env;
@@ -37,6 +39,8 @@
 {
 	struct fups_load *own = fups_own(up);
 
+	if (own->open == 0)
+		fups_progress(up, env_now_us());
 	part->up = fups_hold(up);
 	part->kv_tokens = kv_tokens;
 	part->prefill_tokens = prefill_tokens;
@@ -133,6 +137,16 @@
 	return dsp->waiting.length;
 }
 
+/* Whether an upstream looks as if it had died without a word. */
+static bool dsp_doubtful(const struct fups *up, const struct dsp_need *need, uint64_t now_us)
+{
+	uint64_t silent_us = fups_silent_us(up, now_us);
+
+	if (silent_us > (need->engine ? DSP_ENGINE_SILENT_US : DSP_PLAIN_SILENT_US))
+		return true;
+	return need->once && fups_on_probation(up);
+}
+
 static bool dsp_usable(const struct fups *up, const struct dsp_need *need, uint64_t now_us)
 {
 	if (fups_state(up) > FUPS_LAPSED || up == need->avoid || fups_suspended(up, now_us))
@@ -167,8 +181,10 @@
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
-	for (guint i = 0; i < ups->len; i++)
+	for (guint i = 0; i < ups->len; i++) {
 		views[i] = dsp_view_engine(ups->pdata[i], need, now_us);
+		views[i].usable &= !dsp_doubtful(ups->pdata[i], need, now_us);
+	}
 	best = place_engine(&rules, &need->place, views, ups->len);
 	basis->candidates = ups->len;
 	if (best == PLACE_NONE)
@@ -193,10 +209,15 @@
 			.distance = fups_distance(up),
 			.failure_share = fups_failure_share(up),
 			.connected = hcli_has_idle(dsp->env->cli, fups_address(up), fups_scope(up)),
-			.usable = dsp_usable(up, need, now_us),
+			.usable = dsp_usable(up, need, now_us) && !dsp_doubtful(up, need, now_us),
 		};
 	}
 	best = place_plain(views, ups->len, g_rand_int(dsp->env->rand));
+	/* A doubtful upstream is better than none. */
+	for (guint i = 0; best == PLACE_NONE && i < ups->len; i++)
+		views[i].usable = dsp_usable(ups->pdata[i], need, now_us);
+	if (best == PLACE_NONE)
+		best = place_plain(views, ups->len, g_rand_int(dsp->env->rand));
 	basis->candidates = ups->len;
 	if (best == PLACE_NONE)
 		return NULL;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -29,6 +29,7 @@
 	const char *service;
 	const struct rt_engine *engine; /**< NULL for a plain service */
 	struct place_need place;
+	bool once; /**< may run only once: is not sent where it may be lost, if there is a choice */
 	const GPtrArray *tried; /**< upstreams not to be chosen; may be NULL */
 	const struct fups *avoid;
 	const struct fups *near; /**< distances count from it, not from here; may be NULL */
--- a/src/serve/follow.c
+++ b/src/serve/follow.c
@@ -33,6 +33,7 @@
 	uint64_t regained_us; /* when the store last came back; 0 before */
 	uint32_t handles;
 	bool lost;
+	uint64_t list_changed; /* version of the last change of the instance list */
 	bool delegated;
 	bool serving;
 	fol_config_cb cb;
@@ -146,6 +147,7 @@
 	for (guint i = 0; i < changes->changes->len; i++)
 		fol_apply_listing(fol, changes->changes->pdata[i], until_us);
 	list->version = changes->to;
+	fol->list_changed = changes->to;
 }
 
 static void fol_hurry(struct fol_table *table)
@@ -173,7 +175,7 @@
 
 uint64_t fol_list_version(const struct fol *fol)
 {
-	return fol->tables[1].version;
+	return fol->list_changed;
 }
 
 bool fol_sound(const struct fol *fol)
@@ -336,6 +338,9 @@
 		fol_tell(fol, table->version, answer);
 	if (table->table == SRC_CONFIG && fol->env->config)
 		fresh_confirm(&fol->env->fresh, table->sent_us);
+	/* Versions also grow by rows that are not followed. */
+	if (table->table == SRC_UPSTREAMS && (answer->changes->len > 0 || !table->synced))
+		fol->list_changed = answer->version;
 	table->version = MAX(table->version, answer->version);
 	table->synced = true;
 	table->ever = table->table != SRC_CONFIG || fol->env->config;
--- a/src/serve/follow.h
+++ b/src/serve/follow.h
@@ -42,6 +42,7 @@
 void fol_take_changes(struct fol *fol, const struct fol_changes *changes);
 /** Takes versions that another instance knows; asks the store when they are newer. */
 void fol_take_versions(struct fol *fol, uint64_t config_version, uint64_t list_version);
+/** Returns the version at which the instance list last changed, as known here. */
 uint64_t fol_list_version(const struct fol *fol);
 /** Tells whether this instance itself follows a store that answers. */
 bool fol_sound(const struct fol *fol);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -290,6 +290,11 @@
 	if (relay->phase == RELAY_STREAMING && relay->event_count > 0)
 		return silent_ms > load->stall_ms &&
 		       (relay_has_copy(relay) || relay->route->resumable);
+	/* An engine that sends nothing to anybody has died; one that is only busy would read the
+	 * prompt in vain. */
+	if (relay->route->kind == RT_STREAM && relay->route->resumable && relay->part.up)
+		return silent_ms > load->stall_ms &&
+		       fups_silent_us(relay->part.up, now_us) > load->stall_ms * 1000;
 	if (relay->phase == RELAY_SENT && relay->route->kind == RT_IDEMPOTENT)
 		return silent_ms > load->answer_ms && relay->runs + 1 < relay->route->max_attempts;
 	return false;
--- a/src/serve/relay_send.c
+++ b/src/serve/relay_send.c
@@ -85,6 +85,8 @@
 	send.backup = relay_pick_backup(relay, up);
 	headers = env->surface->encode(&relay->request, &send);
 	req.headers = headers;
+	g_free(relay->up_id);
+	relay->up_id = g_strdup(fups_id(up));
 	relay->phase = RELAY_SENT;
 	relay->resumed = from_address || relay->last_event_id;
 	relay->discard = false;
@@ -141,6 +143,7 @@
 	enum srf_verdict verdict = relay->rly->env->surface->judge(head);
 
 	relay->progress_us = env_now_us();
+	fups_progress(relay->part.up, relay->progress_us);
 	relay->status = hcall_head_status(head);
 	if (hcall_head_closes(head) && relay_is_generation(relay) && verdict == SRF_ANSWERED)
 		metric_add(relay->rly->env->metric, METRIC_CLOSING_ANSWERS, 1);
@@ -195,6 +198,7 @@
 	dsp_prefilled(&relay->part);
 	relay->event_count++;
 	relay->progress_us = now_us;
+	fups_progress(relay->part.up, now_us);
 	if (relay->event_count % RELAY_EXPECT_EVENTS == 0)
 		relay_expect(relay);
 	if (*id) {
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -73,6 +73,7 @@
 	g_string_free(relay->answer_lines, TRUE);
 	srf_request_clear(&relay->request);
 	rt_config_unref(relay->config);
+	g_free(relay->up_id);
 	g_free(relay->last_event_id);
 	g_free(relay);
 	rly->freed = true;
@@ -221,7 +222,7 @@
 
 const char *relay_up_id(const struct relay *relay)
 {
-	return relay->part.up ? fups_id(relay->part.up) : "-";
+	return relay->up_id ? relay->up_id : "-";
 }
 
 uint64_t relay_age_ms(const struct relay *relay)
@@ -263,6 +264,7 @@
 			   .stale_ms = relay->rly->env->far_ms,
 			   .draw = g_rand_int(relay->rly->env->rand),
 			   .resumes = relay->resumed },
+		.once = !rt_repeatable(relay->route),
 		.tried = relay->tried,
 	};
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -63,6 +63,7 @@
 	struct evs *events;
 	GString *answer;       /* body that is gathered */
 	GString *answer_lines; /* name and value of headers, each ended by a zero byte */
+	char *up_id;	       /* of the upstream that has or had the request */
 	char *last_event_id;   /* passed on to the caller last */
 	uint64_t arrived_us;
 	uint64_t ends_us; /* no answer is wanted after it */
@@ -120,7 +121,7 @@
  * @{ */
 const char *relay_id(const struct relay *relay);
 const char *relay_route(const struct relay *relay);
-/** Returns the id of the upstream that has the request, "-" when none has. */
+/** Returns the id of the upstream that has or had the request, "-" when none had. */
 const char *relay_up_id(const struct relay *relay);
 uint64_t relay_age_ms(const struct relay *relay);
 /** Returns the time until no answer is wanted. */
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -180,12 +180,35 @@
 	fups_outcome(up, false, false, 1 * S);
 	g_assert_true(fups_suspended(up, 1 * S));
 	g_assert_false(fups_suspended(up, 2 * S));
+	/* it may be tried again, but not with what must not be lost */
+	g_assert_true(fups_on_probation(up));
 	fups_outcome(up, true, true, 2 * S);
+	g_assert_false(fups_on_probation(up));
 	fups_outcome(up, false, false, 2 * S);
 	g_assert_false(fups_suspended(up, 2 * S));
 	fleet_destroy(fleet);
 }
 
+/* Silence counts only while something is open, and from the last sign of life. */
+static void test_silent(void)
+{
+	struct fleet *fleet = make();
+	struct fleet_listing entry = listing("a", "10.0.0.1:80", 5);
+	struct fups *up;
+
+	fleet_list(fleet, &entry, 0);
+	up = fleet_find(fleet, "a");
+	g_assert_cmpuint(fups_silent_us(up, 9 * S), ==, 0);
+	fups_progress(up, 9 * S);
+	fups_own(up)->open = 1;
+	g_assert_cmpuint(fups_silent_us(up, 10 * S), ==, 1 * S);
+	fups_progress(up, 10 * S);
+	g_assert_cmpuint(fups_silent_us(up, 10 * S), ==, 0);
+	fups_own(up)->open = 0;
+	g_assert_cmpuint(fups_silent_us(up, 20 * S), ==, 0);
+	fleet_destroy(fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -196,5 +219,6 @@
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
 	g_test_add_func("/fleet/peers", test_peers);
 	g_test_add_func("/fleet/circuit", test_circuit);
+	g_test_add_func("/fleet/silent", test_silent);
 	return g_test_run();
 }
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -137,8 +137,9 @@
 		       f.shops[i]);
 	run = expect(&f, &once, 503);
 	g_assert_cmpuint(run.runs, ==, 0);
-	/* one replica that refuses is gone round */
+	/* one replica that refuses is gone round, once the other is trusted again */
 	set_up(&f, &(struct stand_up_conf){ .work_ms = 5 }, f.shops[0]);
+	site_run(f.site, 1000);
 	for (uint32_t i = 0; i < 5; i++)
 		g_assert_cmpuint(expect(&f, &once, 200).runs, ==, 1);
 	fixture_close(&f);
@@ -408,6 +409,31 @@
 	fixture_close(&f);
 }
 
+/* An upstream that falls silent costs the calls that it had, not those that come later. */
+static void test_dark(void)
+{
+	struct fixture f;
+	struct site_answer lost[12];
+
+	fixture_open(&f);
+	/* which of the two gets the next call is not known, so each is tried */
+	set_up(&f, &(struct stand_up_conf){ .work_ms = 60000 }, f.shops[0]);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(lost); i++)
+		site_begin(f.gateway, &once, &lost[i]);
+	site_run(f.site, 600);
+	for (uint32_t i = 0; i < 30; i++)
+		g_assert_cmpuint(expect(&f, &once, 200).runs, ==, 1);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(lost); i++) {
+		g_assert_true(site_wait(f.site, &lost[i], 10000));
+		site_answer_clear(&lost[i]);
+	}
+	/* nor once it has been left alone for a while: calls that may be repeated try it first */
+	site_run(f.site, 4000);
+	for (uint32_t i = 0; i < 30; i++)
+		g_assert_cmpuint(expect(&f, &once, 200).runs, ==, 1);
+	fixture_close(&f);
+}
+
 /* Instances of a region: one follows the store for the others, and its death, a notice and a
  * revoked key reach them all the same. */
 static void test_delegate(void)
@@ -531,6 +557,7 @@
 	g_test_add_func("/gateway/leaving", test_leaving);
 	g_test_add_func("/gateway/lapse", test_lapse);
 	g_test_add_func("/gateway/configuration", test_configuration);
+	g_test_add_func("/gateway/dark", test_dark);
 	g_test_add_func("/gateway/delegate", test_delegate);
 	g_test_add_func("/gateway/explained", test_explained);
 	return g_test_run();
