Copies of moves count as memory where they are made, and are freed when not used

Ruled out: processor time of the engine (its other stream went on at 62 ms an event). An engine that refused a copy is left out of the next tries, as was meant before.

--- a/src/serve/relay_move.c
+++ b/src/serve/relay_move.c
@@ -78,11 +78,17 @@
 	if (to && fups_distance_between(to, relay->part.up) == FUPS_FAR)
 		to = NULL;
 	if (!to) {
+		/* Those that refused before may have room by the next try. */
+		g_ptr_array_set_size(relay->move_tried, 0);
 		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "reason", "no-room", NULL);
 		return;
 	}
 	relay->move_to = fups_hold(to);
+	/* The copy holds memory there from the first call on. */
+	dsp_enter(&relay->copy, to, relay->request.prompt_tokens + relay->expected_output, 0);
+	g_free(relay->copy_source);
+	relay->copy_source = g_strdup(fups_address(relay->part.up));
 	relay_call_move(relay, false);
 }
 
@@ -143,11 +149,45 @@
 	source = g_strdup(fups_address(up));
 	fups_hold(up);
 	relay->may_have_run = true;
+	relay_take_copy(relay);
 	relay_send(relay, up, source, handle);
 	fups_release(up);
 	return true;
 }
 
+/* Goes on at the engine that has the copy. */
+static void relay_move_done(struct relay *relay, struct fups *to, const char *handle)
+{
+	g_autofree char *source = g_strdup(fups_address(relay->part.up));
+	g_autofree char *took =
+		g_strdup_printf("%" G_GUINT64_FORMAT, (env_now_us() - relay->move_sent_us) / 1000);
+
+	log_event(LOG_STREAM_TAKEN_OVER, "request", relay_id(relay), "from", relay_up_id(relay),
+		  "to", fups_id(to), "reason", "moved", "last_event",
+		  relay->last_event_id ? relay->last_event_id : "", "move_ms", took, NULL);
+	metric_add(relay->rly->env->metric, METRIC_RESUMES, 1);
+	relay_drop_call(relay);
+	relay_take_copy(relay);
+	relay_send(relay, to, source, handle);
+}
+
+static void relay_move_failed(struct relay *relay, struct fups *to, const char *handle,
+			      uint16_t code)
+{
+	g_autofree char *status = g_strdup_printf("%u", code);
+	g_autofree char *took =
+		g_strdup_printf("%" G_GUINT64_FORMAT, (env_now_us() - relay->move_sent_us) / 1000);
+
+	log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream", relay_up_id(relay), "to",
+		  fups_id(to), "reason", "refused", "status", status, "move_ms", took, NULL);
+	g_ptr_array_add(relay->move_tried, fups_hold(to));
+	if (!relay->call && relay_resume_at_source(relay, handle))
+		return;
+	relay_drop_move(relay);
+	if (!relay->call)
+		relay->rly->outcome(relay, AGAIN_BROKEN);
+}
+
 static void relay_on_moved(void *ctx, const struct fetch_answer *answer)
 {
 	struct relay *relay = ctx;
@@ -156,14 +196,18 @@
 	bool whole = answer->result == HCALL_OK &&
 		     relay->rly->env->surface->decode_moved(answer->body, answer->body_len, &moved);
 	bool done = whole && answer->status == 200;
-	g_autofree char *status = g_strdup_printf("%u", answer->status);
 	g_autofree char *handle = moved.handle;
-	g_autofree char *took =
-		g_strdup_printf("%" G_GUINT64_FORMAT, (env_now_us() - relay->move_sent_us) / 1000);
 
 	relay->move = NULL;
 	metric_observe(relay->rly->env->metric, METRIC_MOVE_US, env_now_us() - relay->move_sent_us);
+	if (handle) {
+		g_free(relay->copy_handle);
+		relay->copy_handle = g_strdup(handle);
+	}
 	if (done && !relay->move_last && relay->call) {
+		g_autofree char *took = g_strdup_printf(
+			"%" G_GUINT64_FORMAT, (env_now_us() - relay->move_sent_us) / 1000);
+
 		log_event(LOG_MOVE_COPIED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "to", fups_id(to), "move_ms", took, NULL);
 		relay_call_move(relay, relay_may_stop(relay));
@@ -171,21 +215,9 @@
 	}
 	relay->move_to = NULL;
 	relay->stopping = false;
-	if (done && relay->caller) {
-		g_autofree char *source = g_strdup(fups_address(relay->part.up));
-
-		log_event(LOG_STREAM_TAKEN_OVER, "request", relay_id(relay), "from",
-			  relay_up_id(relay), "to", fups_id(to), "reason", "moved", "last_event",
-			  relay->last_event_id ? relay->last_event_id : "", "move_ms", took, NULL);
-		metric_add(relay->rly->env->metric, METRIC_RESUMES, 1);
-		relay_drop_call(relay);
-		relay_send(relay, to, source, handle);
-	} else {
-		log_event(LOG_MOVE_FAILED, "request", relay_id(relay), "upstream",
-			  relay_up_id(relay), "to", fups_id(to), "reason", "refused", "status",
-			  status, "move_ms", took, NULL);
-		if (!relay->call && !relay_resume_at_source(relay, handle))
-			relay->rly->outcome(relay, AGAIN_BROKEN);
-	}
+	if (done && relay->caller)
+		relay_move_done(relay, to, handle);
+	else
+		relay_move_failed(relay, to, handle, answer->status);
 	fups_release(to);
 }
--- a/src/serve/relay_send.c
+++ b/src/serve/relay_send.c
@@ -187,6 +187,11 @@
 	struct env *env = relay->rly->env;
 	uint64_t now_us = env_now_us();
 
+	if (relay->event_count == 0)
+		relay->first_ms = (uint32_t)relay_age_ms(relay);
+	else
+		relay->longest_ms =
+			MAX(relay->longest_ms, (uint32_t)((now_us - relay->progress_us) / 1000));
 	if (relay->event_count == 0) {
 		metric_observe(env->metric, METRIC_FIRST_TOKEN_US, now_us - relay->arrived_us);
 		dsp_prefilled(&relay->part);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -5,6 +5,8 @@
 
 #define RELAY_RETRY_MIN_MS    400
 #define RELAY_RETRY_SPREAD_MS 600
+#define RELAY_FREE_TIMEOUT_MS 1000
+#define RELAY_FREE_ANSWER_MAX 4096
 #define RELAY_MAX_PRIORITY    9
 
 /* lifetime */
@@ -43,8 +45,41 @@
 	dsp_leave(&relay->part);
 }
 
+/* The engine's answer to a call that frees a copy changes nothing. */
+static void relay_on_freed(void *ctx, const struct fetch_answer *answer)
+{
+	(void)ctx;
+	(void)answer;
+}
+
+/* Frees a copy that will not be used; it would hold memory at its engine for seconds. */
+static void relay_free_copy(struct relay *relay)
+{
+	struct env *env = relay->rly->env;
+	g_autofree char *path = NULL;
+	struct hcall_req req = { .address = relay->copy_source,
+				 .scope = "copies",
+				 .method = "DELETE",
+				 .timeout_ms = RELAY_FREE_TIMEOUT_MS };
+
+	dsp_leave(&relay->copy);
+	if (!relay->copy_handle)
+		return;
+	path = env->surface->encode_free(relay->copy_handle);
+	req.path = path;
+	fetch_start(env->cli, &req, RELAY_FREE_ANSWER_MAX, NULL, relay_on_freed, NULL);
+	g_clear_pointer(&relay->copy_handle, g_free);
+}
+
+void relay_take_copy(struct relay *relay)
+{
+	dsp_leave(&relay->copy);
+	g_clear_pointer(&relay->copy_handle, g_free);
+}
+
 void relay_drop_move(struct relay *relay)
 {
+	relay_free_copy(relay);
 	if (relay->move)
 		fetch_cancel(relay->move);
 	relay->move = NULL;
@@ -73,6 +108,8 @@
 	g_string_free(relay->answer_lines, TRUE);
 	srf_request_clear(&relay->request);
 	rt_config_unref(relay->config);
+	g_free(relay->copy_handle);
+	g_free(relay->copy_source);
 	g_free(relay->up_id);
 	g_free(relay->last_event_id);
 	g_free(relay);
@@ -110,6 +147,7 @@
 			     relay->request.max_output_tokens, relay_made(relay));
 	dsp_expect(&relay->part, relay->request.prompt_tokens + relay->expected_output);
 	dsp_expect(&relay->backup, relay->request.prompt_tokens + relay->expected_output);
+	dsp_expect(&relay->copy, relay->request.prompt_tokens + relay->expected_output);
 }
 
 void relay_log_end(struct relay *relay, enum log_event_id event, const char *reason)
@@ -117,10 +155,12 @@
 	g_autofree char *age = g_strdup_printf("%" G_GUINT64_FORMAT, relay_age_ms(relay));
 	g_autofree char *events = g_strdup_printf("%" G_GUINT64_FORMAT, relay->event_count);
 	g_autofree char *status = g_strdup_printf("%u", relay->status);
+	g_autofree char *first = g_strdup_printf("%u", relay->first_ms);
+	g_autofree char *pause = g_strdup_printf("%u", relay->longest_ms);
 
 	log_event(event, "request", relay_id(relay), "route", relay_route(relay), "upstream",
 		  relay_up_id(relay), "reason", reason, "status", status, "events", events,
-		  "age_ms", age, NULL);
+		  "age_ms", age, "first_ms", first, "longest_pause_ms", pause, NULL);
 }
 
 /* Answers with an error of our own and ends the request. */
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -58,6 +58,9 @@
 	struct hcall *call;
 	struct fetch *move;    /* call that moves the run */
 	struct fups *move_to;  /* held while a move goes on */
+	struct dsp_part copy;  /* on the engine that the run's memory is copied to */
+	char *copy_handle;     /* of the copy that was made last and is not used yet */
+	char *copy_source;     /* address of the engine that made it */
 	GPtrArray *tried;      /* upstreams that had the request; held */
 	GPtrArray *move_tried; /* engines that took no copy; held */
 	struct evs *events;
@@ -73,6 +76,8 @@
 	uint64_t first_event_us; /* of the present run at its engine; 0 before */
 	uint64_t evacuated_us;	 /* when a move was last tried; 0 before */
 	uint64_t event_count;
+	uint32_t first_ms;   /* from the request to its first event */
+	uint32_t longest_ms; /* pause between two events */
 	uint64_t expected_output;
 	uint32_t runs;
 	uint16_t status;
@@ -99,7 +104,9 @@
 void relay_free(struct relay *relay);
 /** Drops the send that is under way, and its part in the load. */
 void relay_drop_call(struct relay *relay);
-/** Drops the move that is under way. */
+/** The copy that a move made is used, or gone. */
+void relay_take_copy(struct relay *relay);
+/** Drops the move that is under way, and frees its copy. */
 void relay_drop_move(struct relay *relay);
 /** Takes the memory that a generation is expected to reach into account. */
 void relay_expect(struct relay *relay);
