--- a/src/core/again.c
+++ b/src/core/again.c
@@ -11,14 +11,25 @@
 {
 	if (c->begun)
 		return AGAIN_CUT;
+#if defined(FL_FAULT_REFUSE_ANY)
+	return AGAIN_REFUSE;
+#endif
 	return ran || c->may_have_run ? AGAIN_FAIL : AGAIN_REFUSE;
 }
 
 enum again_action again_decide(const struct again_case *c)
 {
+#if defined(FL_FAULT_REPEAT_ANY)
+	bool certain = true;
+#else
 	bool certain = c->outcome == AGAIN_NOT_SENT || c->outcome == AGAIN_NOT_RUN;
+#endif
 	/* A run that was under way is not begun a second time. */
+#if defined(FL_FAULT_REPEAT_ANY)
+	bool untouched = !c->begun;
+#else
 	bool untouched = !c->begun && !c->may_have_run;
+#endif
 	/* A send that did not arrive is no repeat for the service. */
 	bool budget = c->outcome == AGAIN_NOT_SENT || c->budget_left;
 
--- a/src/core/evs.c
+++ b/src/core/evs.c
@@ -34,6 +34,9 @@
 
 void evs_reset(struct evs *evs)
 {
+#if defined(FL_FAULT_JOIN_PARTS)
+	return;
+#endif
 	g_string_truncate(evs->held, 0);
 	evs->scanned = 0;
 }
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -262,6 +262,9 @@
 
 void fups_set_leaving(struct fups *up, uint64_t now_us)
 {
+#if defined(FL_FAULT_NO_NOTICE)
+	return;
+#endif
 	if (up->state >= FUPS_LEAVING)
 		return;
 	up->leaving_us = now_us;
--- a/src/core/fresh.c
+++ b/src/core/fresh.c
@@ -14,6 +14,9 @@
 
 bool fresh_ok(const struct fresh *fresh, uint64_t now_us)
 {
+#if defined(FL_FAULT_STALE_KEYS)
+	return fresh_age_us(fresh, now_us) < UINT64_MAX;
+#endif
 	return fresh_age_us(fresh, now_us) < fresh->bound_us;
 }
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -37,6 +37,8 @@
 	gint shops;
 	gint callers;
 	gboolean verbose;
+	gboolean until_violation;
+	gchar *program;
 };
 
 struct instance {
@@ -694,7 +696,7 @@
 	soak_open(&soak);
 	end = now_ms() + (uint64_t)options->seconds * 1000;
 	soak.fault_ms = now_ms() + 300;
-	while (now_ms() < end) {
+	while (now_ms() < end && !(options->until_violation && soak.violations)) {
 		if (tend_attempts(&soak) < (uint32_t)options->callers)
 			begin_attempt(&soak);
 		if (now_ms() >= soak.fault_ms)
@@ -746,6 +748,10 @@
 		{ "engines", 0, 0, G_OPTION_ARG_INT, &options.engines, "Engines", "N" },
 		{ "shops", 0, 0, G_OPTION_ARG_INT, &options.shops, "Plain replicas", "N" },
 		{ "callers", 0, 0, G_OPTION_ARG_INT, &options.callers, "Requests at once", "N" },
+		{ "program", 0, 0, G_OPTION_ARG_FILENAME, &options.program, "Program to run",
+		  "FILE" },
+		{ "until-violation", 0, 0, G_OPTION_ARG_NONE, &options.until_violation,
+		  "End a seed at the first violation", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &options.verbose, "Name faults", NULL },
 		{ 0 }
 	};
@@ -759,6 +765,8 @@
 		fprintf(stderr, "%s\n", error->message);
 		return 2;
 	}
+	if (options.program)
+		site_set_program(options.program);
 	for (gint i = 0; i < options.seeds; i++) {
 		violations += soak_run(&options);
 		options.seed++;
--- a/test/stand/site.c
+++ b/test/stand/site.c
@@ -13,6 +13,8 @@
 
 #define SITE_STRIDE 4
 
+static const char *site_program = FLAMINGOLATCH;
+
 struct site {
 	uv_loop_t loop;
 	struct hcli *cli;
@@ -128,6 +130,11 @@
 
 /* commands */
 
+void site_set_program(const char *program)
+{
+	site_program = program;
+}
+
 uv_loop_t *site_loop(struct site *site)
 {
 	return &site->loop;
@@ -189,8 +196,7 @@
 {
 	g_autoptr(GSubprocessLauncher) launcher =
 		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
-	const char *const argv[] = { FLAMINGOLATCH, "gateway", "--config", gateway->settings,
-				     NULL };
+	const char *const argv[] = { site_program, "gateway", "--config", gateway->settings, NULL };
 	int log = open(gateway->log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	g_autoptr(GError) error = NULL;
 
--- a/test/stand/site.h
+++ b/test/stand/site.h
@@ -65,6 +65,8 @@
 void site_destroy(struct site *site);
 uv_loop_t *site_loop(struct site *site);
 struct stand *site_stand(struct site *site);
+/** Names the program to run instead of the one that was built beside the tests. */
+void site_set_program(const char *program);
 /** Returns an address of this site's own on the loopback net. */
 char *site_ip(const struct site *site, uint32_t number);
 /** Writes a configuration; @p keys names keys beside SITE_KEY, or NULL. */
