Confirmations do not run out when a delegate changes

An instance that lost its delegate still had a waiting call of 12 s open and asked for no confirmation besides; a delegate that had not been asked yet confirmed too seldom to be accepted, and so was never taken as asked. Ruled out: the store (no source-lost in the logs), the link (questions were answered). Before: /gateway/delegate fails (keys-stale).

--- a/src/serve/delegate.c
+++ b/src/serve/delegate.c
@@ -10,13 +10,16 @@
 #define DLG_CHANGE_TYPE	 "(ssssttubb)" /* id, service, address, zone, start, ... */
 #define DLG_CHANGES_TYPE "(ttua" DLG_CHANGE_TYPE ")"
 
-#define DLG_TICK_MS	   100
-#define DLG_ASK_EVERY_MS   800		    /* well inside the bound on revoked keys */
-#define DLG_ANSWER_MS	   350		    /* round trip within a region, and slow instances */
-#define DLG_SHUN_MS	   4000		    /* before one that did not answer is asked again */
-#define DLG_FOLLOWER_MS	   2500		    /* three questions */
-#define DLG_MAX_AGE_US	   (2000ULL * 1000) /* twice what a delegate that is well states */
-#define DLG_ZONE_INSTANCES 16		    /* a zone this large has a delegate of its own */
+#define DLG_TICK_MS	100
+#define DLG_ASK_MOST_MS 800
+#define DLG_ANSWER_MS	350  /* round trip within a region, and slow instances */
+#define DLG_SHUN_MS	4000 /* before one that did not answer is asked again */
+#define DLG_UNSOUND_MS	600  /* before one that did not follow the store is asked again */
+#define DLG_FOLLOWER_MS 2500 /* three questions */
+/* Parts of the time for which a confirmation of the configuration holds. */
+#define DLG_MAX_AGE_PART   0.42 /* twice what a delegate that is well states */
+#define DLG_ASK_PART	   0.17 /* between two questions */
+#define DLG_ZONE_INSTANCES 16	/* a zone this large has a delegate of its own */
 
 struct dlg {
 	struct env *env;
@@ -208,9 +211,9 @@
 	return NULL;
 }
 
-static void dlg_shun(struct dlg *dlg, const char *address, uint64_t now_us)
+static void dlg_shun(struct dlg *dlg, const char *address, uint64_t now_us, uint64_t ms)
 {
-	uint64_t until_us = now_us + DLG_SHUN_MS * 1000ULL;
+	uint64_t until_us = now_us + ms * 1000;
 
 	g_hash_table_replace(dlg->shunned, g_strdup(address),
 			     g_memdup2(&until_us, sizeof(until_us)));
@@ -245,16 +248,21 @@
 	return *(const uint64_t *)now_us - *(const uint64_t *)asked_us > DLG_FOLLOWER_MS * 1000ULL;
 }
 
+static uint64_t dlg_ask_every_us(const struct dlg *dlg)
+{
+	return MIN(env_fresh_part_us(dlg->env, DLG_ASK_PART), DLG_ASK_MOST_MS * 1000ULL);
+}
+
 static void dlg_on_tick(uv_timer_t *timer)
 {
 	struct dlg *dlg = timer->data;
 	uint64_t now_us = env_boot_us();
 
 	if (dlg->asked && now_us - dlg->asked_us > DLG_ANSWER_MS * 1000ULL) {
-		dlg_shun(dlg, dlg->asked, now_us);
+		dlg_shun(dlg, dlg->asked, now_us, DLG_SHUN_MS);
 		g_clear_pointer(&dlg->asked, g_free);
 		dlg_ask_next(dlg, now_us);
-	} else if (!dlg->asked && now_us - dlg->asked_us > DLG_ASK_EVERY_MS * 1000ULL) {
+	} else if (!dlg->asked && now_us - dlg->asked_us > dlg_ask_every_us(dlg)) {
 		dlg_ask_next(dlg, now_us);
 	}
 	fol_set_delegated(dlg->fol, dlg->delegate != NULL);
@@ -275,13 +283,14 @@
 		.age_us = age_us,
 		.config_version = env->config ? rt_config_version(env->config) : 0,
 		.list_version = fol_list_version(dlg->fol),
-		.sound = fol_sound(dlg->fol) && !env->stopping && age_us < DLG_MAX_AGE_US,
+		.sound = fol_sound(dlg->fol) && !env->stopping &&
+			 age_us < env_fresh_part_us(env, DLG_MAX_AGE_PART),
 	};
 	g_autoptr(GByteArray) bytes = g_byte_array_new();
 
-	if (reply.sound)
-		g_hash_table_replace(dlg->followers, g_strdup(ask->address),
-				     g_memdup2(&now_us, sizeof(now_us)));
+	/* Whoever is asked confirms more often, and so becomes sound for those who ask. */
+	g_hash_table_replace(dlg->followers, g_strdup(ask->address),
+			     g_memdup2(&now_us, sizeof(now_us)));
 	dlg_encode_reply(bytes, &reply);
 	prs_send(dlg->prs, ask->address, DLG_REPLY, bytes);
 }
@@ -297,7 +306,7 @@
 		return;
 	g_clear_pointer(&dlg->asked, g_free);
 	if (!reply->sound) {
-		dlg_shun(dlg, reply->address, now_us);
+		dlg_shun(dlg, reply->address, now_us, DLG_UNSOUND_MS);
 		dlg_ask_next(dlg, now_us);
 		return;
 	}
--- a/src/serve/env.c
+++ b/src/serve/env.c
@@ -55,6 +55,11 @@
 		rep_set_rule(rep, &rule);
 }
 
+uint64_t env_fresh_part_us(const struct env *env, double part)
+{
+	return (uint64_t)((double)env->fresh.bound_us * part);
+}
+
 bool env_keys_fresh(const struct env *env)
 {
 	return fresh_ok(&env->fresh, env_boot_us());
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -49,6 +49,8 @@
 struct rep *env_budget(struct env *env, const char *service);
 /** Takes the rules of the settings into all budgets. */
 void env_apply_rules(struct env *env);
+/** Returns a part of the time for which a confirmation of the configuration holds, in us. */
+uint64_t env_fresh_part_us(const struct env *env, double part);
 /** Tells whether requests with a key may be passed on now. */
 bool env_keys_fresh(const struct env *env);
 
--- a/src/serve/follow.c
+++ b/src/serve/follow.c
@@ -7,9 +7,12 @@
 #define FOL_LOST_FAILURES     2 /* in a row; one cut connection is no outage */
 #define FOL_DELEGATED_WAIT_MS 12000
 #define FOL_SERVING_WAIT_MS   700
-#define FOL_CONFIRM_AGE_US    (3000ULL * 1000) /* two questions to a delegate went unanswered */
-#define FOL_CONFIRM_REST_MS   500
-#define FOL_TICK_MS	      250
+/* Parts of the time for which a confirmation holds. */
+#define FOL_SERVING_PART    0.15 /* wait of a call on which other instances rely */
+#define FOL_ALONE_PART	    0.32 /* wait of a call on which this instance relies */
+#define FOL_CONFIRM_PART    0.62 /* age at which the store is asked besides */
+#define FOL_CONFIRM_REST_MS 500
+#define FOL_TICK_MS	    250
 
 /* One table that is followed. */
 struct fol_table {
@@ -191,18 +194,28 @@
 
 /* helpers */
 
+/* Returns how long the store may wait with an answer about the configuration. */
+static uint32_t fol_config_wait_ms(const struct fol *fol)
+{
+	const struct env *env = fol->env;
+	uint64_t alone_ms = env_fresh_part_us(env, FOL_ALONE_PART) / 1000;
+	uint64_t serving_ms = env_fresh_part_us(env, FOL_SERVING_PART) / 1000;
+
+	/* Confirmations come from the delegate; the call is for news alone. */
+	if (fol->delegated)
+		return FOL_DELEGATED_WAIT_MS;
+	if (fol->serving)
+		return (uint32_t)MIN(serving_ms, FOL_SERVING_WAIT_MS);
+	return (uint32_t)MIN(alone_ms, env->set->config_wait_ms);
+}
+
 static void fol_call(struct fol_table *table)
 {
 	struct env *env = table->fol->env;
 	const struct src_ops *ops = env->source->ops;
-	uint32_t wait_ms = (uint32_t)(table->table == SRC_CONFIG ? env->set->config_wait_ms
-								 : env->set->list_wait_ms);
+	uint32_t wait_ms = table->table == SRC_CONFIG ? fol_config_wait_ms(table->fol)
+						      : (uint32_t)env->set->list_wait_ms;
 
-	/* Confirmations come from the delegate; the call is for news alone. */
-	if (table->table == SRC_CONFIG && table->fol->delegated)
-		wait_ms = FOL_DELEGATED_WAIT_MS;
-	else if (table->table == SRC_CONFIG && table->fol->serving)
-		wait_ms = MIN(wait_ms, FOL_SERVING_WAIT_MS);
 	if (table->behind)
 		wait_ms = 0;
 	table->behind = false;
@@ -403,7 +416,8 @@
 		fresh_confirm(&fol->env->fresh, fol->confirm_us);
 }
 
-/* Asks the store itself when neither its waiting call nor a delegate confirms in time. */
+/* Asks the store itself when neither its waiting call nor a delegate confirms in time. The
+ * waiting call may still be a long one, from the time when a delegate confirmed. */
 static void fol_check_confirmed(struct fol *fol)
 {
 	struct env *env = fol->env;
@@ -412,7 +426,7 @@
 	uint64_t age_us = fresh_age_us(&env->fresh, now_us);
 	uint64_t now_ms = uv_now(env->loop);
 
-	if (!fol->delegated || !table->synced || fol->confirm || age_us < FOL_CONFIRM_AGE_US ||
+	if (!table->synced || fol->confirm || age_us < env_fresh_part_us(env, FOL_CONFIRM_PART) ||
 	    now_ms - fol->confirm_ms < FOL_CONFIRM_REST_MS)
 		return;
 	fol->confirm_us = now_us;
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -466,6 +466,13 @@
 		g_assert_cmpuint(i, <, 199);
 		site_run(f.site, 50);
 	}
+	/* while the store is sound, confirmations never run out */
+	site_run(f.site, 5000);
+	for (uint32_t g = 0; g < 3; g++) {
+		g_autofree char *stale = site_log(gateways[g], "keys-stale");
+
+		g_assert_cmpstr(stale, ==, "");
+	}
 	/* a notice reaches those that do not follow the list */
 	stand_up_drain(f.shops[0]);
 	site_run(f.site, 1000);
@@ -486,9 +493,14 @@
 		site_run(f.site, 300);
 		site_configure(f.site, g ? NULL : ",\"" SITE_OTHER_KEY "\"", NULL);
 		stand_up_drain(g ? f.engines[1] : f.engines[0]);
-		site_run(f.site, 2000);
+		site_run(f.site, 4000);
 		g_assert_true(site_wait_ready(gateways[2], READY_MS));
 	}
+	{
+		g_autofree char *stale = site_log(gateways[2], "keys-stale");
+
+		g_assert_cmpstr(stale, ==, "");
+	}
 	for (uint32_t i = 0; i < 5; i++) {
 		struct site_answer answer = site_call(gateways[2], &request);
 
