--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -50,6 +50,7 @@
 	uint32_t open;		 /**< requests sent and not ended */
 	uint64_t kv_tokens;	 /**< memory that they are expected to reach */
 	uint64_t prefill_tokens; /**< prompt tokens not read yet */
+	uint32_t copies;	 /**< runs whose memory is being copied here */
 };
 
 struct fleet;
--- a/include/flamingolatch/place.h
+++ b/include/flamingolatch/place.h
@@ -26,6 +26,7 @@
 	uint64_t prefill_tokens; /**< prompts not read yet */
 	uint32_t slots;
 	uint32_t open;
+	uint32_t copies;   /**< runs whose memory is being copied there */
 	uint32_t distance; /**< 0 own zone, 1 own region, 2 farther */
 	double failure_share;
 	bool usable; /**< may get new work */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -407,6 +407,7 @@
 		sum.open += peer->load.open;
 		sum.kv_tokens += peer->load.kv_tokens;
 		sum.prefill_tokens += peer->load.prefill_tokens;
+		sum.copies += peer->load.copies;
 	}
 	return sum;
 }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -8,8 +8,9 @@
 
 /* A copy to another zone takes twice as long as one within it, and an engine that leaves has
  * time for a few copies only; between regions none ends in time. */
-static const double place_copy_ms[] = { 0.0, 2000.0, 1e6 };
+static const double place_copy_ms[] = { 0.0, 700.0, 1e6 };
 
+#define PLACE_COPY_MS	       250.0 /* copies into an engine share its link */
 #define PLACE_STALE_MOST_MS    600
 #define PLACE_JITTER_MS	       60.0 /* a tenth of a prompt's time, between engines that look alike */
 #define PLACE_MEMORY_MS	       600.0 /* weight of a full engine against an empty one */
@@ -79,6 +80,7 @@
 			continue;
 		score = place_first_event_ms(rules, need, engine) + place_jitter(need->draw, i) +
 			place_distance(need, engine->distance) +
+			(need->copies ? PLACE_COPY_MS * engine->copies : 0.0) +
 			PLACE_MEMORY_MS * held / (double)MAX(engine->kv_tokens, 1) +
 			PLACE_FAILURE_MS * place_failure(engine->failure_share);
 		if (best == PLACE_NONE || score < best_score) {
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -49,6 +49,13 @@
 	own->prefill_tokens += prefill_tokens;
 }
 
+void dsp_enter_copy(struct dsp_part *part, struct fups *up, uint64_t kv_tokens)
+{
+	dsp_enter(part, up, kv_tokens, 0);
+	part->copying = true;
+	fups_own(up)->copies++;
+}
+
 void dsp_expect(struct dsp_part *part, uint64_t kv_tokens)
 {
 	if (!part->up)
@@ -74,6 +81,7 @@
 	dsp_prefilled(part);
 	fups_own(up)->open--;
 	fups_own(up)->kv_tokens -= part->kv_tokens;
+	fups_own(up)->copies -= part->copying;
 	*part = (struct dsp_part){ 0 };
 	fups_release(up);
 }
@@ -166,6 +174,7 @@
 		.prefill_tokens = own->prefill_tokens + peers.prefill_tokens,
 		.slots = need->engine->slots,
 		.open = own->open + peers.open,
+		.copies = own->copies + peers.copies,
 		.distance = need->near ? fups_distance_between(up, need->near) : fups_distance(up),
 		.failure_share = fups_failure_share(up),
 		.usable = dsp_usable(up, need, now_us),
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -22,6 +22,7 @@
 	struct fups *up; /**< NULL while the request is on none */
 	uint64_t kv_tokens;
 	uint64_t prefill_tokens;
+	bool copying; /**< memory is being copied there */
 };
 
 /** What a choice is made for. */
@@ -59,6 +60,8 @@
 
 /** Counts a request on an upstream and holds it. */
 void dsp_enter(struct dsp_part *part, struct fups *up, uint64_t kv_tokens, uint64_t prefill_tokens);
+/** Counts a run's memory on the engine that it is copied to. */
+void dsp_enter_copy(struct dsp_part *part, struct fups *up, uint64_t kv_tokens);
 /** Takes a new expectation of a generation's memory. */
 void dsp_expect(struct dsp_part *part, uint64_t kv_tokens);
 /** The engine has read the prompt. */
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PRS_TYPE	   "(ssstuba(stuuub))" /* instance, address, zone, incarnation, validity, ... */
-#define PRS_LOAD_TYPE	   "(stuuub)" /* upstream, start, open, memory, unread tokens, leaving */
+#define PRS_TYPE	   "(ssstuba(stuuuub))" /* instance, address, zone, incarnation, validity, ... */
+#define PRS_LOAD_TYPE	   "(stuuuub)" /* upstream, start, open, memory, unread tokens, leaving */
 #define PRS_TICK_MS	   50
 #define PRS_VALID_ROUNDS   4 /* a class's rounds for which a message holds */
 #define PRS_VALID_MIN_MS   1500
@@ -151,10 +151,11 @@
 	for (guint i = 0; i < message->loads->len; i++) {
 		const struct prs_load *load = &g_array_index(message->loads, struct prs_load, i);
 
-		g_variant_builder_add(
-			&loads, PRS_LOAD_TYPE, load->upstream, load->started_ms, load->load.open,
-			(guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
-			(guint32)MIN(load->load.prefill_tokens, G_MAXUINT32), load->leaving);
+		g_variant_builder_add(&loads, PRS_LOAD_TYPE, load->upstream, load->started_ms,
+				      load->load.open,
+				      (guint32)MIN(load->load.kv_tokens, G_MAXUINT32),
+				      (guint32)MIN(load->load.prefill_tokens, G_MAXUINT32),
+				      load->load.copies, load->leaving);
 	}
 	root = g_variant_ref_sink(g_variant_new(
 		PRS_TYPE, message->instance, message->address, message->zone, message->incarnation,
@@ -460,8 +461,8 @@
 	out->valid_ms = valid;
 	out->leaving = ends;
 	out->loads = g_array_new(FALSE, FALSE, sizeof(struct prs_load));
-	while (g_variant_iter_next(iter, "(&stuuub)", &load.upstream, &load.started_ms,
-				   &load.load.open, &kv, &prefill, &leaving)) {
+	while (g_variant_iter_next(iter, "(&stuuuub)", &load.upstream, &load.started_ms,
+				   &load.load.open, &kv, &prefill, &load.load.copies, &leaving)) {
 		load.leaving = leaving;
 		load.load.kv_tokens = kv;
 		load.load.prefill_tokens = prefill;
--- a/src/serve/relay_move.c
+++ b/src/serve/relay_move.c
@@ -86,7 +86,8 @@
 	}
 	relay->move_to = fups_hold(to);
 	/* The copy holds memory there from the first call on. */
-	dsp_enter(&relay->copy, to, relay->request.prompt_tokens + relay->expected_output, 0);
+	dsp_enter_copy(&relay->copy, to, relay->request.prompt_tokens + relay->expected_output);
+	relay->rly->env->placed = true;
 	g_free(relay->copy_source);
 	relay->copy_source = g_strdup(fups_address(relay->part.up));
 	relay_call_move(relay, false);
@@ -131,10 +132,12 @@
 static bool relay_may_stop(const struct relay *relay)
 {
 	uint64_t now_us = env_now_us();
+	uint64_t took_us = now_us - relay->move_sent_us;
+	uint64_t noticed_us = now_us - fups_leaving_since_us(relay->part.up);
 
-	if (now_us - relay->move_sent_us < RELAY_MOVE_IDLE_MS * 1000ULL)
+	if (took_us < RELAY_MOVE_IDLE_MS * 1000ULL)
 		return true;
-	return now_us - fups_leaving_since_us(relay->part.up) > RELAY_NOTICE_MS * 1000ULL;
+	return noticed_us > RELAY_NOTICE_MS * 1000ULL;
 }
 
 /* Goes on after a move that stopped the run did not reach the other engine: the run's own
