--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -87,6 +87,10 @@
 struct fups *fleet_find(struct fleet *fleet, const char *id);
 /** Returns the upstreams of a service in a stable order: an array of struct fups. */
 const GPtrArray *fleet_of_service(struct fleet *fleet, const char *service);
+/** Calls @p each for upstreams that have own requests, and for those whose leaving became
+ * known after @p since_us. */
+void fleet_each_active(struct fleet *fleet, uint64_t since_us,
+		       void (*each)(void *ctx, struct fups *up), void *ctx);
 /** Returns all ids listed now, for a comparison with a full read. */
 GPtrArray *fleet_ids(struct fleet *fleet);
 uint32_t fleet_count(const struct fleet *fleet);
@@ -114,8 +118,9 @@
 uint64_t fups_age_us(const struct fups *up, uint64_t now_us);
 /** Tells that the upstream itself said that it leaves. */
 void fups_set_leaving(struct fups *up, uint64_t now_us);
-/** Own load; changed by whoever sends. */
+/** Own load; changed by whoever sends, who calls fups_touch() after adding to it. */
 struct fups_load *fups_own(struct fups *up);
+void fups_touch(struct fups *up);
 /** Sum of the loads of peers that were heard of lately. */
 struct fups_load fups_peers(const struct fups *up, uint64_t now_us);
 /** Counts the outcome of a request for fups_failure_share() and the circuit.
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -46,6 +46,9 @@
 	void *ctx;
 	GHashTable *by_id;	/* id to struct fups, the present incarnation */
 	GHashTable *by_service; /* service to GPtrArray of struct fups */
+	GHashTable *by_address; /* address to struct fups, the one listed last */
+	GHashTable *active;	/* set of struct fups with own requests, and some without */
+	GQueue left;		/* struct fups, held, in the order in which they left */
 };
 
 static const char *const fups_state_names[FUPS_STATE_COUNT] = { "ready", "lapsed", "leaving",
@@ -85,6 +88,9 @@
 	fleet->changed = changed;
 	fleet->ctx = ctx;
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->active = g_hash_table_new(NULL, NULL);
+	g_queue_init(&fleet->left);
 	fleet->by_service =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, fleet_array_free);
 	return fleet;
@@ -94,6 +100,10 @@
 {
 	if (!fleet)
 		return;
+	while (!g_queue_is_empty(&fleet->left))
+		fups_release(g_queue_pop_head(&fleet->left));
+	g_hash_table_destroy(fleet->active);
+	g_hash_table_destroy(fleet->by_address);
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_service);
 	g_free(fleet->zone);
@@ -151,19 +161,16 @@
 }
 
 /* An address belongs to the upstream that was listed under it last. */
-static void fleet_claim_address(struct fleet *fleet, const struct fups *owner)
+static void fleet_claim_address(struct fleet *fleet, struct fups *owner)
 {
-	GHashTableIter iter;
-	struct fups *up;
+	struct fups *before = g_hash_table_lookup(fleet->by_address, owner->address);
 
-	g_hash_table_iter_init(&iter, fleet->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
-		if (up == owner || strcmp(up->address, owner->address) != 0)
-			continue;
-		if (up->listed_us > owner->listed_us || up->started_ms > owner->started_ms)
-			continue;
-		fups_set_state(up, FUPS_GONE);
-	}
+	if (before && before != owner &&
+	    (before->listed_us > owner->listed_us || before->started_ms > owner->started_ms))
+		return;
+	if (before && before != owner)
+		fups_set_state(before, FUPS_GONE);
+	g_hash_table_replace(fleet->by_address, owner->address, owner);
 }
 
 void fleet_list(struct fleet *fleet, const struct fleet_listing *listing, uint64_t now_us)
@@ -287,6 +294,34 @@
 	up->suspended_until_us = now_us + up->suspended_us;
 }
 
+void fups_touch(struct fups *up)
+{
+	if (up->state != FUPS_GONE)
+		g_hash_table_add(up->fleet->active, up);
+}
+
+void fleet_each_active(struct fleet *fleet, uint64_t since_us,
+		       void (*each)(void *ctx, struct fups *up), void *ctx)
+{
+	GHashTableIter iter;
+	struct fups *up;
+
+	while ((up = g_queue_peek_head(&fleet->left)) && up->leaving_us < since_us)
+		fups_release(g_queue_pop_head(&fleet->left));
+	for (GList *item = fleet->left.head; item; item = item->next) {
+		up = item->data;
+		if (up->state == FUPS_LEAVING && up->own.open == 0)
+			each(ctx, up);
+	}
+	g_hash_table_iter_init(&iter, fleet->active);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&up, NULL)) {
+		if (up->own.open > 0)
+			each(ctx, up);
+		else
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
 void fups_progress(struct fups *up, uint64_t now_us)
 {
 	up->progress_us = now_us;
@@ -443,6 +478,8 @@
 	if (was == state)
 		return;
 	up->state = state;
+	if (state == FUPS_LEAVING)
+		g_queue_push_tail(&up->fleet->left, fups_hold(up));
 	up->fleet->changed(up->fleet->ctx, up, was);
 }
 
@@ -453,6 +490,9 @@
 
 	if (g_hash_table_lookup(fleet->by_id, up->id) == up)
 		g_hash_table_remove(fleet->by_id, up->id);
+	if (g_hash_table_lookup(fleet->by_address, up->address) == up)
+		g_hash_table_remove(fleet->by_address, up->address);
+	g_hash_table_remove(fleet->active, up);
 	if (of_service && g_ptr_array_remove(of_service, up))
 		fups_release(up);
 }
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -47,6 +47,7 @@
 	own->open++;
 	own->kv_tokens += kv_tokens;
 	own->prefill_tokens += prefill_tokens;
+	fups_touch(up);
 }
 
 void dsp_enter_copy(struct dsp_part *part, struct fups *up, uint64_t kv_tokens)
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -13,6 +13,7 @@
 #define PRS_REST_ROUNDS	   3  /* a message that tells nothing new is sent this seldom */
 #define PRS_LOADS	   1  /* type of the messages of this file; the others are passed on */
 #define PRS_HURRY_MS	   15 /* least time between two messages about placed generations */
+#define PRS_NOTICE_US	   (2000ULL * 1000) /* a notice is told on for so long */
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
@@ -164,31 +165,22 @@
 	g_variant_unref(root);
 }
 
-static void prs_collect(const struct prs *prs, const char *service, GArray *loads)
+static void prs_collect(void *ctx, struct fups *up)
 {
-	const GPtrArray *ups = fleet_of_service(prs->env->fleet, service);
+	GArray *loads = ctx;
+	struct prs_load load = { fups_id(up), fups_started_ms(up), *fups_own(up),
+				 fups_state(up) == FUPS_LEAVING };
 
-	for (guint i = 0; i < ups->len; i++) {
-		struct fups *up = ups->pdata[i];
-		struct prs_load load = { fups_id(up), fups_started_ms(up), *fups_own(up),
-					 fups_state(up) == FUPS_LEAVING };
-
-		if (load.load.open || load.load.kv_tokens || load.leaving)
-			g_array_append_val(loads, load);
-	}
+	g_array_append_val(loads, load);
 }
 
+/* Gathers what is told: own load, and notices that are still news. */
 static void prs_collect_all(const struct prs *prs, GArray *loads)
 {
-	g_autoptr(GPtrArray) ids = fleet_ids(prs->env->fleet);
-	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (guint i = 0; i < ids->len; i++) {
-		struct fups *up = fleet_find(prs->env->fleet, ids->pdata[i]);
+	uint64_t now_us = env_now_us();
 
-		if (up && g_hash_table_add(seen, (gpointer)fups_service(up)))
-			prs_collect(prs, fups_service(up), loads);
-	}
+	fleet_each_active(prs->env->fleet, now_us > PRS_NOTICE_US ? now_us - PRS_NOTICE_US : 0,
+			  prs_collect, loads);
 }
 
 static gint prs_by_rank(gconstpointer a, gconstpointer b)
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -800,6 +800,8 @@
 	for (gint i = 0; i < options.seeds; i++) {
 		violations += soak_run(&options);
 		options.seed++;
+		if (options.until_violation && violations)
+			break;
 	}
 	return violations ? 1 : 0;
 }
