--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -6,11 +6,9 @@
 
 #define RELAY_DEFAULT_WAIT_MS 60000 /* of a caller that does not say how long it waits */
 #define RELAY_MIN_SEND_MS     20    /* less is no chance for an answer */
-#define RELAY_TIMEOUT_LATE_MS 60    /* the upstream's own answer at the deadline goes first */
-#define RELAY_RETRY_MIN_MS    400
-#define RELAY_CALL_MS	      1500 /* that a call needs at most, when its upstream is sound */
-#define RELAY_TOKEN_MS	      13   /* a token's time in a full batch */
-#define RELAY_STOP_TAKES_MS   2700 /* after the signal, until callers were sent elsewhere */
+#define RELAY_CALL_MS	      1500  /* that a call needs at most, when its upstream is sound */
+#define RELAY_TOKEN_MS	      13    /* a token's time in a full batch */
+#define RELAY_STOP_TAKES_MS   2700  /* after the signal, until callers were sent elsewhere */
 
 static void relay_on_gone(void *ctx);
 static void relay_on_drained(void *ctx);
--- a/src/serve/relay_send.c
+++ b/src/serve/relay_send.c
@@ -5,8 +5,7 @@
 #define RELAY_EVENT_MAX_BYTES (1U << 20)
 #define RELAY_HOLD_MAX_BYTES  (256U << 10) /* longer answers are passed on as they come */
 #define RELAY_BACKLOG_BYTES   (256U << 10) /* of a caller that reads slowly */
-#define RELAY_TIMEOUT_LATE_MS 60 /* the upstream's own answer at the deadline goes first */
-#define RELAY_EXPECT_EVENTS   16 /* between two looks at how long a stream will be */
+#define RELAY_EXPECT_EVENTS   16	   /* between two looks at how long a stream will be */
 
 static bool relay_on_connected(void *ctx);
 static void relay_on_head(void *ctx, const struct hcall_head *head);
@@ -96,8 +95,7 @@
 	relay->first_event_us = 0;
 	relay->evacuated_us = 0;
 	g_ptr_array_set_size(relay->move_tried, 0);
-	relay->sent_us = env_now_us();
-	relay->progress_us = relay->sent_us;
+	relay->progress_us = env_now_us();
 	g_string_truncate(relay->answer, 0);
 	g_string_truncate(relay->answer_lines, 0);
 	if (relay->events)
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -3,7 +3,6 @@
 #include "flamingolatch/guess.h"
 #include "flamingolatch/reply.h"
 
-#define RELAY_RETRY_MIN_MS    400
 #define RELAY_RETRY_SPREAD_MS 600
 #define RELAY_FREE_TIMEOUT_MS 1000
 #define RELAY_FREE_ANSWER_MAX 4096
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -26,10 +26,13 @@
 	RELAY_SENT,	 /* for the head of an answer */
 	RELAY_HOLDING,	 /* the answer is gathered, to be passed on whole */
 	RELAY_STREAMING, /* the answer is passed on as it comes */
-	RELAY_MOVING,	 /* the run was stopped and goes on elsewhere soon */
-	RELAY_PHASE_COUNT
 };
 
+/** An upstream's own answer at the deadline goes before ours, in ms. */
+#define RELAY_TIMEOUT_LATE_MS 60
+/** Least time after which a refused caller may come back, in ms. */
+#define RELAY_RETRY_MIN_MS 400
+
 /** The requests of an instance. */
 struct rly {
 	struct env *env;
@@ -69,18 +72,18 @@
 	char *up_id;	       /* of the upstream that has or had the request */
 	char *last_event_id;   /* passed on to the caller last */
 	uint64_t arrived_us;
-	uint64_t ends_us; /* no answer is wanted after it */
-	uint64_t give_up_us;
-	uint64_t sent_us;
-	uint64_t progress_us;
+	uint64_t ends_us;	 /* no answer is wanted after it */
+	uint64_t give_up_us;	 /* end of the wait for an engine */
+	uint64_t progress_us;	 /* last sign of the upstream that has the request */
 	uint64_t first_event_us; /* of the present run at its engine; 0 before */
+	uint64_t move_sent_us;	 /* the call that moves the run */
 	uint64_t evacuated_us;	 /* when a move was last tried; 0 before */
 	uint64_t event_count;
 	uint32_t first_ms;   /* from the request to its first event */
 	uint32_t longest_ms; /* pause between two events */
 	uint64_t expected_output;
-	uint32_t runs;
-	uint16_t status;
+	uint32_t runs;	 /* sends that may have run */
+	uint16_t status; /* of the present answer; 0 before */
 	enum relay_phase phase;
 	bool begun;	   /* the answer's head was passed on */
 	bool may_have_run; /* by an earlier send */
@@ -89,9 +92,8 @@
 	bool foreign;	   /* the present answer is not the upstream's */
 	bool stream;	   /* the present answer is a stream of events */
 	bool stopping;	   /* the run is being stopped by a move */
-	bool move_last;
-	uint64_t move_sent_us;
-	bool not_run;
+	bool move_last;	   /* the call that is under way stops the run */
+	bool not_run;	   /* the upstream states that it did not run the request */
 };
 
 /** @name Lifetime and ends
