The entry's parts no longer refer to one another in a circle

Cause: eight files of src/entry and src/command used one another through entry_internal.h. What all use stands in base.c; what it has to tell the peers, and what the accounts ask of generations, are callbacks that entry.c sets. Before: one circle of eight files. The product's own surface is still not on the gateway's request and fleet objects.

--- a/src/entry/accounts.c
+++ b/src/entry/accounts.c
@@ -118,7 +118,7 @@
 	while (g_hash_table_iter_next(&iter, &gr, NULL)) {
 		const char *engine;
 		const char *owner;
-		uint64_t tokens = genreq_held(gr, &engine, &owner);
+		uint64_t tokens = entry->held(gr, &engine, &owner);
 
 		if (tokens)
 			accounts_add(held, engine, owner, tokens);
--- /dev/null
+++ b/src/entry/base.c
@@ -0,0 +1,77 @@
+#include "entry_internal.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+/* commands */
+
+void entry_apply_config(struct entry *entry, const json_t *snapshot, const char *source)
+{
+	g_autoptr(GError) error = NULL;
+	enum cset_result result = cset_apply(entry->cset, snapshot, &error);
+	char revision[24];
+
+	if (result == CSET_INVALID)
+		log_event(LOG_CONFIG_REJECTED, "source", source, "reason", error->message, NULL);
+	if (result != CSET_APPLIED)
+		return;
+	snprintf(revision, sizeof(revision), "%" PRIu64, cset_revision(entry->cset));
+	log_event(LOG_CONFIG_APPLIED, "revision", revision, "source", source, NULL);
+	metric_set(entry->metric, METRIC_REVISION, (int64_t)cset_revision(entry->cset));
+	memb_set_revision(entry->memb, cset_revision(entry->cset));
+	entry->tell_soon(entry);
+	if (!entry->ready) {
+		entry->ready = true;
+		log_event(LOG_READY, "revision", revision, NULL);
+	}
+}
+
+void entry_upstream_leaving(struct entry *entry, struct upstream *up, const char *source)
+{
+	if (!upstream_set_leaving(up, entry_now_us()))
+		return;
+	log_event(LOG_ENGINE_LEAVING, "engine", upstream_id(up), "source", source, NULL);
+	entry->tell_leaving(entry, up);
+	entry->tell_soon(entry);
+}
+
+/* queries */
+
+uint64_t entry_now_us(void)
+{
+	return uv_hrtime() / 1000;
+}
+
+uint64_t entry_wall_ms(void)
+{
+	return (uint64_t)(g_get_real_time() / 1000);
+}
+
+struct entry_service *entry_service(struct entry *entry, const char *name)
+{
+	return g_hash_table_lookup(entry->services, name);
+}
+
+enum prof_spill entry_spill(struct entry *entry, enum prof_spill spill)
+{
+	if (spill < PROF_SPILL_REGION || budget_has(&entry->far, entry_now_us()))
+		return spill;
+	return PROF_SPILL_ZONE;
+}
+
+void entry_relayed(struct entry *entry, const struct upstream *up, size_t bytes)
+{
+	if (pool_distance(entry->pool, up) == POOL_FAR)
+		budget_spend(&entry->far, bytes, entry_now_us());
+}
+
+struct len *entry_len(struct entry_service *service, const char *customer)
+{
+	struct len *len = g_hash_table_lookup(service->len_by_customer, customer);
+
+	if (len)
+		return len;
+	len = len_create(service->len);
+	g_hash_table_insert(service->len_by_customer, g_strdup(customer), len);
+	return len;
+}
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -52,6 +52,16 @@
 	entry->memb = memb_create(&self, entry_on_member, entry);
 }
 
+static void entry_tell_soon(struct entry *entry)
+{
+	gossip_urgent(entry->gossip);
+}
+
+static void entry_tell_leaving(struct entry *entry, const struct upstream *up)
+{
+	gossip_leaving(entry->gossip, upstream_id(up), upstream_address(up));
+}
+
 struct entry *entry_create(struct settings *set, GError **error)
 {
 	struct entry *entry = g_new0(struct entry, 1);
@@ -82,6 +92,9 @@
 		return NULL;
 	}
 	entry_join(entry);
+	entry->tell_soon = entry_tell_soon;
+	entry->tell_leaving = entry_tell_leaving;
+	entry->held = genreq_held;
 	entry->gossip = gossip_create(entry);
 	entry->watch = watch_create(entry);
 	entry->orders = orders_create(entry);
@@ -141,36 +154,6 @@
 	uv_run(entry->loop, UV_RUN_DEFAULT);
 }
 
-void entry_apply_config(struct entry *entry, const json_t *snapshot, const char *source)
-{
-	g_autoptr(GError) error = NULL;
-	enum cset_result result = cset_apply(entry->cset, snapshot, &error);
-	char revision[24];
-
-	if (result == CSET_INVALID)
-		log_event(LOG_CONFIG_REJECTED, "source", source, "reason", error->message, NULL);
-	if (result != CSET_APPLIED)
-		return;
-	snprintf(revision, sizeof(revision), "%" PRIu64, cset_revision(entry->cset));
-	log_event(LOG_CONFIG_APPLIED, "revision", revision, "source", source, NULL);
-	metric_set(entry->metric, METRIC_REVISION, (int64_t)cset_revision(entry->cset));
-	memb_set_revision(entry->memb, cset_revision(entry->cset));
-	gossip_urgent(entry->gossip);
-	if (!entry->ready) {
-		entry->ready = true;
-		log_event(LOG_READY, "revision", revision, NULL);
-	}
-}
-
-void entry_upstream_leaving(struct entry *entry, struct upstream *up, const char *source)
-{
-	if (!upstream_set_leaving(up, entry_now_us()))
-		return;
-	log_event(LOG_ENGINE_LEAVING, "engine", upstream_id(up), "source", source, NULL);
-	gossip_leaving(entry->gossip, upstream_id(up), upstream_address(up));
-	gossip_urgent(entry->gossip);
-}
-
 static void entry_on_signal(uv_signal_t *signal, int number)
 {
 	struct entry *entry = signal->data;
@@ -225,47 +208,6 @@
 	metric_set(entry->metric, METRIC_MEMBERS, memb_live(entry->memb));
 }
 
-/* queries */
-
-uint64_t entry_now_us(void)
-{
-	return uv_hrtime() / 1000;
-}
-
-uint64_t entry_wall_ms(void)
-{
-	return (uint64_t)(g_get_real_time() / 1000);
-}
-
-struct entry_service *entry_service(struct entry *entry, const char *name)
-{
-	return g_hash_table_lookup(entry->services, name);
-}
-
-enum prof_spill entry_spill(struct entry *entry, enum prof_spill spill)
-{
-	if (spill < PROF_SPILL_REGION || budget_has(&entry->far, entry_now_us()))
-		return spill;
-	return PROF_SPILL_ZONE;
-}
-
-void entry_relayed(struct entry *entry, const struct upstream *up, size_t bytes)
-{
-	if (pool_distance(entry->pool, up) == POOL_FAR)
-		budget_spend(&entry->far, bytes, entry_now_us());
-}
-
-struct len *entry_len(struct entry_service *service, const char *customer)
-{
-	struct len *len = g_hash_table_lookup(service->len_by_customer, customer);
-
-	if (len)
-		return len;
-	len = len_create(service->len);
-	g_hash_table_insert(service->len_by_customer, g_strdup(customer), len);
-	return len;
-}
-
 /* helpers */
 
 static void entry_log_port(const char *what, const char *address, uint16_t port)
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -2,7 +2,8 @@
  * @file entry_internal.h
  * Private parts of an entry instance, shared by its commands and queries.
  *
- * entry.c owns the lifetime, watch.c follows the platform and the engines,
+ * entry.c owns the lifetime and puts the parts together, base.c holds what all of
+ * them use, watch.c follows the platform and the engines,
  * gossip.c talks with the peers, router.c hands requests to src/command and
  * src/query. All of it runs on one loop and one thread.
  */
@@ -78,6 +79,12 @@
 	bool ready;
 	bool stopping;
 	bool drain_warned;
+	/** Tells the peers at once instead of at the next round. */
+	void (*tell_soon)(struct entry *entry);
+	/** Tells the peers of an upstream that leaves. */
+	void (*tell_leaving)(struct entry *entry, const struct upstream *up);
+	/** Returns the tokens that a generation holds on an engine for an owner; 0 when none. */
+	uint64_t (*held)(const struct genreq *gen, const char **engine, const char **owner);
 };
 
 /** Monotonic time in microseconds. */
