--- /dev/null
+++ b/src/serve/dump.h
@@ -0,0 +1,17 @@
+/**
+ * @file dump.h
+ * The state of a gateway instance as JSON, for people.
+ */
+#ifndef FLAMINGOLATCH_SERVE_DUMP_H
+#define FLAMINGOLATCH_SERVE_DUMP_H
+
+#include "env.h"
+#include "follow.h"
+#include "relay.h"
+
+#include <jansson.h>
+
+/** Returns what the instance believes, knows and works on; keys are left out. */
+json_t *dump_state(struct env *env, const struct fol *fol, const struct rly *rly);
+
+#endif
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -2,6 +2,7 @@
 
 #include "delegate.h"
 #include "dispatch.h"
+#include "dump.h"
 #include "env.h"
 #include "follow.h"
 #include "peers.h"
@@ -348,8 +349,13 @@
 static void gw_on_metrics_request(void *ctx, struct hreq *req)
 {
 	struct gw *gw = ctx;
-	g_autoptr(GString) text = g_string_new(NULL);
+	g_autoptr(GString) text = NULL;
 
+	if (strcmp(hreq_path(req), "/state") == 0) {
+		rpl_json(req, 200, dump_state(&gw->env, gw->fol, gw->rly));
+		return;
+	}
+	text = g_string_new(NULL);
 	metric_text(gw->env.metric, text);
 	hreq_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
 }
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -381,6 +381,25 @@
 
 /* queries */
 
+json_t *rly_state(const struct rly *rly, uint32_t most)
+{
+	json_t *out = json_array();
+
+	for (GList *item = rly->relays.head; item && json_array_size(out) < most;
+	     item = item->next) {
+		const struct relay *relay = item->data;
+
+		json_array_append_new(
+			out, json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b}", "id",
+				       relay_id(relay), "route", relay_route(relay), "upstream",
+				       relay_up_id(relay), "phase", relay_phase_name(relay->phase),
+				       "age_ms", (json_int_t)relay_age_ms(relay), "events",
+				       (json_int_t)relay->event_count, "runs", (int)relay->runs,
+				       "moving", relay->move != NULL));
+	}
+	return out;
+}
+
 uint32_t rly_open(const struct rly *rly)
 {
 	return rly->relays.length;
--- a/src/serve/relay.h
+++ b/src/serve/relay.h
@@ -12,6 +12,8 @@
 #include "dispatch.h"
 #include "env.h"
 
+#include <jansson.h>
+
 struct rly;
 
 struct rly *rly_create(struct env *env, struct dsp *dsp);
@@ -23,6 +25,8 @@
 void rly_tick(struct rly *rly);
 /** Grants engines that became free to generations that wait. */
 void rly_serve(struct rly *rly);
+/** Returns the requests under way for the state dump, at most @p most of them. */
+json_t *rly_state(const struct rly *rly, uint32_t most);
 /** Returns the requests that are not answered in full. */
 uint32_t rly_open(const struct rly *rly);
 
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -8,6 +8,9 @@
 #define RELAY_FREE_ANSWER_MAX 4096
 #define RELAY_MAX_PRIORITY    9
 
+static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "sent", "holding",
+								  "streaming" };
+
 /* lifetime */
 
 static void relay_release_up(gpointer data)
@@ -249,6 +252,11 @@
 
 /* queries */
 
+const char *relay_phase_name(enum relay_phase phase)
+{
+	return relay_phase_names[phase];
+}
+
 const char *relay_id(const struct relay *relay)
 {
 	return relay->request.id ? relay->request.id : "-";
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -26,8 +26,11 @@
 	RELAY_SENT,	 /* for the head of an answer */
 	RELAY_HOLDING,	 /* the answer is gathered, to be passed on whole */
 	RELAY_STREAMING, /* the answer is passed on as it comes */
+	RELAY_PHASE_COUNT
 };
 
+const char *relay_phase_name(enum relay_phase phase);
+
 /** An upstream's own answer at the deadline goes before ours, in ms. */
 #define RELAY_TIMEOUT_LATE_MS 60
 /** Least time after which a refused caller may come back, in ms. */
--- a/test/stand/site.c
+++ b/test/stand/site.c
@@ -250,6 +250,32 @@
 	} while (uv_hrtime() < until_ns);
 }
 
+struct page {
+	char *text;
+	bool done;
+};
+
+static void page_on_answer(void *ctx, const struct fetch_answer *answer)
+{
+	struct page *page = ctx;
+
+	page->text = g_strndup(answer->body, answer->body_len);
+	page->done = true;
+}
+
+char *site_get(struct site *site, const char *address, const char *path)
+{
+	struct hcall_req req = {
+		.address = address, .method = "GET", .path = path, .timeout_ms = 5000, .fresh = true
+	};
+	struct page page = { 0 };
+
+	fetch_start(site->cli, &req, 1U << 20, NULL, page_on_answer, &page);
+	while (!page.done)
+		site_run(site, 1);
+	return page.text;
+}
+
 static void ready_on_answer(void *ctx, const struct fetch_answer *answer)
 {
 	int *status = ctx;
--- a/test/stand/site.h
+++ b/test/stand/site.h
@@ -82,6 +82,8 @@
 bool site_wait_exit(struct site_gateway *gateway, uint32_t ms);
 /** Waits until the instance says that it is ready. */
 bool site_wait_ready(struct site_gateway *gateway, uint32_t ms);
+/** Returns the body of a page. The caller frees it. */
+char *site_get(struct site *site, const char *address, const char *path);
 /** Asks for readiness once. */
 bool site_is_ready(struct site_gateway *gateway);
 
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -92,6 +92,18 @@
 	return run;
 }
 
+/* The dump names what the instance knows, and no key. */
+static void check_state(struct fixture *f)
+{
+	g_autofree char *text = site_get(f->site, f->gateway->metrics, "/state");
+	g_autofree char *metrics = site_get(f->site, f->gateway->metrics, "/metrics");
+
+	g_assert_nonnull(strstr(text, "\"id\":\"engine-1\""));
+	g_assert_nonnull(strstr(text, "\"keys_fresh\":true"));
+	g_assert_null(strstr(text, SITE_KEY));
+	g_assert_nonnull(strstr(metrics, "requests_total 1"));
+}
+
 static void test_calm(void)
 {
 	struct fixture f;
@@ -102,6 +114,7 @@
 	fixture_open(&f);
 	run = expect(&f, &once, 200);
 	g_assert_cmpuint(run.runs, ==, 1);
+	check_state(&f);
 	g_assert_cmpstr(run.customer, ==, "one");
 	g_assert_false(run.key_passed);
 	expect(&f, &safe, 200);
