New work that would be late is told when to come back

Ruled out: memory (engines held 10-20k of 26.9k tokens), queue limits (no instance queued), the choice of engine (all were equally loaded). The decision is place_late_ms(): a backlog that leaves less time than the expected first event; it is never asked for a generation that goes on. Retry-After is when the backlog should have been read.

--- a/include/flamingolatch/place.h
+++ b/include/flamingolatch/place.h
@@ -38,7 +38,7 @@
 	uint64_t output_tokens; /**< expected */
 	uint32_t stale_ms;	/**< age of what is known of engines beyond the own zone */
 	uint32_t draw;		/**< evenly distributed; spreads instances that see the same */
-	uint32_t left_ms;	/**< until its first event is late */
+	uint32_t left_ms;	/**< until its first event is late; 0 when that does not matter */
 	bool resumes;		/**< goes on from a copy; goes before memory is reserved */
 	bool copies;		/**< its memory has to be copied there, one run after the other */
 };
@@ -55,6 +55,11 @@
 /** Returns the index of the engine for a generation, or PLACE_NONE. */
 int32_t place_engine(const struct place_rules *rules, const struct place_need *need,
 		     const struct place_engine *engines, uint32_t count);
+/** Returns by how much the first event on an engine would miss the time that is left, in ms.
+ * Under lasting overload every prompt waits behind others; work that would be late is better
+ * told to come back than put before work that is still in time. */
+uint32_t place_late_ms(const struct place_rules *rules, const struct place_need *need,
+		       const struct place_engine *engine);
 /** Returns the expected time to the first event on an engine, in ms. */
 uint32_t place_first_event_ms(const struct place_rules *rules, const struct place_need *need,
 			      const struct place_engine *engine);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -37,6 +37,16 @@
 	return (uint32_t)(unread / rules->prefill_tokens_per_ms + PLACE_STEP_MS * engine->open);
 }
 
+uint32_t place_late_ms(const struct place_rules *rules, const struct place_need *need,
+		       const struct place_engine *engine)
+{
+	uint32_t first_ms = place_first_event_ms(rules, need, engine);
+
+	if (need->left_ms == 0 || need->resumes || engine->prefill_tokens == 0)
+		return 0;
+	return first_ms > need->left_ms ? first_ms - need->left_ms : 0;
+}
+
 static double place_failure(double share)
 {
 	return share > PLACE_FAILURE_IGNORED ? share - PLACE_FAILURE_IGNORED : 0.0;
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -200,7 +200,8 @@
 	if (best == PLACE_NONE)
 		return NULL;
 	basis->load = views[best].kv_expected;
-	return ups->pdata[best];
+	basis->late_ms = place_late_ms(&rules, &need->place, &views[best]);
+	return basis->late_ms ? NULL : ups->pdata[best];
 }
 
 struct fups *dsp_pick_plain(struct dsp *dsp, const struct dsp_need *need, struct dsp_basis *basis)
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -40,6 +40,8 @@
 struct dsp_basis {
 	uint32_t candidates;
 	uint64_t load; /**< expected memory of the chosen engine, or open calls of the upstream */
+	uint32_t
+		late_ms; /**< how much later than wanted its first event would be; 0 when in time */
 };
 
 /** Called when a waiting generation gets an engine. */
@@ -49,7 +51,8 @@
 /** No ticket may be open. */
 void dsp_destroy(struct dsp *dsp);
 
-/** Returns an engine for a generation, or NULL when none has room. */
+/** Returns an engine for a generation, or NULL when none has room, or none could begin in the
+ * time that is left; dsp_basis::late_ms tells the latter. */
 struct fups *dsp_pick_engine(struct dsp *dsp, const struct dsp_need *need, struct dsp_basis *basis);
 /** Returns an upstream for a call, or NULL. */
 struct fups *dsp_pick_plain(struct dsp *dsp, const struct dsp_need *need, struct dsp_basis *basis);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -6,9 +6,10 @@
 
 #define RELAY_DEFAULT_WAIT_MS 60000 /* of a caller that does not say how long it waits */
 #define RELAY_MIN_SEND_MS     20    /* less is no chance for an answer */
-#define RELAY_CALL_MS	      1500  /* that a call needs at most, when its upstream is sound */
-#define RELAY_TOKEN_MS	      13    /* a token's time in a full batch */
-#define RELAY_STOP_TAKES_MS   2700  /* after the signal, until callers were sent elsewhere */
+#define RELAY_LATE_MOST_MS    3000 /* of a wait that is asked for; longer guesses are worth little */
+#define RELAY_CALL_MS	      1500 /* that a call needs at most, when its upstream is sound */
+#define RELAY_TOKEN_MS	      13   /* a token's time in a full batch */
+#define RELAY_STOP_TAKES_MS   2700 /* after the signal, until callers were sent elsewhere */
 
 static void relay_on_gone(void *ctx);
 static void relay_on_drained(void *ctx);
@@ -116,7 +117,7 @@
 }
 
 /* Lets a generation wait for an engine, or refuses it when the wait would be too long. */
-static void relay_queue(struct relay *relay, const struct dsp_need *need)
+static void relay_queue(struct relay *relay, const struct dsp_need *need, uint32_t late_ms)
 {
 	const struct gset_load *load = &relay->rly->env->set->load;
 	uint32_t waiting = dsp_waiting(relay->rly->dsp);
@@ -126,6 +127,13 @@
 		relay_answer_error(relay, ERR_OVERLOADED, relay_retry_ms(relay), "queue-full");
 		return;
 	}
+	/* Nothing gets better by waiting when all engines are behind. */
+	if (late_ms) {
+		relay_answer_error(relay, ERR_OVERLOADED,
+				   relay_retry_ms(relay) + MIN(late_ms, RELAY_LATE_MOST_MS),
+				   "would-be-late");
+		return;
+	}
 	relay->phase = RELAY_WAITING;
 	relay->give_up_us = MIN(relay->arrived_us + load->wait_ms * 1000, relay->ends_us);
 	log_event(LOG_REQUEST_QUEUED, "request", relay_id(relay), "route", relay_route(relay),
@@ -145,7 +153,7 @@
 		/* Those that wait go first. */
 		up = dsp_waiting(dsp) ? NULL : dsp_pick_engine(dsp, &need, &basis);
 		if (!up && dsp_any(dsp, relay->service_name)) {
-			relay_queue(relay, &need);
+			relay_queue(relay, &need, basis.late_ms);
 			return;
 		}
 	} else {
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -6,6 +6,8 @@
 #define RELAY_RETRY_SPREAD_MS 600
 #define RELAY_FREE_TIMEOUT_MS 1000
 #define RELAY_FREE_ANSWER_MAX 4096
+#define RELAY_ON_TIME_PART    0.95 /* of the objective; the rest is the way back */
+#define RELAY_CAME_BACK_MS    300  /* a caller that waits this much less than its route allows */
 #define RELAY_MAX_PRIORITY    9
 
 static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "sent", "holding",
@@ -296,18 +298,27 @@
 	return MIN(relay->route->priority, RELAY_MAX_PRIORITY);
 }
 
-struct dsp_need relay_need(const struct relay *relay)
+/* Returns the time in which a generation's first event is wanted; 0 when it may be late: its
+ * caller has come back, and is not sent away twice. */
+static uint32_t relay_left_for_first_ms(const struct relay *relay)
 {
 	uint64_t spent_ms = relay_age_ms(relay);
-	uint32_t objective_ms = relay->route->objective_ms;
+	uint64_t wanted_ms = (uint64_t)(relay->route->objective_ms * RELAY_ON_TIME_PART);
+	bool came_back = relay->request.wait_ms + RELAY_CAME_BACK_MS < relay->route->timeout_ms;
+
+	if (came_back || relay->event_count > 0 || relay->runs > 0)
+		return 0;
+	return spent_ms < wanted_ms ? (uint32_t)(wanted_ms - spent_ms) : 1;
+}
 
+struct dsp_need relay_need(const struct relay *relay)
+{
 	return (struct dsp_need){
 		.service = relay->service_name,
 		.engine = relay_is_generation(relay) ? &relay->service->engine : NULL,
 		.place = { .prompt_tokens = relay->request.prompt_tokens,
 			   .output_tokens = relay->expected_output,
-			   .left_ms =
-				   spent_ms < objective_ms ? objective_ms - (uint32_t)spent_ms : 0,
+			   .left_ms = relay_left_for_first_ms(relay),
 			   .stale_ms = relay->rly->env->far_ms,
 			   .draw = g_rand_int(relay->rly->env->rand),
 			   .resumes = relay->resumed },
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -100,6 +100,35 @@
 	g_assert_cmpint(choose(&need, engines, 2), ==, 1);
 }
 
+/* New work that would be late waits elsewhere; work in time, idle engines and resumes do not. */
+static void test_late(void)
+{
+	struct place_engine busy = engine(0, 0, 0);
+	struct place_need need = { .prompt_tokens = 3000, .left_ms = 600 };
+
+	/* an idle engine starts at once, whatever is left */
+	g_assert_cmpuint(place_late_ms(&place_default_rules, &need, &busy), ==, 0);
+	busy.prefill_tokens = 40000;
+	uint32_t late_ms = place_late_ms(&place_default_rules, &need, &busy);
+
+	g_assert_cmpuint(late_ms, >, 0);
+	g_assert_cmpuint(late_ms, ==,
+			 place_first_event_ms(&place_default_rules, &need, &busy) - need.left_ms);
+	/* the more is ahead, the later to return */
+	busy.prefill_tokens = 60000;
+	g_assert_cmpuint(place_late_ms(&place_default_rules, &need, &busy), >, late_ms);
+	/* in time */
+	need.left_ms = 60000;
+	g_assert_cmpuint(place_late_ms(&place_default_rules, &need, &busy), ==, 0);
+	/* nothing to be in time for */
+	need.left_ms = 0;
+	g_assert_cmpuint(place_late_ms(&place_default_rules, &need, &busy), ==, 0);
+	/* a generation that goes on is never turned away here */
+	need.left_ms = 600;
+	need.resumes = true;
+	g_assert_cmpuint(place_late_ms(&place_default_rules, &need, &busy), ==, 0);
+}
+
 static void test_plain(void)
 {
 	struct place_plain ups[3] = {
@@ -129,6 +158,7 @@
 	g_test_add_func("/place/memory", test_memory);
 	g_test_add_func("/place/copies", test_copies);
 	g_test_add_func("/place/stale", test_stale);
+	g_test_add_func("/place/late", test_late);
 	g_test_add_func("/place/plain", test_plain);
 	return g_test_run();
 }
