--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -19,6 +19,8 @@
 };
 
 /* A call that waits for a change or for its delay. */
+#define STAND_PAGE_ROWS 500 /* the protocol's limit */
+
 struct stand_wait {
 	struct stand *stand;
 	struct hreq *req;
@@ -41,6 +43,7 @@
 	uint64_t version;
 	uint64_t oldest; /* version from which changes are known */
 	uint32_t calls;
+	uint32_t list_pages; /* of the instance list */
 	uint32_t delay_ms;
 	uint32_t handles;
 	enum stand_store_mode mode;
@@ -289,22 +292,69 @@
 	json_decref(root);
 }
 
+static gint stand_by_key(gconstpointer a, gconstpointer b)
+{
+	const struct stand_row *const *one = a;
+	const struct stand_row *const *other = b;
+
+	return strcmp((*one)->key, (*other)->key);
+}
+
+/* Returns the key after which a page begins, or NULL. The range starts at a key followed by a
+ * zero byte, which no string holds. */
+static char *stand_page_after(const struct hreq *req)
+{
+	const char *from = strstr(hreq_query(req), "&from=");
+	const char *end = from ? strstr(from, "%00") : NULL;
+
+	return end ? g_uri_unescape_segment(from + strlen("&from="), end, NULL) : NULL;
+}
+
+/* Appends the rows of a page. @return whether there are more */
+static bool stand_append_page(struct hreq *req, GPtrArray *found, json_t *rows)
+{
+	g_autofree char *after = stand_page_after(req);
+	g_autofree char *limit_text = hreq_query_param(req, "limit");
+	uint64_t limit = limit_text ? strtoull(limit_text, NULL, 10) : STAND_PAGE_ROWS;
+
+	g_ptr_array_sort(found, stand_by_key);
+	for (guint i = 0; i < found->len; i++) {
+		const struct stand_row *row = found->pdata[i];
+
+		if (after && strcmp(row->key, after) <= 0)
+			continue;
+		if (json_array_size(rows) >= MIN(limit, STAND_PAGE_ROWS))
+			return true;
+		json_array_append_new(rows, stand_row_json(row));
+	}
+	return false;
+}
+
 static void stand_answer_rows(struct stand *stand, struct hreq *req, const char *table,
 			      uint64_t since, bool feed)
 {
 	json_t *rows = json_array();
+	g_autoptr(GPtrArray) found = g_ptr_array_new();
+	bool more = false;
 
 	for (guint i = 0; i < stand->rows->len; i++) {
-		const struct stand_row *row = stand->rows->pdata[i];
+		struct stand_row *row = stand->rows->pdata[i];
 
 		if (strcmp(row->table, table) != 0 || (feed && row->version <= since) ||
 		    (!feed && !row->text))
 			continue;
-		json_array_append_new(rows, stand_row_json(row));
+		if (feed)
+			json_array_append_new(rows, stand_row_json(row));
+		else
+			g_ptr_array_add(found, row);
 	}
+	if (!feed)
+		more = stand_append_page(req, found, rows);
+	if (!feed && strcmp(table, "servers") == 0)
+		stand->list_pages++;
 	stand->calls++;
 	stand_reply(req, 200,
-		    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", 0, "row_version",
+		    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", more, "row_version",
 			      (json_int_t)stand->version, "now_ms",
 			      (json_int_t)uv_now(stand->loop)));
 }
@@ -713,6 +763,11 @@
 	return stand->calls;
 }
 
+uint32_t stand_list_pages(const struct stand *stand)
+{
+	return stand->list_pages;
+}
+
 const char *stand_up_address(const struct stand_up *up)
 {
 	return up->address;
