--- a/src/serve/delegate.h
+++ b/src/serve/delegate.h
@@ -10,10 +10,6 @@
  * configuration was confirmed. Nothing is agreed on: any number may follow the
  * store themselves, and whoever gets no sound answer does.
  *
- * A starting instance of a large group gets the instance list from there too:
- * the link to the store's region may be narrow, and a list for each instance
- * would fill it.
- *
  * An answer confirms the configuration as of the moment at which the question
  * was sent, less the age that the delegate states; a late answer proves no more.
  */
@@ -32,7 +28,6 @@
 struct dlg_ask {
 	const char *address; /**< where to answer */
 	uint64_t asked_us;   /**< the asker's clock; comes back unchanged */
-	bool needs_list;     /**< the asker does not know the instance list yet */
 };
 
 /** The delegate's answer. */
