Soak: a deliberate defect of keys is met by a fault made for it

Cause: the test waited for chance. The defect shows only when a key is revoked while an instance is out of reach of the store for longer than the bound and a caller then uses that key there.

Now: the soak has a fault 'keys-unseen', a key that changes while one instance cannot read the store for three bounds, and the test plays it alone, as the other four defects have theirs.

Conclusion: the check is as strict (a violation must be reported), and no longer depends on a coincidence.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -19,14 +19,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SOAK_TICK_MS	  2
-#define SOAK_CALM_MS	  4000 /* undisturbed for so long, an instance keeps bounds in time */
-#define SOAK_DRAIN_MS	  3000
-#define SOAK_CONFIG_MS	  3000
-#define SOAK_RECOVER_MS	  12000
-#define SOAK_KEYS	  4
-#define SOAK_LONG_TOKENS  600
-#define SOAK_QUICK_TOKENS 40
+#define SOAK_TICK_MS	    2
+#define SOAK_CALM_MS	    4000 /* undisturbed for so long, an instance keeps bounds in time */
+#define SOAK_DRAIN_MS	    3000
+#define SOAK_CONFIG_MS	    3000
+#define SOAK_RECOVER_MS	    12000
+#define SOAK_REVOKED_CUT_MS (3 * SITE_REVOKE_MS) /* two bounds in which an old key may be seen */
+#define SOAK_KEYS	    4
+#define SOAK_KEYS_UNSEEN    "keys-unseen"
+#define SOAK_LONG_TOKENS    600
+#define SOAK_QUICK_TOKENS   40
 
 struct soak_options {
 	gint seed;
@@ -333,6 +335,20 @@
 	}
 }
 
+/* Changes a key while an instance cannot learn of it from the store. */
+static void fault_keys_unseen(struct soak *soak)
+{
+	struct instance *instance = soak->instances->pdata[draw(soak, soak->instances->len)];
+
+	if (instance->heal_ms)
+		return;
+	note_fault(soak, SOAK_KEYS_UNSEEN);
+	proxy_set(instance->store, PROXY_SILENT, 0);
+	instance->heal_ms = now_ms() + SOAK_REVOKED_CUT_MS;
+	instance->disturbed_ms = instance->heal_ms;
+	fault_keys(soak);
+}
+
 static void tend_instance(struct soak *soak, struct instance *instance)
 {
 	uint64_t now = now_ms();
@@ -557,7 +573,9 @@
 {
 	uint32_t kind = draw(soak, 20);
 
-	if (soak->options.only)
+	if (g_strcmp0(soak->options.only, SOAK_KEYS_UNSEEN) == 0)
+		fault_keys_unseen(soak);
+	else if (soak->options.only)
 		fault_replica(soak, find_fault(soak->options.only));
 	else if (kind < 8)
 		fault_instance(soak);
@@ -774,8 +792,7 @@
 		{ "callers", 0, 0, G_OPTION_ARG_INT, &options.callers, "Requests at once", "N" },
 		{ "program", 0, 0, G_OPTION_ARG_FILENAME, &options.program, "Program to run",
 		  "FILE" },
-		{ "only", 0, 0, G_OPTION_ARG_STRING, &options.only, "This fault of replicas alone",
-		  "NAME" },
+		{ "only", 0, 0, G_OPTION_ARG_STRING, &options.only, "This fault alone", "NAME" },
 		{ "until-violation", 0, 0, G_OPTION_ARG_NONE, &options.until_violation,
 		  "End a seed at the first violation", NULL },
 		{ "verbose", 'v', 0, G_OPTION_ARG_NONE, &options.verbose, "Name faults", NULL },
@@ -791,7 +808,8 @@
 		fprintf(stderr, "%s\n", error->message);
 		return 2;
 	}
-	if (options.only && find_fault(options.only) == REPLICA_FAULT_COUNT) {
+	if (options.only && strcmp(options.only, SOAK_KEYS_UNSEEN) != 0 &&
+	    find_fault(options.only) == REPLICA_FAULT_COUNT) {
 		fprintf(stderr, "no such fault: %s\n", options.only);
 		return 2;
 	}
