Copies runs off engines whose entries lapsed around an outage

Ruled out: taking such an engine as leaving at once (most lapsed entries come back, and their runs would be stopped); asking the engine's report (an engine that was taken away without announcing does not say so).

Now a run is copied while its engine's entry is missing, unless more than half of its service's entries are, and is stopped there only when the entry stays away; an entry that is back frees the copy. /gateway/lapse-copied failed first (0 of 3 runs copied before the engine counted as leaving), /fleet/may-end, /gateway/lapse-back. The stand-in engine keeps one copy a run and frees it.

Found beside it: an engine with many runs loses all of them, since the last copy of each waits behind the first copies of the others.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -114,6 +114,9 @@
 uint32_t fups_slots(const struct fups *up);
 /** When its leaving became known; 0 while it is not leaving. */
 uint64_t fups_leaving_since_us(const struct fups *up);
+/** Tells whether its runs are to be copied to other engines: it leaves, or its entry lapsed while
+ * those of most others of its service stand. An outage takes the entries of many at once. */
+bool fups_may_end(const struct fups *up);
 /** Time since its entry first appeared here, in us. */
 uint64_t fups_age_us(const struct fups *up, uint64_t now_us);
 /** Tells that the upstream itself said that it leaves. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -6,6 +6,7 @@
 #define FLEET_CIRCUIT_FAILURES 2	       /* unanswered in a row */
 #define FLEET_CIRCUIT_FIRST_US (400ULL * 1000) /* above the longest round trip */
 #define FLEET_CIRCUIT_MAX_US   (3200ULL * 1000)
+#define FLEET_LAPSED_MOST      0.5 /* of a service; with more, no room is left for their runs */
 #define FLEET_FORGET_US	       (30ULL * 1000 * 1000) /* longer than leaving upstreams go on */
 
 struct fleet_peer {
@@ -414,6 +415,19 @@
 	return up->slots;
 }
 
+bool fups_may_end(const struct fups *up)
+{
+	const GPtrArray *of_service;
+	uint32_t lapsed = 0;
+
+	if (up->state != FUPS_LAPSED)
+		return up->state == FUPS_LEAVING;
+	of_service = fleet_of_service(up->fleet, up->service);
+	for (guint i = 0; i < of_service->len; i++)
+		lapsed += ((const struct fups *)of_service->pdata[i])->state == FUPS_LAPSED;
+	return lapsed <= of_service->len * FLEET_LAPSED_MOST;
+}
+
 uint64_t fups_leaving_since_us(const struct fups *up)
 {
 	return up->leaving_us;
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -323,6 +323,8 @@
 			relay_answer_error(relay, ERR_OVERLOADED, relay_retry_ms(relay), "waited");
 	} else if (relay_must_move(relay, now_us)) {
 		relay_evacuate(relay);
+	} else if (relay_has_idle_copy(relay)) {
+		relay_drop_move(relay);
 	} else if (relay_is_silent(relay, now_us)) {
 		fups_outcome(relay->part.up, false, false, now_us);
 		relay_drop_call(relay);
--- a/src/serve/relay_move.c
+++ b/src/serve/relay_move.c
@@ -71,12 +71,22 @@
 	need.place.resumes = true;
 	need.place.copies = true;
 	need.near = relay->part.up;
+	if (relay->copy.up && fups_state(relay->copy.up) == FUPS_READY) {
+		/* It was made while the entry of the run's engine was missing. */
+		relay->move_to = fups_hold(relay->copy.up);
+		relay_call_move(relay, false);
+		return;
+	}
+	relay_drop_move(relay);
 	to = relay_has_copy(relay) && relay->move_tried->len == 0
 		     ? relay->backup.up
 		     : dsp_pick_engine(relay->rly->dsp, &need, &basis);
 	/* A copy between regions takes longer than any notice, and holds up the others. */
 	if (to && fups_distance_between(to, relay->part.up) == FUPS_FAR)
 		to = NULL;
+	/* Of two engines whose entries are missing neither is better. */
+	if (to && fups_state(relay->part.up) == FUPS_LAPSED && fups_state(to) != FUPS_READY)
+		to = NULL;
 	if (!to) {
 		/* Those that refused before may have room by the next try. */
 		g_ptr_array_set_size(relay->move_tried, 0);
@@ -109,7 +119,8 @@
 	 * run that goes on is not given up for it. */
 	if (relay->service->engine.moves)
 		relay_start_move(relay);
-	else if (relay_has_copy(relay) && env_now_us() - relay->first_event_us > RELAY_COPY_LAG_US)
+	else if (fups_state(relay->part.up) == FUPS_LEAVING && relay_has_copy(relay) &&
+		 env_now_us() - relay->first_event_us > RELAY_COPY_LAG_US)
 		relay_take_over(relay, "upstream-leaves");
 }
 
@@ -121,8 +132,17 @@
 	if (relay->phase != RELAY_STREAMING || relay->event_count == 0 || relay->move ||
 	    !relay->caller || !relay->call || relay->route->resumable)
 		return false;
-	return fups_state(relay->part.up) == FUPS_LEAVING &&
-	       now_us - relay->evacuated_us > RELAY_MOVE_RETRY_US;
+	if (now_us - relay->evacuated_us <= RELAY_MOVE_RETRY_US)
+		return false;
+	if (fups_state(relay->part.up) == FUPS_LEAVING)
+		return true;
+	return !relay->copy.up && fups_may_end(relay->part.up);
+}
+
+bool relay_has_idle_copy(const struct relay *relay)
+{
+	return relay->copy.up && !relay->move && relay->part.up &&
+	       fups_state(relay->part.up) == FUPS_READY;
 }
 
 /* helpers */
@@ -213,7 +233,13 @@
 
 		log_event(LOG_MOVE_COPIED, "request", relay_id(relay), "upstream",
 			  relay_up_id(relay), "to", fups_id(to), "move_ms", took, NULL);
-		relay_call_move(relay, relay_may_stop(relay));
+		if (fups_state(relay->part.up) != FUPS_LAPSED) {
+			relay_call_move(relay, relay_may_stop(relay));
+			return;
+		}
+		/* The copy is kept until the entry is back, or counts as gone. */
+		relay->move_to = NULL;
+		fups_release(to);
 		return;
 	}
 	relay->move_to = NULL;
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -8,6 +8,7 @@
 
 #define STAND_MAX_BODY	   (8U << 20)
 #define STAND_HISTORY	   500
+#define STAND_COPY_PATH	   "/kv-handle/"
 #define STAND_STRIDE	   4 /* tokens in an event */
 #define STAND_DRAIN_EVENTS 1
 
@@ -68,6 +69,7 @@
 	struct hreq *req; /* NULL after the system left */
 	uv_timer_t timer;
 	char *id;
+	char *handle;	/* of its copy; NULL before the first */
 	uint32_t next;	/* number of the next event */
 	uint32_t total; /* events of the stream; 0 for a call */
 	bool begun;
@@ -142,6 +144,7 @@
 	struct stand_work *work = handle->data;
 
 	g_free(work->id);
+	g_free(work->handle);
 	g_free(work);
 }
 
@@ -640,7 +643,6 @@
 	json_t *root = json_loadb(text, len, 0, NULL);
 	const char *id = json_string_value(json_object_get(root, "id"));
 	bool last = json_is_true(json_object_get(root, "last"));
-	g_autofree char *handle = NULL;
 
 	for (guint i = 0; id && i < up->works->len; i++) {
 		struct stand_work *work = up->works->pdata[i];
@@ -648,11 +650,14 @@
 
 		if (strcmp(work->id, id) != 0 || work->total == 0)
 			continue;
-		handle = g_strdup_printf("h%u", ++up->stand->handles);
-		g_hash_table_insert(up->stand->copies, g_strdup(handle),
+		if (!work->handle || !g_hash_table_contains(up->stand->copies, work->handle)) {
+			g_free(work->handle);
+			work->handle = g_strdup_printf("h%u", ++up->stand->handles);
+		}
+		g_hash_table_insert(up->stand->copies, g_strdup(work->handle),
 				    GUINT_TO_POINTER(work->next));
 		stand_reply(req, 200,
-			    json_pack("{s:s, s:i}", "kv_handle", handle, "created",
+			    json_pack("{s:s, s:i}", "kv_handle", work->handle, "created",
 				      (int)work->next - 1));
 		if (last) {
 			stand_work_free(work);
@@ -725,6 +730,11 @@
 		stand_up_on_move(up, req);
 		return;
 	}
+	if (g_str_has_prefix(hreq_path(req), STAND_COPY_PATH)) {
+		g_hash_table_remove(up->stand->copies, hreq_path(req) + strlen(STAND_COPY_PATH));
+		hreq_reply(req, 200, NULL, "", 0);
+		return;
+	}
 	if (!id) {
 		hreq_reply(req, 400, NULL, "", 0);
 		return;
@@ -755,6 +765,11 @@
 	return stand->address;
 }
 
+uint32_t stand_copies(const struct stand *stand)
+{
+	return g_hash_table_size(stand->copies);
+}
+
 uint32_t stand_calls(const struct stand *stand)
 {
 	return stand->calls;
--- a/test/stand/stand.h
+++ b/test/stand/stand.h
@@ -42,7 +42,6 @@
 	uint32_t lose_percent;	  /**< runs and breaks the connection */
 	uint32_t foreign_percent; /**< answers with the id of another request */
 	uint32_t cut_percent;	  /**< breaks off in the middle of a stream */
-	uint32_t move_ms;	  /**< time of a copy */
 };
 
 /** What replicas did for one attempt. */
@@ -71,6 +70,9 @@
 /** Returns the calls that the store answered. */
 uint32_t stand_calls(const struct stand *stand);
 
+/** Returns the copies of runs that are neither used nor freed. */
+uint32_t stand_copies(const struct stand *stand);
+
 struct stand_up *stand_up_create(struct stand *stand, const struct stand_up_conf *conf);
 /** Ends a replica at once; its entry stays until stand_up_expire(). */
 void stand_up_crash(struct stand_up *up);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -110,6 +110,26 @@
 	fleet_destroy(fleet);
 }
 
+/* One entry that is missing after an outage may mean that its upstream leaves; many do not. */
+static void test_may_end(void)
+{
+	struct fleet *fleet = make();
+	struct fleet_listing left = listing("left", "10.0.0.1:80", 5);
+	struct fleet_listing right = listing("right", "10.0.0.2:80", 5);
+
+	fleet_list(fleet, &left, 1 * S);
+	fleet_list(fleet, &right, 1 * S);
+	g_assert_false(fups_may_end(fleet_find(fleet, "left")));
+	fleet_unlist(fleet, "left", 4 * S, 2 * S);
+	g_assert_true(fups_may_end(fleet_find(fleet, "left")));
+	fleet_unlist(fleet, "right", 4 * S, 2 * S);
+	g_assert_false(fups_may_end(fleet_find(fleet, "left")));
+	fleet_tick(fleet, 4 * S);
+	g_assert_true(fups_may_end(fleet_find(fleet, "left")));
+	g_assert_true(fups_may_end(fleet_find(fleet, "right")));
+	fleet_destroy(fleet);
+}
+
 /* A start under the same id inherits nothing. */
 static void test_new_birth(void)
 {
@@ -215,6 +235,7 @@
 	g_test_add_func("/fleet/join-and-leave", test_join_and_leave);
 	g_test_add_func("/fleet/removed", test_removed);
 	g_test_add_func("/fleet/lapse", test_lapse);
+	g_test_add_func("/fleet/may-end", test_may_end);
 	g_test_add_func("/fleet/new-birth", test_new_birth);
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
 	g_test_add_func("/fleet/peers", test_peers);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -404,6 +404,90 @@
 	fixture_close(&f);
 }
 
+/* Returns how many lines with a text stand in a log before its end. */
+static uint32_t count_lines(const char *log, const char *end, const char *text)
+{
+	uint32_t count = 0;
+	const char *at = log;
+
+	while ((at = strstr(at, text)) && at < end) {
+		at += strlen(text);
+		count++;
+	}
+	return count;
+}
+
+/* An engine whose entry is missing after an outage has its runs copied before it counts as
+ * leaving, since it may have announced so while the store was away. */
+static void test_lapse_copied(void)
+{
+	struct fixture f;
+	struct site_request request = generation("/long/", 4000);
+	struct site_answer answers[6];
+	g_autofree char *log = NULL;
+	const char *leaving = NULL;
+	uint32_t runs;
+
+	fixture_open(&f);
+	for (uint32_t i = 0; i < 6; i++)
+		site_begin(f.gateway, &request, &answers[i]);
+	site_run(f.site, 400);
+	stand_set_mode(f.stand, STAND_STORE_RESET);
+	stand_up_expire(f.engines[0]);
+	site_run(f.site, 1200);
+	runs = stand_up_open(f.engines[0]);
+	g_assert_cmpuint(runs, >, 0);
+	stand_set_mode(f.stand, STAND_STORE_SOUND);
+	for (uint32_t i = 0; i < 100 && !leaving; i++) {
+		site_run(f.site, 100);
+		g_free(log);
+		log = site_log(f.gateway, "engine-1");
+		leaving = strstr(log, "\"state\":\"leaving\"");
+	}
+	g_assert_nonnull(leaving);
+	g_assert_cmpuint(count_lines(log, leaving, "move-copied"), >=, runs);
+	for (uint32_t i = 0; i < 6; i++) {
+		g_assert_true(site_wait(f.site, &answers[i], 30000));
+		g_assert_true(site_is_whole(&answers[i], 4000));
+		g_assert_cmpuint(stand_run(f.stand, answers[i].id).runs, ==, 1);
+		site_answer_clear(&answers[i]);
+	}
+	g_assert_cmpuint(stand_up_open(f.engines[0]), ==, 0);
+	fixture_close(&f);
+}
+
+/* An entry that is back ends the copies that were made for it. */
+static void test_lapse_back(void)
+{
+	struct fixture f;
+	struct site_request request = generation("/long/", 4000);
+	struct site_answer answers[6];
+	uint32_t runs;
+
+	fixture_open(&f);
+	for (uint32_t i = 0; i < 6; i++)
+		site_begin(f.gateway, &request, &answers[i]);
+	site_run(f.site, 400);
+	runs = stand_up_open(f.engines[0]);
+	stand_set_mode(f.stand, STAND_STORE_RESET);
+	stand_up_expire(f.engines[0]);
+	site_run(f.site, 1200);
+	stand_set_mode(f.stand, STAND_STORE_SOUND);
+	for (uint32_t i = 0; i < 100 && stand_copies(f.stand) < runs; i++)
+		site_run(f.site, 20);
+	g_assert_cmpuint(stand_copies(f.stand), >=, runs);
+	stand_up_list(f.engines[0]);
+	for (uint32_t i = 0; i < 100 && stand_copies(f.stand) > 0; i++)
+		site_run(f.site, 20);
+	g_assert_cmpuint(stand_copies(f.stand), ==, 0);
+	for (uint32_t i = 0; i < 6; i++) {
+		g_assert_true(site_wait(f.site, &answers[i], 30000));
+		g_assert_true(site_is_whole(&answers[i], 4000));
+		site_answer_clear(&answers[i]);
+	}
+	fixture_close(&f);
+}
+
 /* A new configuration is in force soon and the old one does not come back. */
 static void test_configuration(void)
 {
@@ -612,6 +696,8 @@
 	g_test_add_func("/gateway/stop", test_stop);
 	g_test_add_func("/gateway/leaving", test_leaving);
 	g_test_add_func("/gateway/lapse", test_lapse);
+	g_test_add_func("/gateway/lapse-copied", test_lapse_copied);
+	g_test_add_func("/gateway/lapse-back", test_lapse_back);
 	g_test_add_func("/gateway/configuration", test_configuration);
 	g_test_add_func("/gateway/dark", test_dark);
 	g_test_add_func("/gateway/delegate", test_delegate);
