Bounds the notices of leaving upstreams in a message between instances

Ruled out: placed generations told at once (14 messages of that kind in 40 s); questions to delegates and their answers (10 kB in 40 s); changes of the list from the delegate (1.8 MB in 40 s at a delegate); the configuration itself (16 kB a read).

Now a message has at most 16 notices, the newest. Waves larger than that come with the list's changes through the delegates.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -88,8 +88,8 @@
 /** Returns the upstreams of a service in a stable order: an array of struct fups. */
 const GPtrArray *fleet_of_service(struct fleet *fleet, const char *service);
 /** Calls @p each for upstreams that have own requests, and for those whose leaving became
- * known after @p since_us. */
-void fleet_each_active(struct fleet *fleet, uint64_t since_us,
+ * known after @p since_us: at most @p left_most, the newest. */
+void fleet_each_active(struct fleet *fleet, uint64_t since_us, uint32_t left_most,
 		       void (*each)(void *ctx, struct fups *up), void *ctx);
 /** Returns all ids listed now, for a comparison with a full read. */
 GPtrArray *fleet_ids(struct fleet *fleet);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -301,7 +301,7 @@
 		g_hash_table_add(up->fleet->active, up);
 }
 
-void fleet_each_active(struct fleet *fleet, uint64_t since_us,
+void fleet_each_active(struct fleet *fleet, uint64_t since_us, uint32_t left_most,
 		       void (*each)(void *ctx, struct fups *up), void *ctx)
 {
 	GHashTableIter iter;
@@ -309,10 +309,12 @@
 
 	while ((up = g_queue_peek_head(&fleet->left)) && up->leaving_us < since_us)
 		fups_release(g_queue_pop_head(&fleet->left));
-	for (GList *item = fleet->left.head; item; item = item->next) {
+	for (GList *item = fleet->left.tail; item && left_most > 0; item = item->prev) {
 		up = item->data;
-		if (up->state == FUPS_LEAVING && up->own.open == 0)
-			each(ctx, up);
+		if (up->state != FUPS_LEAVING || up->own.open > 0)
+			continue;
+		each(ctx, up);
+		left_most--;
 	}
 	g_hash_table_iter_init(&iter, fleet->active);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&up, NULL)) {
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -14,6 +14,8 @@
 #define PRS_LOADS	   1  /* type of the messages of this file; the others are passed on */
 #define PRS_HURRY_MS	   15 /* least time between two messages about placed generations */
 #define PRS_NOTICE_US	   (2000ULL * 1000) /* a notice is told on for so long */
+/* Notices in a message; those of a wave that takes more come with the list's own changes. */
+#define PRS_NOTICES_MOST   16
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
@@ -180,7 +182,7 @@
 	uint64_t now_us = env_now_us();
 
 	fleet_each_active(prs->env->fleet, now_us > PRS_NOTICE_US ? now_us - PRS_NOTICE_US : 0,
-			  prs_collect, loads);
+			  PRS_NOTICES_MOST, prs_collect, loads);
 }
 
 static gint prs_by_rank(gconstpointer a, gconstpointer b)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -130,6 +130,34 @@
 	fleet_destroy(fleet);
 }
 
+static void count_active(void *ctx, struct fups *up)
+{
+	GPtrArray *ids = ctx;
+
+	g_ptr_array_add(ids, (gpointer)fups_id(up));
+}
+
+/* A wave of leaving upstreams is told of by its newest only. */
+static void test_notices(void)
+{
+	struct fleet *fleet = make();
+	g_autoptr(GPtrArray) ids = g_ptr_array_new();
+
+	for (uint32_t i = 0; i < 10; i++) {
+		g_autofree char *id = g_strdup_printf("up-%u", i);
+		g_autofree char *address = g_strdup_printf("10.0.0.%u:80", i + 1);
+		struct fleet_listing entry = listing(id, address, 5);
+
+		fleet_list(fleet, &entry, 1 * S);
+		fleet_unlist(fleet, id, 0, 2 * S + i);
+	}
+	fleet_each_active(fleet, 2 * S, 3, count_active, ids);
+	g_assert_cmpuint(ids->len, ==, 3);
+	g_assert_cmpstr(ids->pdata[0], ==, "up-9");
+	g_assert_cmpstr(ids->pdata[2], ==, "up-7");
+	fleet_destroy(fleet);
+}
+
 /* A start under the same id inherits nothing. */
 static void test_new_birth(void)
 {
@@ -236,6 +264,7 @@
 	g_test_add_func("/fleet/removed", test_removed);
 	g_test_add_func("/fleet/lapse", test_lapse);
 	g_test_add_func("/fleet/may-end", test_may_end);
+	g_test_add_func("/fleet/notices", test_notices);
 	g_test_add_func("/fleet/new-birth", test_new_birth);
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
 	g_test_add_func("/fleet/peers", test_peers);
