--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -91,9 +91,6 @@
  * known after @p since_us: at most @p left_most, the newest. */
 void fleet_each_active(struct fleet *fleet, uint64_t since_us, uint32_t left_most,
 		       void (*each)(void *ctx, struct fups *up), void *ctx);
-/** Calls @p each with every entry that is listed now. */
-void fleet_each_listing(const struct fleet *fleet,
-			void (*each)(void *ctx, const struct fleet_listing *listing), void *ctx);
 /** Returns all ids listed now, for a comparison with a full read. */
 GPtrArray *fleet_ids(struct fleet *fleet);
 uint32_t fleet_count(const struct fleet *fleet);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -345,29 +345,6 @@
 	return of_service ? of_service : &none;
 }
 
-void fleet_each_listing(const struct fleet *fleet,
-			void (*each)(void *ctx, const struct fleet_listing *listing), void *ctx)
-{
-	GHashTableIter iter;
-	const struct fups *up;
-
-	g_hash_table_iter_init(&iter, fleet->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
-		struct fleet_listing listing = {
-			.id = up->id,
-			.service = up->service,
-			.address = up->address,
-			.zone = up->zone,
-			.started_ms = up->started_ms,
-			.slots = up->slots,
-			.leaving = up->announced,
-		};
-
-		if (!up->unlisted && up->state != FUPS_GONE)
-			each(ctx, &listing);
-	}
-}
-
 GPtrArray *fleet_ids(struct fleet *fleet)
 {
 	GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
--- a/src/serve/delegate.c
+++ b/src/serve/delegate.c
@@ -5,11 +5,9 @@
 #define DLG_ASK		 2
 #define DLG_REPLY	 3
 #define DLG_CHANGES	 4
-#define DLG_NEED	 5 /* the address of an instance that needs the whole list */
 #define DLG_ASK_TYPE	 "(st)"
 #define DLG_REPLY_TYPE	 "(sttttb)"
 #define DLG_CHANGE_TYPE	 "(ssssttubb)" /* id, service, address, zone, start, ... */
-#define DLG_NEED_TYPE	 "(s)"
 #define DLG_CHANGES_TYPE "(ttua" DLG_CHANGE_TYPE ")"
 
 #define DLG_TICK_MS	100
@@ -23,17 +21,6 @@
 #define DLG_ASK_PART	   0.17 /* between two questions */
 #define DLG_ZONE_INSTANCES 16	/* a zone this large has a delegate of its own */
 
-/* The whole list, when an instance of such a zone starts. */
-#define DLG_LOOK_MS	    400 /* for the table of instances: some round trips of regions */
-#define DLG_NEED_TICK_MS    20
-#define DLG_NEED_MS	    100	 /* between two questions */
-#define DLG_NEED_SILENT_MS  1500 /* without any answer before another is asked */
-#define DLG_NEED_MOST_MS    8000 /* before the store is read: three levels of the tree */
-#define DLG_NEED_SPREAD_MS  4000
-#define DLG_TOLD_REST_MS    3000 /* before one is told again: a list over a link of 10 Mbit/s */
-#define DLG_TREE_WIDTH	    4	 /* instances that one tells */
-#define DLG_WHOLE_MAX_BYTES (512U << 10) /* half of what the bus takes */
-
 struct dlg {
 	struct env *env;
 	struct fol *fol;
@@ -45,16 +32,6 @@
 	char *delegate;	       /* address of the one that answered last, or NULL */
 	uint64_t asked_us;     /* on the clock that counts suspension */
 	uint64_t answered_us;
-	struct {
-		uint64_t started_us;
-		uint64_t until_us; /* when the store is read instead */
-		uint64_t asked_us;
-		uint64_t heard_us; /* an answer of the one that is asked, or the first question */
-		uint32_t passed;   /* levels of the tree that did not answer */
-	} need;
-	GHashTable *told;  /* address to when it was told the whole list, in us */
-	GByteArray *whole; /* the whole list as encoded last, or NULL */
-	uint64_t whole_version;
 };
 
 static void dlg_on_tick(uv_timer_t *timer);
@@ -70,19 +47,13 @@
 	dlg->env = env;
 	dlg->fol = fol;
 	dlg->prs = prs;
-	dlg->need.started_us = env_boot_us();
-	dlg->need.until_us =
-		dlg->need.started_us +
-		(DLG_NEED_MOST_MS + (uint64_t)g_rand_int_range(env->rand, 0, DLG_NEED_SPREAD_MS)) *
-			1000ULL;
-	dlg->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dlg->shunned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dlg->followers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	prs_on_other(prs, dlg_on_message, dlg);
 	fol_on_changes(fol, dlg_on_changes, dlg);
 	uv_timer_init(env->loop, &dlg->tick);
 	dlg->tick.data = dlg;
-	uv_timer_start(&dlg->tick, dlg_on_tick, DLG_NEED_TICK_MS, DLG_NEED_TICK_MS);
+	uv_timer_start(&dlg->tick, dlg_on_tick, DLG_TICK_MS, DLG_TICK_MS);
 	return dlg;
 }
 
@@ -90,8 +61,6 @@
 {
 	struct dlg *dlg = handle->data;
 
-	g_hash_table_destroy(dlg->told);
-	g_clear_pointer(&dlg->whole, g_byte_array_unref);
 	g_hash_table_destroy(dlg->shunned);
 	g_hash_table_destroy(dlg->followers);
 	g_free(dlg->asked);
@@ -284,130 +253,6 @@
 	return MIN(env_fresh_part_us(dlg->env, DLG_ASK_PART), DLG_ASK_MOST_MS * 1000ULL);
 }
 
-/* helpers: the whole list */
-
-/* Returns the instance that is to tell the whole list, or NULL when the store is to be read. */
-static const char *dlg_parent(const struct dlg *dlg, const GPtrArray *zone)
-{
-	guint rank = 0;
-
-	while (rank < zone->len && strcmp(zone->pdata[rank], prs_address(dlg->prs)) != 0)
-		rank++;
-	for (uint32_t level = 0; rank > 0; level++) {
-		rank = (rank - 1) / DLG_TREE_WIDTH;
-		if (level == dlg->need.passed)
-			return zone->pdata[rank];
-	}
-	return NULL;
-}
-
-static void dlg_ask_whole(struct dlg *dlg, const char *parent, uint64_t now_us)
-{
-	g_autoptr(GByteArray) bytes = g_byte_array_new();
-
-	dlg->need.asked_us = now_us;
-	dlg_finish(bytes, g_variant_new(DLG_NEED_TYPE, prs_address(dlg->prs)));
-	prs_send(dlg->prs, parent, DLG_NEED, bytes);
-}
-
-/* Sees to the whole list of an instance that starts. */
-static void dlg_need_whole(struct dlg *dlg, uint64_t now_us)
-{
-	g_autoptr(GPtrArray) zone = NULL;
-	const char *parent = NULL;
-
-	if (fol_listed(dlg->fol)) {
-		fol_set_expecting(dlg->fol, false);
-		uv_timer_set_repeat(&dlg->tick, DLG_TICK_MS);
-		return;
-	}
-	if (!prs_looked(dlg->prs) && now_us - dlg->need.started_us < DLG_LOOK_MS * 1000ULL)
-		return;
-	zone = prs_group(dlg->prs, false);
-	if (zone->len >= DLG_ZONE_INSTANCES && now_us < dlg->need.until_us)
-		parent = dlg_parent(dlg, zone);
-	fol_set_expecting(dlg->fol, parent != NULL);
-	if (!parent)
-		return;
-	if (dlg->need.heard_us == 0)
-		dlg->need.heard_us = now_us;
-	if (now_us - dlg->need.heard_us > DLG_NEED_SILENT_MS * 1000ULL) {
-		dlg->need.passed++;
-		dlg->need.heard_us = now_us;
-	} else if (now_us - dlg->need.asked_us > DLG_NEED_MS * 1000ULL) {
-		dlg_ask_whole(dlg, parent, now_us);
-	}
-}
-
-static void dlg_add_listing(void *ctx, const struct fleet_listing *listing)
-{
-	GPtrArray *changes = ctx;
-	struct src_change *change = g_new0(struct src_change, 1);
-
-	change->id = g_strdup(listing->id);
-	change->service = g_strdup(listing->service);
-	change->address = g_strdup(listing->address);
-	change->zone = g_strdup(listing->zone);
-	change->started_ms = listing->started_ms;
-	change->slots = listing->slots;
-	change->leaving = listing->leaving;
-	g_ptr_array_add(changes, change);
-}
-
-/* Returns the whole list as a message; many may need the same one. */
-static const GByteArray *dlg_whole(struct dlg *dlg)
-{
-	g_autoptr(GPtrArray) listings = g_ptr_array_new_with_free_func(dlg_change_free);
-	struct fol_changes changes = { .to = fol_list_version(dlg->fol), .changes = listings };
-
-	if (dlg->whole && dlg->whole_version == changes.to)
-		return dlg->whole;
-	fleet_each_listing(dlg->env->fleet, dlg_add_listing, listings);
-	g_clear_pointer(&dlg->whole, g_byte_array_unref);
-	dlg->whole = g_byte_array_new();
-	dlg->whole_version = changes.to;
-	dlg_encode_changes(dlg->whole, &changes);
-	return dlg->whole;
-}
-
-/* Tells that the list is not known here either, so that the asker waits. */
-static void dlg_tell_nothing(struct dlg *dlg, const char *address)
-{
-	g_autoptr(GPtrArray) none = g_ptr_array_new();
-	g_autoptr(GByteArray) bytes = g_byte_array_new();
-	struct fol_changes changes = { .changes = none };
-
-	dlg_encode_changes(bytes, &changes);
-	prs_send(dlg->prs, address, DLG_CHANGES, bytes);
-}
-
-static void dlg_tell_whole(struct dlg *dlg, const char *address)
-{
-	const uint64_t *told_us = g_hash_table_lookup(dlg->told, address);
-	uint64_t now_us = env_boot_us();
-
-	if (told_us && now_us - *told_us < DLG_TOLD_REST_MS * 1000ULL)
-		return;
-	if (!fol_listed(dlg->fol) || dlg->env->stopping) {
-		dlg_tell_nothing(dlg, address);
-		return;
-	}
-	if (dlg_whole(dlg)->len > DLG_WHOLE_MAX_BYTES ||
-	    !prs_send(dlg->prs, address, DLG_CHANGES, dlg_whole(dlg)))
-		return;
-	log_event(LOG_LIST_TOLD, "to", address, NULL);
-	g_hash_table_replace(dlg->told, g_strdup(address), g_memdup2(&now_us, sizeof(now_us)));
-}
-
-static void dlg_take_changes(struct dlg *dlg, const struct fol_changes *changes)
-{
-	if (changes->from == 0)
-		dlg->need.heard_us = env_boot_us();
-	/* Version 0 is that of an instance that does not know the list. */
-	if (changes->to > 0)
-		fol_take_changes(dlg->fol, changes);
-}
-
 static void dlg_on_tick(uv_timer_t *timer)
 {
 	struct dlg *dlg = timer->data;
@@ -420,7 +265,6 @@
 	} else if (!dlg->asked && now_us - dlg->asked_us > dlg_ask_every_us(dlg)) {
 		dlg_ask_next(dlg, now_us);
 	}
-	dlg_need_whole(dlg, now_us);
 	fol_set_delegated(dlg->fol, dlg->delegate != NULL);
 	fol_set_serving(dlg->fol, g_hash_table_size(dlg->followers) > 0);
 	g_hash_table_foreach_remove(dlg->followers, dlg_is_silent, &now_us);
@@ -489,11 +333,8 @@
 	} else if (type == DLG_REPLY && dlg_decode_reply(buf, len, &reply, &keep)) {
 		dlg_take_reply(dlg, &reply);
 	} else if (type == DLG_CHANGES && dlg_decode_changes(buf, len, &changes)) {
-		dlg_take_changes(dlg, &changes);
+		fol_take_changes(dlg->fol, &changes);
 		g_ptr_array_unref(changes.changes);
-	} else if (type == DLG_NEED && (keep = dlg_parse(DLG_NEED_TYPE, buf, len))) {
-		g_variant_get(keep, "(&s)", &ask.address);
-		dlg_tell_whole(dlg, ask.address);
 	} else {
 		known = false;
 	}
--- a/src/serve/delegate.h
+++ b/src/serve/delegate.h
@@ -10,11 +10,6 @@
  * configuration was confirmed. Nothing is agreed on: any number may follow the
  * store themselves, and whoever gets no sound answer does.
  *
- * A starting instance of a large zone gets the whole instance list from there
- * too: the link to the store's region may be narrow, and a list for each
- * instance would fill it. The zone's order is a tree in which each tells a few,
- * since a delegate's own link may be as narrow.
- *
  * An answer confirms the configuration as of the moment at which the question
  * was sent, less the age that the delegate states; a late answer proves no more.
  */
--- a/src/serve/follow.c
+++ b/src/serve/follow.c
@@ -38,7 +38,6 @@
 	bool lost;
 	uint64_t list_changed; /* version of the last change of the instance list */
 	bool delegated;
-	bool expecting;
 	bool serving;
 	fol_config_cb cb;
 	void *ctx;
@@ -56,8 +55,6 @@
 static void fol_call_in(struct fol_table *table, uint64_t delay_ms);
 static void fol_apply_listing(struct fol *fol, const struct src_change *change,
 			      uint64_t lapse_until_us);
-static void fol_unlist_missing(struct fol *fol, const GPtrArray *changes);
-static void fol_restart(struct fol_table *table, bool rests);
 static void fol_on_timer(uv_timer_t *timer);
 static void fol_on_tick(uv_timer_t *timer);
 static void fol_on_answer(void *arg, const struct src_answer *answer);
@@ -79,10 +76,8 @@
 		table->table = i == 0 ? SRC_CONFIG : SRC_UPSTREAMS;
 		uv_timer_init(env->loop, &table->timer);
 		table->timer.data = table;
+		fol_call(table);
 	}
-	/* The list is read once it is known that no other instance can tell it. */
-	fol->expecting = true;
-	fol_call(&fol->tables[0]);
 	uv_timer_init(env->loop, &fol->tick);
 	fol->tick.data = fol;
 	uv_timer_start(&fol->tick, fol_on_tick, FOL_TICK_MS, FOL_TICK_MS);
@@ -132,7 +127,7 @@
 	fol->delegated = delegated;
 	log_event(LOG_DELEGATED, "delegated", delegated ? "yes" : "no", NULL);
 	/* A call that waits goes on and ends by itself. */
-	if (!delegated && !list->call && !fol->expecting)
+	if (!delegated && !list->call)
 		fol_call_in(list, 0);
 }
 
@@ -141,40 +136,11 @@
 	fol->serving = serving;
 }
 
-void fol_set_expecting(struct fol *fol, bool expecting)
-{
-	struct fol_table *list = &fol->tables[1];
-
-	if (fol->expecting == expecting)
-		return;
-	fol->expecting = expecting;
-	log_event(LOG_EXPECTING, "expecting", expecting ? "yes" : "no", NULL);
-	if (!list->synced)
-		fol_restart(list, expecting);
-}
-
-/* Takes the whole list from another instance in place of the store. */
-static void fol_take_whole(struct fol *fol, const struct fol_changes *changes)
-{
-	struct fol_table *list = &fol->tables[1];
-
-	for (guint i = 0; i < changes->changes->len; i++)
-		fol_apply_listing(fol, changes->changes->pdata[i], 0);
-	fol_unlist_missing(fol, changes->changes);
-	list->version = changes->to;
-	list->synced = true;
-	list->ever = true;
-	fol->list_changed = changes->to;
-	fol_restart(list, fol->delegated);
-}
-
 void fol_take_changes(struct fol *fol, const struct fol_changes *changes)
 {
 	struct fol_table *list = &fol->tables[1];
 	uint64_t until_us = changes->lapse_ms ? env_now_us() + changes->lapse_ms * 1000ULL : 0;
 
-	if (changes->from == 0 && !list->synced && fol->expecting)
-		fol_take_whole(fol, changes);
 	if (!list->synced || changes->to <= list->version)
 		return;
 	if (changes->from > list->version) {
@@ -221,11 +187,6 @@
 	       fol->tables[0].failures == 0 && fol->tables[1].failures == 0;
 }
 
-bool fol_listed(const struct fol *fol)
-{
-	return fol->tables[1].synced;
-}
-
 bool fol_synced(const struct fol *fol)
 {
 	return fol->tables[0].ever && fol->tables[1].ever;
@@ -278,17 +239,6 @@
 	uv_timer_start(&table->timer, fol_on_timer, delay_ms, 0);
 }
 
-/* Drops the open call; the next one is made at once, or not before something else needs it. */
-static void fol_restart(struct fol_table *table, bool rests)
-{
-	if (table->call)
-		table->fol->env->source->ops->cancel(table->call);
-	table->call = NULL;
-	uv_timer_stop(&table->timer);
-	if (!rests)
-		fol_call_in(table, 0);
-}
-
 /* Notes that the store does not answer, or answers again. */
 static void fol_set_lost(struct fol *fol, bool lost, const char *why)
 {
@@ -398,7 +348,7 @@
 	if (table->table == SRC_UPSTREAMS && !table->synced)
 		fol_unlist_missing(fol, answer->changes);
 	else if (table->table == SRC_UPSTREAMS)
-		fol_tell(fol, fol->list_changed, answer);
+		fol_tell(fol, table->version, answer);
 	if (table->table == SRC_CONFIG && fol->env->config)
 		fresh_confirm(&fol->env->fresh, table->sent_us);
 	/* Versions also grow by rows that are not followed. */
--- a/src/serve/follow.h
+++ b/src/serve/follow.h
@@ -38,16 +38,12 @@
 void fol_set_delegated(struct fol *fol, bool delegated);
 /** While true, other instances rely on this one: the configuration is confirmed more often. */
 void fol_set_serving(struct fol *fol, bool serving);
-/** While true, another instance is about to tell the whole list; it is not read before. */
-void fol_set_expecting(struct fol *fol, bool expecting);
-/** Takes changes that another instance tells of; from version 0 they are the whole list. */
+/** Takes changes that another instance tells of. */
 void fol_take_changes(struct fol *fol, const struct fol_changes *changes);
 /** Takes versions that another instance knows; asks the store when they are newer. */
 void fol_take_versions(struct fol *fol, uint64_t config_version, uint64_t list_version);
 /** Returns the version at which the instance list last changed, as known here. */
 uint64_t fol_list_version(const struct fol *fol);
-/** Tells whether the instance list is known as a whole. */
-bool fol_listed(const struct fol *fol);
 /** Tells whether this instance itself follows a store that answers. */
 bool fol_sound(const struct fol *fol);
 
--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -5,21 +5,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define PRS_TYPE	 "(ssstuba(stuuuub))" /* instance, address, zone, incarnation, validity, ... */
-#define PRS_LOAD_TYPE	 "(stuuuub)" /* upstream, start, open, memory, unread tokens, leaving */
-#define PRS_TICK_MS	 50
-#define PRS_VALID_ROUNDS 4 /* a class's rounds for which a message holds */
-#define PRS_VALID_MIN_MS 1500
-#define PRS_REST_ROUNDS	 3  /* a message that tells nothing new is sent this seldom */
-#define PRS_LOADS	 1  /* type of the messages of this file; the others are passed on */
-#define PRS_HURRY_MS	 15 /* least time between two messages about placed generations */
-#define PRS_NOTICE_US	 (2000ULL * 1000) /* a notice is told on for so long */
+#define PRS_TYPE	   "(ssstuba(stuuuub))" /* instance, address, zone, incarnation, validity, ... */
+#define PRS_LOAD_TYPE	   "(stuuuub)" /* upstream, start, open, memory, unread tokens, leaving */
+#define PRS_TICK_MS	   50
+#define PRS_VALID_ROUNDS   4 /* a class's rounds for which a message holds */
+#define PRS_VALID_MIN_MS   1500
+#define PRS_REST_ROUNDS	   3  /* a message that tells nothing new is sent this seldom */
+#define PRS_LOADS	   1  /* type of the messages of this file; the others are passed on */
+#define PRS_HURRY_MS	   15 /* least time between two messages about placed generations */
+#define PRS_NOTICE_US	   (2000ULL * 1000) /* a notice is told on for so long */
 /* Notices in a message; those of a wave that takes more come with the list's own changes. */
 #define PRS_NOTICES_MOST   16
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
-#define PRS_READ_AGAIN_MS  1500 /* after the start, when others have announced themselves */
+#define PRS_READ_FIRST_MS  1500 /* after the start, when others have announced themselves */
 #define PRS_READ_EVERY_MS  20000
 #define PRS_RETRY_MS	   2000
 #define PRS_READ_SPREAD_MS 1000
@@ -64,7 +64,6 @@
 	struct src_call *announce;
 	struct src_call *reading;
 	bool announced;
-	bool looked; /* the first read of the table ended */
 	bool leaving;
 	prs_message_cb other;
 	void *other_ctx;
@@ -114,8 +113,8 @@
 	prs->tick.data = prs;
 	prs->read.data = prs;
 	uv_timer_start(&prs->tick, prs_on_tick, PRS_TICK_MS, PRS_TICK_MS);
+	uv_timer_start(&prs->read, prs_on_read_timer, PRS_READ_FIRST_MS, 0);
 	prs_announce(prs);
-	uv_timer_start(&prs->read, prs_on_read_timer, 0, 0);
 	return prs;
 }
 
@@ -221,17 +220,16 @@
 	prs->other_ctx = ctx;
 }
 
-bool prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes)
+void prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes)
 {
 	g_autoptr(GByteArray) message = g_byte_array_sized_new(bytes->len + 1);
 
 	g_byte_array_append(message, &type, 1);
 	g_byte_array_append(message, bytes->data, bytes->len);
 	if (!bus_send(prs->bus, address, message->data, message->len))
-		return false;
+		return;
 	metric_add(prs->env->metric, METRIC_BUS_SENT, 1);
 	metric_add(prs->env->metric, METRIC_BUS_SENT_BYTES, message->len);
-	return true;
 }
 
 /* Tells the peers of one class, when the load changed or after a rest. */
@@ -305,11 +303,6 @@
 
 /* queries */
 
-bool prs_looked(const struct prs *prs)
-{
-	return prs->looked;
-}
-
 const char *prs_address(const struct prs *prs)
 {
 	return prs->address;
@@ -404,10 +397,8 @@
 static void prs_on_rows(void *arg, const struct src_answer *answer)
 {
 	struct prs *prs = arg;
-	bool first = !prs->looked;
 
 	prs->reading = NULL;
-	prs->looked = true;
 	if (answer->result != SRC_OK) {
 		uv_timer_start(&prs->read, prs_on_read_timer, PRS_RETRY_MS, 0);
 		return;
@@ -426,7 +417,7 @@
 	}
 	prs_tell(prs, true);
 	uv_timer_start(&prs->read, prs_on_read_timer,
-		       (first ? PRS_READ_AGAIN_MS : PRS_READ_EVERY_MS) +
+		       PRS_READ_EVERY_MS +
 			       (uint64_t)g_rand_int_range(prs->env->rand, 0, PRS_READ_SPREAD_MS),
 		       0);
 }
--- a/src/serve/peers.h
+++ b/src/serve/peers.h
@@ -28,10 +28,8 @@
 /** Called with messages of other types than loads. */
 typedef void (*prs_message_cb)(void *ctx, uint8_t type, const void *buf, size_t len);
 void prs_on_other(struct prs *prs, prs_message_cb cb, void *ctx);
-/** Sends a message of another type. @return false when it could not be handed over */
-bool prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes);
-/** Tells whether the table of instances was read, or could not be. */
-bool prs_looked(const struct prs *prs);
+/** Sends a message of another type. */
+void prs_send(struct prs *prs, const char *address, uint8_t type, const GByteArray *bytes);
 const char *prs_address(const struct prs *prs);
 /** Returns the addresses of the peers of the own zone, or of the own region, this instance
  * included, in an order that all instances share. */
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -44,7 +44,6 @@
 	uint64_t version;
 	uint64_t oldest; /* version from which changes are known */
 	uint32_t calls;
-	uint32_t list_pages; /* of the instance list */
 	uint32_t delay_ms;
 	uint32_t handles;
 	enum stand_store_mode mode;
@@ -353,8 +352,6 @@
 	}
 	if (!feed)
 		more = stand_append_page(req, found, rows);
-	if (!feed && strcmp(table, "servers") == 0)
-		stand->list_pages++;
 	stand->calls++;
 	stand_reply(req, 200,
 		    json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "has_more", more, "row_version",
@@ -773,11 +770,6 @@
 	return g_hash_table_size(stand->copies);
 }
 
-uint32_t stand_list_pages(const struct stand *stand)
-{
-	return stand->list_pages;
-}
-
 uint32_t stand_calls(const struct stand *stand)
 {
 	return stand->calls;
--- a/test/stand/stand.h
+++ b/test/stand/stand.h
@@ -69,8 +69,6 @@
 void stand_compact(struct stand *stand);
 /** Returns the calls that the store answered. */
 uint32_t stand_calls(const struct stand *stand);
-/** Returns the pages of the instance list that the store answered. */
-uint32_t stand_list_pages(const struct stand *stand);
 
 /** Returns the copies of runs that are neither used nor freed. */
 uint32_t stand_copies(const struct stand *stand);
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -638,82 +638,6 @@
 	fixture_close(&f);
 }
 
-/* Returns an instance that does not follow the list itself. */
-static struct site_gateway *find_delegated(struct fixture *f, struct site_gateway **gateways,
-					   uint32_t count)
-{
-	for (uint32_t tries = 0; tries < 200; tries++) {
-		for (uint32_t i = 0; i < count; i++) {
-			g_autofree char *log = site_log(gateways[i], "\"delegated\"");
-
-			if (g_str_has_suffix(g_strchomp(log), "\"delegated\":\"yes\"}"))
-				return gateways[i];
-		}
-		site_run(f->site, 50);
-	}
-	g_error("no instance is delegated");
-}
-
-#define LISTED 4000
-#define ZONE   17 /* instances; fewer read the list themselves */
-
-/* An instance that starts in a large zone is told the instance list, which it need not read. */
-static void test_list_told(void)
-{
-	struct fixture f;
-	struct site_gateway *gateways[ZONE];
-	struct site_gateway *restarted;
-	struct site_answer answer;
-	uint32_t pages;
-
-	fixture_open(&f);
-	for (uint32_t i = 0; i < LISTED; i++) {
-		g_autofree char *id = g_strdup_printf("far-%04u", i);
-		g_autofree char *text = g_strdup_printf(
-			"{\"service\":\"elsewhere\",\"address\":\"127.9.%u.%u:9\",\"zone\":\"z1\","
-			"\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,"
-			"\"born\":1}",
-			i / 200, i % 200 + 1);
-
-		stand_put(f.stand, "servers", id, text);
-	}
-	gateways[0] = f.gateway;
-	for (uint32_t i = 1; i < ZONE; i++) {
-		g_autofree char *name = g_strdup_printf("gw-%u", i + 1);
-
-		gateways[i] = site_gateway(f.site, name, NULL);
-		site_start(gateways[i]);
-		g_assert_true(site_wait_ready(gateways[i], READY_MS));
-	}
-	site_run(f.site, 3000);
-	restarted = find_delegated(&f, gateways, ZONE);
-	pages = stand_list_pages(f.stand);
-	site_signal(restarted, SIGKILL);
-	g_assert_true(site_wait_exit(restarted, READY_MS));
-	site_start(restarted);
-	g_assert_true(site_wait_ready(restarted, READY_MS));
-	for (uint32_t i = 0;; i++) {
-		g_autofree char *metrics = site_get(f.site, restarted->metrics, "/metrics");
-
-		if (strstr(metrics, "upstreams 4004"))
-			break;
-		g_assert_cmpuint(i, <, 200);
-		site_run(f.site, 50);
-	}
-	site_run(f.site, 2000);
-	if (stand_list_pages(f.stand) > pages) {
-		g_autofree char *expected = site_log(restarted, "list-expected");
-		g_autofree char *delegated = site_log(restarted, "\"delegated\"");
-
-		g_error("%u pages were read\n%s%s", stand_list_pages(f.stand) - pages, expected,
-			delegated);
-	}
-	answer = site_call(restarted, &once);
-	g_assert_cmpuint(answer.status, ==, 200);
-	site_answer_clear(&answer);
-	fixture_close(&f);
-}
-
 /* Each kind of failed request is explained by the lines of its id. */
 static void test_explained(void)
 {
@@ -778,7 +702,6 @@
 	g_test_add_func("/gateway/dark", test_dark);
 	g_test_add_func("/gateway/delegate", test_delegate);
 	g_test_add_func("/gateway/pages", test_pages);
-	g_test_add_func("/gateway/list-told", test_list_told);
 	g_test_add_func("/gateway/explained", test_explained);
 	return g_test_run();
 }
