Asks for a late page of a table again, without the pages before it

Cause: a read of the instance list whose page does not come in time was begun anew from the first page.

/gateway/pages lost one page on purpose: two reads before, one now.

The version that is followed from is that of the first page, as before, so what changes meanwhile comes again.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -59,6 +59,7 @@
 	X(LOG_SOURCE_REGAINED, 631, INFO, "source-regained", "The store answers again.") \
 	X(LOG_SOURCE_GAP, 632, INFO, "source-gap", "The store dropped its history; the table is read anew.") \
 	X(LOG_DELEGATED, 633, INFO, "delegated", "Another instance follows the store for this one, or no longer does.") \
+	X(LOG_SOURCE_PAGE, 634, INFO, "source-page-repeated", "A page of a table did not come in time and is asked for again.") \
 	X(LOG_KEYS_STALE, 640, WARNING, "keys-stale", "The configuration was not confirmed in time; requests with keys are refused.") \
 	X(LOG_KEYS_FRESH, 641, INFO, "keys-fresh", "The configuration is confirmed again.") \
 	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was read again.") \
--- a/test/stand/stand.c
+++ b/test/stand/stand.c
@@ -9,7 +9,8 @@
 #define STAND_MAX_BODY	   (8U << 20)
 #define STAND_HISTORY	   500
 #define STAND_COPY_PATH	   "/kv-handle/"
-#define STAND_STRIDE	   4 /* tokens in an event */
+#define STAND_LOST_MS	   60000 /* longer than a caller waits */
+#define STAND_STRIDE	   4	 /* tokens in an event */
 #define STAND_DRAIN_EVENTS 1
 
 struct stand_row {
@@ -45,6 +46,8 @@
 	uint64_t oldest; /* version from which changes are known */
 	uint32_t calls;
 	uint32_t delay_ms;
+	uint32_t lose_pages;
+	uint32_t list_reads;
 	uint32_t handles;
 	enum stand_store_mode mode;
 };
@@ -256,6 +259,11 @@
 	stand->mode = mode;
 }
 
+void stand_lose_pages(struct stand *stand, uint32_t count)
+{
+	stand->lose_pages = count;
+}
+
 void stand_set_delay(struct stand *stand, uint32_t delay_ms)
 {
 	stand->delay_ms = delay_ms;
@@ -434,6 +442,21 @@
 	stand_reply(req, 200, json_pack("{s:I}", "row_version", (json_int_t)stand->version));
 }
 
+/* Counts the reads of the instance list. @return whether this one gets no answer */
+static bool stand_loses_page(struct stand *stand, const struct hreq *req)
+{
+	g_autofree char *after = stand_page_after(req);
+
+	if (!after) {
+		stand->list_reads++;
+		return false;
+	}
+	if (stand->lose_pages == 0)
+		return false;
+	stand->lose_pages--;
+	return true;
+}
+
 static void stand_on_request(void *ctx, struct hreq *req)
 {
 	struct stand *stand = ctx;
@@ -454,6 +477,8 @@
 		hreq_reply(req, 400, NULL, "", 0);
 	} else if (feed && since < stand->oldest) {
 		hreq_reply(req, 410, NULL, "", 0);
+	} else if (!feed && strcmp(table, "servers") == 0 && stand_loses_page(stand, req)) {
+		stand_wait(stand, req, table, since, feed, STAND_LOST_MS);
 	} else if (stand->mode == STAND_STORE_SILENT || stand->delay_ms) {
 		stand_wait(stand, req, table, since, feed, stand->delay_ms);
 	} else if (!feed || stand_changed(stand, table, since)) {
@@ -770,6 +795,11 @@
 	return g_hash_table_size(stand->copies);
 }
 
+uint32_t stand_list_reads(const struct stand *stand)
+{
+	return stand->list_reads;
+}
+
 uint32_t stand_calls(const struct stand *stand)
 {
 	return stand->calls;
--- a/test/stand/stand.h
+++ b/test/stand/stand.h
@@ -67,6 +67,10 @@
 void stand_set_delay(struct stand *stand, uint32_t delay_ms);
 /** Forgets history: followers are told to read anew. */
 void stand_compact(struct stand *stand);
+/** Leaves the next reads of a later page of the instance list without an answer. */
+void stand_lose_pages(struct stand *stand, uint32_t count);
+/** Returns the reads of the instance list that were begun. */
+uint32_t stand_list_reads(const struct stand *stand);
 /** Returns the calls that the store answered. */
 uint32_t stand_calls(const struct stand *stand);
 
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -612,6 +612,7 @@
 {
 	struct fixture f;
 	struct site_gateway *other;
+	uint32_t reads;
 
 	fixture_open(&f);
 	for (uint32_t i = 0; i < 1200; i++) {
@@ -624,6 +625,9 @@
 
 		stand_put(f.stand, "servers", id, text);
 	}
+	/* a page that does not come is asked for again, not the pages before it */
+	reads = stand_list_reads(f.stand);
+	stand_lose_pages(f.stand, 1);
 	other = site_gateway(f.site, "gw-2", NULL);
 	site_start(other);
 	g_assert_true(site_wait_ready(other, READY_MS));
@@ -635,6 +639,7 @@
 		g_assert_cmpuint(i, <, 100);
 		site_run(f.site, 50);
 	}
+	g_assert_cmpuint(stand_list_reads(f.stand) - reads, ==, 1);
 	fixture_close(&f);
 }
 
