--- a/src/serve/peers.c
+++ b/src/serve/peers.c
@@ -14,8 +14,7 @@
 #define PRS_LOADS	   1  /* type of the messages of this file; the others are passed on */
 #define PRS_HURRY_MS	   15 /* least time between two messages about placed generations */
 #define PRS_NOTICE_US	   (2000ULL * 1000) /* a notice is told on for so long */
-/* Notices in a message; those of a wave that takes more come with the list's own changes. */
-#define PRS_NOTICES_MOST   16
+#define PRS_NOTICES_MOST   16 /* in a message: two waves at 60 instances; more come with the list */
 #define PRS_CLASSES	   3
 #define PRS_LIVE_US	   (3ULL * 1000 * 1000)	 /* silence after which a peer is not counted */
 #define PRS_FORGET_US	   (20ULL * 1000 * 1000) /* silence after which nothing is sent */
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -5,7 +5,8 @@
  * while it runs against the promises of the system.
  *
  * soak [--seed N] [--seeds N] [--seconds N] [--gateways N] [--engines N]
- *      [--shops N] [--callers N] [--verbose]
+ *      [--shops N] [--callers N] [--program FILE] [--only FAULT]
+ *      [--until-violation] [--verbose]
  *
  * A seed fixes the schedule of faults and requests; the processes' own timing
  * is the machine's. Ends with 1 and a line for each broken promise.
