--- a/include/flamingolatch/protocol.h
+++ b/include/flamingolatch/protocol.h
@@ -23,6 +23,10 @@
 	uint64_t prompt_tokens;
 	uint64_t max_output_tokens;
 	uint64_t hinted_output_tokens; /**< the caller's hint of the output length; 0 for none */
+	/** Ids of the parts of the prompt, in order; requests may share all parts but the last,
+	 * which belongs to the request or its session. NULL for none. */
+	uint64_t *prompt_parts;
+	uint32_t prompt_part_count;
 };
 
 /** What the system adds to a request for one attempt at an upstream. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -218,11 +218,14 @@
 {
 	g_autofree char *attempts = g_strdup_printf("%u", request->attempt_count);
 	g_autofree char *age = g_strdup_printf("%" G_GUINT64_FORMAT, relay_age_ms(request));
+	g_autofree char *events =
+		g_strdup_printf("%" G_GUINT64_FORMAT, request->attempt_event_count);
+	g_autofree char *parts = relay_dup_prompt_parts(request);
 
 	log_event(LOG_ATTEMPT_FAILED, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "upstream", relay_upstream_id(request), "outcome",
 		  attempt_outcome_name(outcome), "action", attempt_action_name(action), "runs",
-		  attempts, "age_ms", age, NULL);
+		  attempts, "attempt_events", events, "prompt_parts", parts, "age_ms", age, NULL);
 }
 
 static void relay_on_attempt_end(struct relay_request *request, enum attempt_outcome outcome)
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -107,6 +107,7 @@
 	request->not_run = false;
 	request->stream = false;
 	request->first_event_us = 0;
+	request->attempt_event_count = 0;
 	request->migrate_checked_us = 0;
 	g_ptr_array_set_size(request->migrate_tried, 0);
 	request->last_progress_us = env_now_us();
@@ -224,6 +225,7 @@
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
 	request->event_count++;
+	request->attempt_event_count++;
 	relay_update_used(request);
 	request->last_progress_us = now_us;
 	fleet_upstream_record_progress(request->attempt.up, now_us);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -13,6 +13,7 @@
  * refused before. So is a caller that sends no deadline. */
 #define RELAY_RETURNED_MARGIN_MS 300
 #define RELAY_MAX_PRIORITY	 9
+#define RELAY_LOGGED_PART_COUNT	 8
 
 static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "sent", "holding",
 								  "streaming" };
@@ -291,6 +292,17 @@
 	return request->attempt_upstream_id ? request->attempt_upstream_id : "-";
 }
 
+char *relay_dup_prompt_parts(const struct relay_request *request)
+{
+	uint32_t count = MIN(request->decoded.prompt_part_count, RELAY_LOGGED_PART_COUNT);
+	GString *out = g_string_new(count ? NULL : "-");
+
+	for (uint32_t i = 0; i < count; i++)
+		g_string_append_printf(out, "%s%" G_GINT64_MODIFIER "x", i ? "," : "",
+				       request->decoded.prompt_parts[i]);
+	return g_string_free(out, FALSE);
+}
+
 uint64_t relay_age_ms(const struct relay_request *request)
 {
 	return (env_now_us() - request->arrived_us) / 1000;
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -81,15 +81,16 @@
 	char *last_event_id;	   /* of the last event passed on to the caller */
 	uint64_t arrived_us;
 	uint64_t deadline_us;
-	uint64_t queue_deadline_us;  /* end of the queue timeout, at most deadline_us */
-	uint64_t last_progress_us;   /* when the upstream of the current attempt last sent data */
-	uint64_t first_event_us;     /* of the current attempt; 0 before */
-	uint64_t migrate_sent_us;    /* when the latest migration call was sent */
-	uint64_t migrate_checked_us; /* when relay_migrate() last ran in this attempt; 0 before */
-	uint64_t event_count;	     /* over all attempts */
-	uint64_t discarded_bytes;    /* of the current response */
-	uint32_t first_event_ms;     /* from the arrival of the request to its first event */
-	uint32_t longest_pause_ms;   /* between two events */
+	uint64_t queue_deadline_us;   /* end of the queue timeout, at most deadline_us */
+	uint64_t last_progress_us;    /* when the upstream of the current attempt last sent data */
+	uint64_t first_event_us;      /* of the current attempt; 0 before */
+	uint64_t migrate_sent_us;     /* when the latest migration call was sent */
+	uint64_t migrate_checked_us;  /* when relay_migrate() last ran in this attempt; 0 before */
+	uint64_t event_count;	      /* over all attempts */
+	uint64_t attempt_event_count; /* of the current attempt */
+	uint64_t discarded_bytes;     /* of the current response */
+	uint32_t first_event_ms;      /* from the arrival of the request to its first event */
+	uint32_t longest_pause_ms;    /* between two events */
 	uint64_t expected_output_tokens;
 	uint32_t attempt_count; /* attempts that ended and may have run */
 	uint16_t status;	/* HTTP status of the current response; 0 before */
@@ -156,6 +157,8 @@
 const char *relay_route_name(const struct relay_request *request);
 /** Returns the id of the upstream of the current attempt, "-" before the first. */
 const char *relay_upstream_id(const struct relay_request *request);
+/** Returns the ids of the first parts of the prompt, separated by commas, "-" for none. */
+char *relay_dup_prompt_parts(const struct relay_request *request);
 /** Returns the time since the request arrived, in ms. */
 uint64_t relay_age_ms(const struct relay_request *request);
 /** Returns the time until the deadline in ms, 0 when it has passed. */
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -324,6 +324,173 @@
 	fixture_close(&f);
 }
 
+#define CRASH_ENGINE_COUNT  6
+#define CRASH_GATEWAY_COUNT 2
+#define CRASH_REQUEST_COUNT 200
+#define CRASH_PART	    "bad0bad0"
+#define CRASH_RESTART_MS    1500
+#define CRASH_ROUND_MS	    100
+#define CRASH_ROUNDS	    150
+#define CRASH_BAD_EVERY	    3 /* rounds */
+#define CRASH_CONTACT_MS    4000
+#define CRASH_FREE_COUNT    5 /* crashes before the bound counts */
+#define CRASH_LATE_ARRIVALS 3 /* allowed from then on */
+
+/* Engines that crash when they begin to answer a prompt with one part and restart after a while,
+ * and callers that send such prompts among sound ones with the same first part and key. */
+struct crash_scene {
+	struct fixture f;
+	struct testbed_gateway *gateways[CRASH_GATEWAY_COUNT];
+	struct mock_upstream *engines[CRASH_ENGINE_COUNT];
+	GArray *crashes_ms; /* guint64 */
+	struct testbed_answer bad[CRASH_REQUEST_COUNT];
+	struct testbed_answer sound[CRASH_REQUEST_COUNT];
+	uint32_t bad_count;
+	uint32_t sound_count;
+	uint32_t engine_count; /* started so far */
+};
+
+static struct mock_upstream *crash_scene_start_engine(struct crash_scene *scene, uint32_t number)
+{
+	g_autofree char *id = g_strdup_printf("crash-%u", ++scene->engine_count);
+	struct mock_upstream *engine = add_upstream(&scene->f, id, true, 10 + number);
+
+	mock_upstream_configure(engine, &(struct mock_upstream_conf){ .engine = true,
+								      .work_ms = 60,
+								      .pace_ms = 4,
+								      .crash_part = CRASH_PART });
+	return engine;
+}
+
+static void crash_scene_open(struct crash_scene *scene)
+{
+	*scene = (struct crash_scene){ 0 };
+	fixture_open(&scene->f);
+	scene->crashes_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
+	for (uint32_t i = 0; i < CRASH_ENGINE_COUNT; i++)
+		scene->engines[i] = crash_scene_start_engine(scene, i);
+	for (uint32_t i = 0; i < 2; i++)
+		mock_upstream_drain(scene->f.engines[i]);
+	scene->gateways[0] = scene->f.gateway;
+	scene->gateways[1] = testbed_gateway(scene->f.testbed, "gw-2", NULL);
+	testbed_start(scene->gateways[1]);
+	g_assert_true(testbed_wait_ready(scene->gateways[1], READY_TIMEOUT_MS));
+}
+
+static void crash_scene_close(struct crash_scene *scene)
+{
+	for (uint32_t i = 0; i < scene->bad_count; i++)
+		testbed_answer_clear(&scene->bad[i]);
+	for (uint32_t i = 0; i < scene->sound_count; i++)
+		testbed_answer_clear(&scene->sound[i]);
+	g_array_free(scene->crashes_ms, TRUE);
+	fixture_close(&scene->f);
+}
+
+static void crash_scene_send(struct crash_scene *scene, bool bad)
+{
+	uint32_t number = bad ? scene->bad_count++ : scene->sound_count++;
+	g_autofree char *sound_part = g_strdup_printf("c%x", number % 8);
+	g_autofree char *parts = g_strdup_printf(
+		"aa11:350,%s:40,%x:200", bad ? CRASH_PART : sound_part, 0x1000 + number * 2 + bad);
+	struct testbed_request request = generation("/quick/", 40);
+
+	request.prompt_parts = parts;
+	request.wait_ms = 3000;
+	testbed_begin(scene->gateways[number % CRASH_GATEWAY_COUNT], &request,
+		      bad ? &scene->bad[number] : &scene->sound[number]);
+}
+
+/* Notes engines that crashed, and starts them again after a while. */
+static void crash_scene_check_engines(struct crash_scene *scene)
+{
+	uint64_t now_ms = uv_now(testbed_loop(scene->f.testbed));
+
+	for (uint32_t i = 0; i < CRASH_ENGINE_COUNT; i++) {
+		guint64 crashed_ms = mock_upstream_crashed_ms(scene->engines[i]);
+
+		if (crashed_ms == 0 || now_ms - crashed_ms < CRASH_RESTART_MS)
+			continue;
+		g_array_append_val(scene->crashes_ms, crashed_ms);
+		mock_upstream_unlist(scene->engines[i]);
+		scene->engines[i] = crash_scene_start_engine(scene, i);
+	}
+}
+
+static gint compare_ms(gconstpointer a, gconstpointer b)
+{
+	guint64 left = *(const guint64 *)a;
+	guint64 right = *(const guint64 *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static void crash_scene_run(struct crash_scene *scene, uint32_t rounds)
+{
+	for (uint32_t round = 0; round < rounds; round++) {
+		crash_scene_send(scene, false);
+		if (round % CRASH_BAD_EVERY == 0)
+			crash_scene_send(scene, true);
+		testbed_run(scene->f.testbed, CRASH_ROUND_MS);
+		crash_scene_check_engines(scene);
+	}
+	testbed_run(scene->f.testbed, CRASH_RESTART_MS);
+	crash_scene_check_engines(scene);
+	g_array_sort(scene->crashes_ms, compare_ms);
+}
+
+/* Returns how many bad requests reached an engine after a time. */
+static uint32_t crash_scene_arrivals_after(const struct crash_scene *scene, uint64_t since_ms)
+{
+	uint32_t arrivals = 0;
+
+	for (uint32_t i = 0; i < scene->bad_count; i++) {
+		struct mock_request_record record =
+			mock_request_record(scene->f.platform, scene->bad[i].id);
+
+		if (record.arrived_ms > since_ms)
+			arrivals += record.arrivals;
+	}
+	return arrivals;
+}
+
+/* Checks that most sound requests after a time were served. */
+static void crash_scene_check_sound(struct crash_scene *scene, uint64_t since_ms)
+{
+	uint32_t sent = 0;
+	uint32_t served = 0;
+
+	for (uint32_t i = 0; i < scene->sound_count; i++) {
+		if (scene->sound[i].sent_ms < since_ms)
+			continue;
+		g_assert_true(testbed_wait(scene->f.testbed, &scene->sound[i], 5000));
+		sent++;
+		served += testbed_is_complete(&scene->sound[i], 40);
+	}
+	g_test_message("%u of %u sound requests were served", served, sent);
+	g_assert_cmpuint(sent, >=, 20);
+	g_assert_cmpuint(served * 2, >=, sent);
+}
+
+/* Requests with one prompt part crash engine after engine. */
+static void test_crashing_prompt_part(void)
+{
+	struct crash_scene scene;
+	uint64_t last_free_ms;
+	uint32_t late;
+
+	crash_scene_open(&scene);
+	crash_scene_run(&scene, CRASH_ROUNDS);
+	g_assert_cmpuint(scene.crashes_ms->len, >=, 1);
+	last_free_ms = g_array_index(scene.crashes_ms, guint64,
+				     MIN(scene.crashes_ms->len, CRASH_FREE_COUNT) - 1);
+	late = crash_scene_arrivals_after(&scene, last_free_ms + CRASH_CONTACT_MS);
+	g_test_message("%u engines crashed; %u late arrivals", scene.crashes_ms->len, late);
+	g_assert_cmpuint(late, <=, CRASH_LATE_ARRIVALS);
+	crash_scene_check_sound(&scene, last_free_ms + 2 * CRASH_CONTACT_MS);
+	crash_scene_close(&scene);
+}
+
 /* When the caller disconnects, the generation is stopped at its engine. */
 static void test_caller_left(void)
 {
@@ -899,6 +1066,7 @@
 	g_test_add_func("/gateway/start-without-store", test_start_without_store);
 	g_test_add_func("/gateway/moved", test_migrated);
 	g_test_add_func("/gateway/engine-dies", test_engine_crash);
+	g_test_add_func("/gateway/crashing-prompt-part", test_crashing_prompt_part);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
 	g_test_add_func("/gateway/stop", test_stop);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -261,6 +261,8 @@
 		&decoded,
 		"X-Flamingolatch-Attempt-Id: abc\r\nX-Flamingolatch-Deadline-Ms: 3000\r\n"
 		"X-Flamingolatch-Token-Usage: 1460,80\r\nX-Flamingolatch-Length-Hint: 33\r\n"
+		"X-Flamingolatch-Prompt-Prefix: 5C1e07a2:800, "
+		"91bd3f06:410,:7,91bd3f0691bd3f0691:2,e4402b7d:250\r\n"
 		"X-Flamingolatch-Model: m\r\nX-Flamingolatch-Prompt-Prefix: 5c:800,91:410\r\n"
 		"Authorization: Bearer k1\r\nX-Custom: kept\r\nX-Hop: dropped\r\n"
 		"Connection: keep-alive, X-Hop\r\n");
@@ -268,6 +270,11 @@
 	g_assert_cmpstr(decoded.request.key, ==, "k1");
 	g_assert_cmpuint(decoded.request.wait_ms, ==, 3000);
 	g_assert_cmpuint(decoded.request.prompt_tokens, ==, 1460);
+	g_assert_cmpuint(decoded.request.prompt_part_count, ==, 4);
+	g_assert_cmphex(decoded.request.prompt_parts[0], ==, 0x5c1e07a2);
+	g_assert_cmphex(decoded.request.prompt_parts[1], ==, 0x91bd3f06);
+	g_assert_cmphex(decoded.request.prompt_parts[2], !=, 0);
+	g_assert_cmphex(decoded.request.prompt_parts[3], ==, 0xe4402b7d);
 	g_assert_cmpuint(decoded.request.max_output_tokens, ==, 80);
 	g_assert_cmpuint(decoded.request.hinted_output_tokens, ==, 33);
 	out = platform_protocol()->encode(&decoded.request, &attempt);
--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -65,6 +65,7 @@
 	GPtrArray *jobs;
 	uint64_t started_ms; /* wall clock */
 	uint64_t leaving_ms; /* when it began to leave; 0 before */
+	uint64_t crashed_ms; /* when it crashed; 0 before */
 };
 
 /* A request that an upstream executes. */
@@ -79,6 +80,7 @@
 	bool started;
 	bool endless;
 	bool abort_midway;
+	bool crashes_upstream;
 	bool closing;
 };
 
@@ -560,6 +562,12 @@
 	}
 	http_server_destroy(upstream->srv);
 	upstream->srv = NULL;
+	upstream->crashed_ms = uv_now(upstream->platform->loop);
+}
+
+uint64_t mock_upstream_crashed_ms(const struct mock_upstream *upstream)
+{
+	return upstream->crashed_ms;
 }
 
 void mock_upstream_drain(struct mock_upstream *upstream)
@@ -667,6 +675,10 @@
 	g_autofree char *body = NULL;
 	bool fail;
 
+	if (job->crashes_upstream) {
+		mock_upstream_crash(upstream);
+		return;
+	}
 	if (job->endless) {
 		mock_job_send_endless(job);
 		return;
@@ -750,6 +762,22 @@
 	return first;
 }
 
+/* Tells whether the request has the part that crashes the upstream, not as its last part. */
+static bool mock_upstream_has_crash_part(const struct mock_upstream *upstream, struct http_req *req)
+{
+	const char *list = http_req_header(req, "x-flamingolatch-prompt-prefix");
+	g_auto(GStrv) parts = list ? g_strsplit(list, ",", 0) : NULL;
+
+	for (uint32_t i = 0; upstream->conf.crash_part && parts && parts[i] && parts[i + 1]; i++) {
+		size_t id_len = strcspn(parts[i], ":");
+
+		if (id_len == strlen(upstream->conf.crash_part) &&
+		    strncmp(parts[i], upstream->conf.crash_part, id_len) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void mock_upstream_start_job(struct mock_upstream *upstream, struct http_req *req,
 				    const char *id, uint32_t first)
 {
@@ -768,6 +796,7 @@
 			: 0;
 	job->abort_midway = mock_upstream_chance(upstream, upstream->conf.cut_percent);
 	job->endless = mock_upstream_chance(upstream, upstream->conf.endless_percent);
+	job->crashes_upstream = mock_upstream_has_crash_part(upstream, req);
 	uv_timer_init(upstream->platform->loop, &job->timer);
 	job->timer.data = job;
 	uv_timer_start(&job->timer, mock_job_on_timer, upstream->conf.work_ms, 0);
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -44,6 +44,8 @@
 	uint32_t cut_percent;	  /**< closes the connection in the middle of a stream */
 	uint32_t endless_percent; /**< sends bytes that are no answer until the connection ends: an
 				   * event of a stream that never ends, or an unsigned body */
+	const char *crash_part;	  /**< id of a prompt part: the upstream crashes when it begins to
+				   * answer a request that has it before the last part; NULL: none */
 };
 
 /** What upstreams did for one request, over all attempts. */
@@ -90,6 +92,8 @@
 					   const struct mock_upstream_conf *conf);
 /** Stops an upstream at once; its entry stays until mock_upstream_unlist(). */
 void mock_upstream_crash(struct mock_upstream *upstream);
+/** Returns when the upstream crashed, on the loop's clock in ms; 0 while it runs. */
+uint64_t mock_upstream_crashed_ms(const struct mock_upstream *upstream);
 /** Writes to the entry that the upstream is leaving; it continues to serve. */
 void mock_upstream_drain(struct mock_upstream *upstream);
 /** Removes the entry; from then on the upstream counts as leaving. */
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -355,6 +355,9 @@
 				       "X-Flamingolatch-Token-Usage: %u,%u\r\n",
 				       request->prompt_tokens ? request->prompt_tokens : 1000,
 				       request->output_tokens);
+	if (request->prompt_parts)
+		g_string_append_printf(headers, "X-Flamingolatch-Prompt-Prefix: %s\r\n",
+				       request->prompt_parts);
 	req.path = path;
 	req.headers = headers->str;
 	call->testbed = testbed;
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -59,10 +59,11 @@
 	const char *path; /**< /once/ (not idempotent), /safe/ (idempotent), /long/ (generation) or
 			   * /quick/ (resumable generation) */
 	const char *key;  /**< API key; NULL sends none */
-	uint32_t output_tokens; /**< maximum, for /long/ and /quick/ */
-	uint32_t prompt_tokens; /**< 0 for the default */
-	uint32_t wait_ms;	/**< deadline sent with the request; 0 sends none */
-	bool reuse_connection;	/**< uses an idle connection if there is one */
+	uint32_t output_tokens;	  /**< maximum, for /long/ and /quick/ */
+	uint32_t prompt_tokens;	  /**< 0 for the default */
+	const char *prompt_parts; /**< ID:TOKENS for each part, separated by commas, or NULL */
+	uint32_t wait_ms;	  /**< deadline sent with the request; 0 sends none */
+	bool reuse_connection;	  /**< uses an idle connection if there is one */
 };
 
 /** Creates a deployment without gateways and upstreams. */
