Test of lapsed entries: wait until the API keys are confirmed again

/gateway/lapse failed once in a run of all tests: 503 (unconfirmed) where 200 is expected. The store is away for 1.2 s and the test goes on 0.3 s after its return. The last confirmation may be 0.5 s older than the outage, and keys are trusted for 1.7 s, so the instance may have to refuse keys until the store answers it again.

--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -622,6 +622,8 @@
 	testbed_run(f.testbed, 1200);
 	mock_store_set_mode(f.platform, MOCK_STORE_HEALTHY);
 	testbed_run(f.testbed, 300);
+	/* the keys may have become stale meanwhile */
+	g_assert_true(testbed_wait_ready(f.gateway, READY_TIMEOUT_MS));
 	expect(&f, &once, 200);
 	mock_upstream_list(f.plain_upstreams[0]);
 	testbed_run(f.testbed, 1500);
