Quarantine prompt parts under which engines crash

Every request with one prompt part ended the engine that began to answer it, and its retry the next.

Cause: a failure was remembered by engine and by request only. Nothing remembered what the requests had in common that were starting when engines ended, so a prompt that no engine survives was sent on for as long as callers sent it, and each time once more than needed. The class is a poisonous input that the retry and failover of a healthy system spread over all its members.

Change: quarantine.c decides, in virtual time under test, which part is to blame: crashes of three engines under two requests since an answer with the part last got going, and more where answers did get going lately. Of parts that explain the same crashes the one never answered is blamed. crash_guard.c shares observations with all peers, tells new ones, and keeps a row in the store, next to the rows of the instances and read with them, so no start costs a call. Requests with a quarantined part are refused with 503 and the rest of the quarantine as Retry-After; a request under whose like two engines crashed is not sent to a second one.

--- a/include/flamingolatch/attempt.h
+++ b/include/flamingolatch/attempt.h
@@ -47,6 +47,7 @@
 	uint32_t max_executions; /**< limit of @c executions */
 	bool time_left;		 /**< enough time is left for a retry to be answered */
 	bool upstream_available; /**< there is another upstream for the request */
+	bool suspect;		 /**< engines crashed under requests like it */
 	bool budget_left;	 /**< the service's retry budget allows a retry */
 };
 
--- a/include/flamingolatch/store_client.h
+++ b/include/flamingolatch/store_client.h
@@ -21,7 +21,8 @@
 enum store_table {
 	STORE_TABLE_CONFIG,
 	STORE_TABLE_UPSTREAMS, /**< the instance list */
-	STORE_TABLE_INSTANCES, /**< gateway instances of this system */
+	STORE_TABLE_OWN,       /**< the system's own rows: one for each gateway instance, and others
+				* whose keys have a prefix */
 	STORE_TABLE_COUNT
 };
 
@@ -38,7 +39,7 @@
 struct store_change {
 	GBytes *config_text; /**< STORE_TABLE_CONFIG: the configuration, not decoded yet */
 	char *id;	     /**< key of the row: id of the upstream or instance */
-	char *text;	     /**< STORE_TABLE_INSTANCES: what the instance announced */
+	char *text;	     /**< STORE_TABLE_OWN: what was written */
 	char *service;
 	char *address; /**< "IP:port" */
 	char *zone;
@@ -73,10 +74,9 @@
 	 *  @param wait_ms how long the store may wait for a change before it answers without one */
 	struct store_call *(*watch)(void *ctx, enum store_table table, uint64_t since,
 				    uint32_t wait_ms, store_answer_cb cb, void *arg);
-	/** Writes the row of an instance to STORE_TABLE_INSTANCES; removes it when @p text is
-	 * NULL. */
-	struct store_call *(*announce)(void *ctx, const char *id, const char *text,
-				       store_answer_cb cb, void *arg);
+	/** Writes a row of STORE_TABLE_OWN; removes it when @p text is NULL. */
+	struct store_call *(*put)(void *ctx, const char *id, const char *text, store_answer_cb cb,
+				  void *arg);
 	/** @name Decoding of a configuration
 	 * A large one takes longer than a stream may pause, so it is decoded in parts.
 	 * @{ */
--- a/src/core/attempt.c
+++ b/src/core/attempt.c
@@ -47,7 +47,7 @@
 	if (summary->has_kv_copy && summary->outcome != ATTEMPT_ERROR && summary->time_left)
 		return ATTEMPT_ACTION_RESUME;
 	if (summary->idempotent && summary->executions < summary->max_executions &&
-	    summary->time_left && summary->upstream_available && budget_allows)
+	    !summary->suspect && summary->time_left && summary->upstream_available && budget_allows)
 		return ATTEMPT_ACTION_RETRY;
 	return summary->outcome == ATTEMPT_ERROR ? ATTEMPT_ACTION_DELIVER
 						 : attempt_give_up(summary, true);
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -42,6 +42,7 @@
 			       .max = 600000),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, answer_ms, CONF_U64, .min = 10,
 			       .max = 600000),
+	GATEWAY_SETTINGS_FIELD(gateway_load_settings, quarantine_s, CONF_U64, .max = 3600),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, backups, CONF_BOOL),
 	{ 0 },
 };
@@ -98,6 +99,7 @@
 							 .prefill_tokens_per_ms = 8,
 							 .stall_ms = 1500,
 							 .answer_ms = 700,
+							 .quarantine_s = 300,
 							 .backups = true };
 	if (conf_parse_file(file, &gateway_settings_schema, settings, error) &&
 	    gateway_settings_check(file, settings, error))
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -55,7 +55,9 @@
 	delegation->exchange = exchange;
 	delegation->created_us = env_boot_us();
 	delegation->dependents = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	peer_exchange_set_message_cb(exchange, delegation_on_message, delegation);
+	for (int type = DELEGATION_MSG_QUERY; type <= DELEGATION_MSG_PEERS; type++)
+		peer_exchange_set_message_cb(exchange, (uint8_t)type, delegation_on_message,
+					     delegation);
 	peer_exchange_set_read_cb(exchange, delegation_on_peers_read, delegation);
 	store_watch_set_changed(watch, delegation_on_list_changed, delegation_on_config_changed,
 				delegation);
@@ -79,7 +81,8 @@
 {
 	if (!delegation)
 		return;
-	peer_exchange_set_message_cb(delegation->exchange, NULL, NULL);
+	for (int type = DELEGATION_MSG_QUERY; type <= DELEGATION_MSG_PEERS; type++)
+		peer_exchange_set_message_cb(delegation->exchange, (uint8_t)type, NULL, NULL);
 	peer_exchange_set_read_cb(delegation->exchange, NULL, NULL);
 	store_watch_set_changed(delegation->watch, NULL, NULL, NULL);
 	uv_close((uv_handle_t *)&delegation->tick, delegation_on_closed);
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -22,6 +22,8 @@
 
 #include <uv.h>
 
+struct crash_guard;
+
 struct env {
 	uv_loop_t *loop;
 	const struct gateway_settings *settings; /**< replaced on SIGHUP */
@@ -30,6 +32,7 @@
 	struct metric *metric;
 	struct store_client *store_client;
 	const struct protocol_ops *protocol;
+	struct crash_guard *crash_guard;
 	struct route_config *config; /**< in force; NULL before the first */
 	struct freshness freshness;  /**< age of the configuration */
 	GHashTable *retry_budgets;   /**< name of a service to struct retry_budget */
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "crash_guard.h"
 #include "delegation.h"
 #include "dispatch.h"
 #include "dump.h"
@@ -61,6 +62,7 @@
 				enum fleet_upstream_state was);
 static void gateway_on_ready_request(void *ctx, struct http_req *req);
 static void gateway_on_metrics_request(void *ctx, struct http_req *req);
+static void gateway_on_quarantined(void *ctx);
 static const char *gateway_region_of(void *ctx, const char *zone);
 static bool gateway_open_ports(struct gateway *gateway, GError **error);
 
@@ -146,6 +148,8 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
+	gateway->env.crash_guard = crash_guard_create(&gateway->env, gateway->peer_exchange);
+	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway });
@@ -165,6 +169,7 @@
 		return;
 	delegation_destroy(gateway->delegation);
 	store_watch_destroy(gateway->store_watch);
+	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
 	relay_destroy(gateway->relay);
 	http_server_destroy(gateway->callers);
@@ -240,6 +245,13 @@
 				       fleet_upstream_scope(up));
 }
 
+static void gateway_on_quarantined(void *ctx)
+{
+	struct gateway *gateway = ctx;
+
+	relay_refuse_quarantined(gateway->relay);
+}
+
 /* Returns how long the process may keep running after the stop signal. */
 static uint64_t gateway_grace_ms(const struct gateway *gateway)
 {
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -109,8 +109,15 @@
 	bool has_read; /* the rows were read at least once */
 	bool delegated;
 	bool leaving;
-	peer_exchange_message_cb message_cb;
-	void *message_ctx;
+	struct {
+		peer_exchange_message_cb cb;
+		void *ctx;
+	} message_cbs[PEER_EXCHANGE_TYPE_COUNT];
+	void (*joined_cb)(void *ctx, const char *address);
+	void *joined_ctx;
+	const char *row_prefix;
+	void (*row_cb)(void *ctx, const char *id, const char *text);
+	void *row_ctx;
 	void (*read_cb)(void *ctx);
 	void *read_ctx;
 };
@@ -275,11 +282,26 @@
 	return peers;
 }
 
-void peer_exchange_set_message_cb(struct peer_exchange *exchange, peer_exchange_message_cb cb,
-				  void *ctx)
+void peer_exchange_set_message_cb(struct peer_exchange *exchange, uint8_t type,
+				  peer_exchange_message_cb cb, void *ctx)
+{
+	exchange->message_cbs[type].cb = cb;
+	exchange->message_cbs[type].ctx = ctx;
+}
+
+void peer_exchange_set_joined_cb(struct peer_exchange *exchange,
+				 void (*cb)(void *ctx, const char *address), void *ctx)
+{
+	exchange->joined_cb = cb;
+	exchange->joined_ctx = ctx;
+}
+
+void peer_exchange_set_row_cb(struct peer_exchange *exchange, const char *prefix,
+			      void (*cb)(void *ctx, const char *id, const char *text), void *ctx)
 {
-	exchange->message_cb = cb;
-	exchange->message_ctx = ctx;
+	exchange->row_prefix = prefix;
+	exchange->row_cb = cb;
+	exchange->row_ctx = ctx;
 }
 
 void peer_exchange_set_read_cb(struct peer_exchange *exchange, void (*cb)(void *ctx), void *ctx)
@@ -307,6 +329,35 @@
 	return true;
 }
 
+uint32_t peer_exchange_send_to_all(struct peer_exchange *exchange, uint8_t type,
+				   const GByteArray *bytes, bool zone_only)
+{
+	uint32_t sent = 0;
+	GHashTableIter iter;
+	const struct peer_exchange_peer *peer;
+
+	g_hash_table_iter_init(&iter, exchange->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (!zone_only || peer->distance == FLEET_SAME_ZONE)
+			sent += peer_exchange_send(exchange, peer->address, type, bytes);
+	}
+	return sent;
+}
+
+void peer_exchange_send_to_some(struct peer_exchange *exchange, uint8_t type,
+				const GByteArray *bytes, uint32_t count)
+{
+	g_autofree char **addresses =
+		(char **)g_hash_table_get_keys_as_array(exchange->peers, NULL);
+	uint32_t peer_count = g_hash_table_size(exchange->peers);
+
+	for (uint32_t i = 0; i < count && peer_count > 0; i++)
+		peer_exchange_send(
+			exchange,
+			addresses[g_rand_int_range(exchange->env->rand, 0, (gint32)peer_count)],
+			type, bytes);
+}
+
 /* Sends a message to a peer and counts its bytes for its class. */
 static void peer_exchange_send_report(struct peer_exchange *exchange,
 				      const struct peer_exchange_peer *peer, uint8_t type,
@@ -632,7 +683,7 @@
 		env->store_client->ops->cancel(exchange->announce_call);
 	metric_add(env->metric, METRIC_TABLE_WRITES, 1);
 	metric_add(env->metric, METRIC_STORE_OWN_ROW_WRITES, 1);
-	exchange->announce_call = env->store_client->ops->announce(
+	exchange->announce_call = env->store_client->ops->put(
 		env->store_client->ctx, env->settings->instance, exchange->leaving ? NULL : text,
 		peer_exchange_on_announced, exchange);
 }
@@ -664,6 +715,11 @@
 	g_autofree char *own = peer_exchange_own_row(exchange);
 	g_auto(GStrv) fields = g_strsplit(change->text ? change->text : "", " ", 2);
 
+	if (exchange->row_cb && change->id && g_str_has_prefix(change->id, exchange->row_prefix)) {
+		if (change->text)
+			exchange->row_cb(exchange->row_ctx, change->id, change->text);
+		return false;
+	}
 	if (g_strcmp0(change->text, own) == 0)
 		return g_strcmp0(change->id, exchange->env->settings->instance) == 0;
 	if (!change->removed && g_strv_length(fields) == 2)
@@ -713,8 +769,8 @@
 	}
 	metric_add(env->metric, METRIC_TABLE_READS, 1);
 	metric_add(env->metric, METRIC_STORE_PEER_READS, 1);
-	exchange->read_call = env->store_client->ops->read(
-		env->store_client->ctx, STORE_TABLE_INSTANCES, peer_exchange_on_rows, exchange);
+	exchange->read_call = env->store_client->ops->read(env->store_client->ctx, STORE_TABLE_OWN,
+							   peer_exchange_on_rows, exchange);
 }
 
 bool peer_exchange_decode(const void *buf, size_t len, struct peer_exchange_report *out,
@@ -831,10 +887,9 @@
 	if (len > 0 && bytes[0] == PEER_EXCHANGE_MSG_TOTALS &&
 	    peer_exchange_on_totals(exchange, bytes + 1, len - 1))
 		return;
-	if (len > 0 && bytes[0] != PEER_EXCHANGE_MSG_REPORT &&
-	    bytes[0] != PEER_EXCHANGE_MSG_TOTALS) {
-		if (exchange->message_cb)
-			exchange->message_cb(exchange->message_ctx, bytes[0], bytes + 1, len - 1);
+	if (len > 0 && bytes[0] < PEER_EXCHANGE_TYPE_COUNT && exchange->message_cbs[bytes[0]].cb) {
+		exchange->message_cbs[bytes[0]].cb(exchange->message_cbs[bytes[0]].ctx, bytes[0],
+						   bytes + 1, len - 1);
 		return;
 	}
 	if (len == 0 || bytes[0] != PEER_EXCHANGE_MSG_REPORT ||
@@ -851,9 +906,12 @@
 	} else {
 		peer = peer_exchange_add_peer(exchange, report.address, report.instance,
 					      report.zone);
-		if (peer->incarnation != report.incarnation)
+		if (peer->incarnation != report.incarnation) {
 			log_event(LOG_MEMBER_JOINED, "member", report.instance, "address",
 				  report.address, NULL);
+			if (exchange->joined_cb)
+				exchange->joined_cb(exchange->joined_ctx, report.address);
+		}
 		peer->incarnation = report.incarnation;
 		peer->last_report_us = now_us;
 	}
--- a/src/serve/peer_exchange.h
+++ b/src/serve/peer_exchange.h
@@ -35,11 +35,22 @@
  * such report, unless the last report to them is very recent. */
 void peer_exchange_report_placement(struct peer_exchange *exchange);
 
+/** Types of messages on the bus are below this. */
+#define PEER_EXCHANGE_TYPE_COUNT 16
+
 /** Called with a message that is no load report. @param buf the message after its type */
 typedef void (*peer_exchange_message_cb)(void *ctx, uint8_t type, const void *buf, size_t len);
-/** Sets the callback for messages of other types; @p cb may be NULL. */
-void peer_exchange_set_message_cb(struct peer_exchange *exchange, peer_exchange_message_cb cb,
-				  void *ctx);
+/** Sets the callback for messages of one type; @p cb may be NULL. @param type not that of a load
+ * report, below PEER_EXCHANGE_TYPE_COUNT */
+void peer_exchange_set_message_cb(struct peer_exchange *exchange, uint8_t type,
+				  peer_exchange_message_cb cb, void *ctx);
+/** Sets the callback for the first report of a new incarnation of a peer; @p cb may be NULL. */
+void peer_exchange_set_joined_cb(struct peer_exchange *exchange,
+				 void (*cb)(void *ctx, const char *address), void *ctx);
+/** Sets the callback for the system's own rows whose key has a prefix, which are no instances'.
+ * @param prefix static; NULL with @p cb NULL */
+void peer_exchange_set_row_cb(struct peer_exchange *exchange, const char *prefix,
+			      void (*cb)(void *ctx, const char *id, const char *text), void *ctx);
 /** Sets the callback for reads of the instances' rows; @p cb may be NULL. */
 void peer_exchange_set_read_cb(struct peer_exchange *exchange, void (*cb)(void *ctx), void *ctx);
 /** Sets whether a delegate passes on the instances that it reads from the store; meanwhile this
@@ -54,6 +65,12 @@
  * @return false when the message was dropped: the peer is not connected (yet) */
 bool peer_exchange_send(struct peer_exchange *exchange, const char *address, uint8_t type,
 			const GByteArray *bytes);
+/** Sends a message to all peers, or to those of the own zone. @return how many it was sent to */
+uint32_t peer_exchange_send_to_all(struct peer_exchange *exchange, uint8_t type,
+				   const GByteArray *bytes, bool zone_only);
+/** Sends a message to a few peers, chosen at random. */
+void peer_exchange_send_to_some(struct peer_exchange *exchange, uint8_t type,
+				const GByteArray *bytes, uint32_t count);
 /** Returns the bus address of this instance, "IP:port". */
 const char *peer_exchange_address(const struct peer_exchange *exchange);
 /**
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -1,9 +1,12 @@
 #include "relay.h"
 
+#include "crash_guard.h"
 #include "relay_migrate.h"
 #include "relay_attempt.h"
 #include "relay_state.h"
 
+#include "flamingolatch/quarantine.h"
+
 /* Time to answer a request that has no deadline. */
 #define RELAY_DEFAULT_DEADLINE_MS 60000
 /* With less time left an attempt cannot be answered before the deadline. */
@@ -162,6 +165,24 @@
 					   relay_on_granted, request);
 }
 
+/* Refuses a request whose prompt has a quarantined part. Returns true when it was refused. */
+static bool relay_refuse_if_quarantined(struct relay_request *request)
+{
+	uint32_t left_ms = 0;
+
+	if (!relay_is_generation(request) ||
+	    !crash_guard_find(request->relay->env->crash_guard, &request->decoded, &left_ms))
+		return false;
+	metric_add(request->relay->env->metric, METRIC_QUARANTINE_REFUSED, 1);
+	if (request->response_started)
+		relay_abort_response(request, "quarantined");
+	else if (request->may_have_run)
+		relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "quarantined");
+	else
+		relay_reply_error(request, ERR_QUARANTINED, left_ms, "quarantined");
+	return true;
+}
+
 static void relay_place(struct relay_request *request)
 {
 	struct dispatch *dispatch = request->relay->dispatch;
@@ -169,6 +190,8 @@
 	struct dispatch_decision decision = { 0 };
 	struct fleet_upstream *up;
 
+	if (relay_refuse_if_quarantined(request))
+		return;
 	if (relay_is_generation(request)) {
 		/* Queued generations go first. */
 		up = dispatch_queue_length(dispatch)
@@ -207,6 +230,8 @@
 				  "unconfirmed");
 		return;
 	}
+	if (relay_refuse_if_quarantined(request))
+		return;
 	relay_start_attempt(request, up, NULL, NULL);
 	relay_log_placed(request, up, decision);
 }
@@ -251,6 +276,8 @@
 		relay_request_free(request);
 		return;
 	}
+	summary.suspect = request->attempt_event_count < QUARANTINE_GOING_EVENTS &&
+			  crash_guard_is_suspect(env->crash_guard, &request->decoded);
 	summary.upstream_available =
 		relay_is_generation(request)
 			? dispatch_has_upstream(request->relay->dispatch, request->service_name)
@@ -423,6 +450,21 @@
 	dispatch_grant_queued(relay->dispatch);
 }
 
+void relay_refuse_quarantined(struct relay *relay)
+{
+	GList *next;
+
+	for (GList *item = relay->requests.head; item; item = next) {
+		struct relay_request *request = item->data;
+
+		next = item->next;
+		if (!request->caller || request->event_count >= QUARANTINE_GOING_EVENTS)
+			continue;
+		request->may_have_run |= request->call != NULL;
+		relay_refuse_if_quarantined(request);
+	}
+}
+
 void relay_grant_queued(struct relay *relay)
 {
 	if (!relay->request_freed)
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -1,5 +1,9 @@
 #include "relay_attempt.h"
 
+#include "crash_guard.h"
+
+#include "flamingolatch/quarantine.h"
+
 #include <string.h>
 
 #define RELAY_EVENT_MAX_BYTES (1U << 20)
@@ -157,6 +161,7 @@
 
 	request->last_progress_us = env_now_us();
 	fleet_upstream_record_progress(request->attempt.up, request->last_progress_us);
+	crash_guard_on_alive(request->relay->env->crash_guard, request->attempt.up);
 	request->status = http_response_status(head);
 	if (http_response_closes_connection(head) && relay_is_generation(request) &&
 	    verdict == PROTOCOL_ANSWERED)
@@ -229,6 +234,9 @@
 	relay_update_used(request);
 	request->last_progress_us = now_us;
 	fleet_upstream_record_progress(request->attempt.up, now_us);
+	crash_guard_on_alive(env->crash_guard, request->attempt.up);
+	if (request->event_count == QUARANTINE_GOING_EVENTS)
+		crash_guard_on_going(env->crash_guard, &request->decoded);
 	if (request->event_count % RELAY_ESTIMATE_INTERVAL_EVENTS == 0)
 		relay_update_estimate(request);
 	if (*id) {
@@ -285,6 +293,19 @@
 	}
 }
 
+/* Reports an attempt that broke before the answer got going. An engine that is leaving may have
+ * exited as announced. */
+static void relay_report_crash(struct relay_request *request)
+{
+	struct env *env = request->relay->env;
+
+	if (!relay_is_generation(request) || request->event_count >= QUARANTINE_GOING_EVENTS ||
+	    fleet_upstream_state(request->attempt.up) > FLEET_UPSTREAM_LAPSED)
+		return;
+	metric_add(env->metric, METRIC_CRASHED_STARTS, 1);
+	crash_guard_on_crash(env->crash_guard, request->attempt.up, &request->decoded);
+}
+
 /* Tells whether the status of a complete response is a server error. */
 static bool relay_is_server_error(const struct relay_request *request)
 {
@@ -314,6 +335,8 @@
 		return;
 	}
 	request->attempt_count++;
+	if (result == HTTP_CALL_BROKEN)
+		relay_report_crash(request);
 	if (!complete) {
 		request->relay->on_attempt_end(
 			request, result == HTTP_CALL_TIMEOUT ? ATTEMPT_SILENT : ATTEMPT_BROKEN);
@@ -323,10 +346,14 @@
 		if (request->response_body->len > 0 && request->caller)
 			http_req_stream_write(request->caller, request->response_body->str,
 					      request->response_body->len);
-		if (request->stream && event_stream_pending_bytes(request->events) > 0)
+		if (request->stream && event_stream_pending_bytes(request->events) > 0) {
+			relay_report_crash(request);
 			request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
-		else
-			relay_finish_streamed(request);
+			return;
+		}
+		if (request->stream && request->event_count < QUARANTINE_GOING_EVENTS)
+			crash_guard_on_going(request->relay->env->crash_guard, &request->decoded);
+		relay_finish_streamed(request);
 		return;
 	}
 	if (relay_is_server_error(request) && request->caller)
--- a/test/fuzz/fuzz_delegation.c
+++ b/test/fuzz/fuzz_delegation.c
@@ -1,9 +1,10 @@
 /**
  * @file fuzz_delegation.c
  * Decodes arbitrary bytes as the messages by which an instance watches the store
- * for others, and as a packed configuration: no access out of bounds, malformed
- * input is rejected.
+ * for others, or tells them of prompt parts that crash engines, and as a packed
+ * configuration: no access out of bounds, malformed input is rejected.
  */
+#include "../../src/serve/crash_guard_message.h"
 #include "../../src/serve/delegation_message.h"
 
 #include "flamingolatch/delta.h"
@@ -29,6 +30,15 @@
 	}
 }
 
+static void decode_crash_guard(const uint8_t *data, size_t size)
+{
+	struct crash_guard_message message;
+
+	crash_guard_message_init(&message);
+	crash_guard_message_decode(data, size, 1, &message);
+	crash_guard_message_clear(&message);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static const char base_text[] = "{\"version\":1,\"routes\":[{\"host\":\"a\"}]}";
@@ -39,6 +49,7 @@
 	struct store_watch_config config;
 
 	decode_strings(data, size);
+	decode_crash_guard(data, size);
 	if (delegation_decode_changes(data, size, &changes))
 		g_ptr_array_unref(changes.rows);
 	if (delegation_decode_config(data, size, &config))
--- a/test/test_attempt.c
+++ b/test/test_attempt.c
@@ -19,7 +19,7 @@
 /* No combination of the flags runs a request twice that must run once, or reports it wrongly. */
 static void test_all_combinations(void)
 {
-	for (uint32_t bits = 0; bits < 1U << 9; bits++) {
+	for (uint32_t bits = 0; bits < 1U << 10; bits++) {
 		for (int outcome = 0; outcome < ATTEMPT_OUTCOME_COUNT; outcome++) {
 			struct attempt_summary summary = { .outcome = (enum attempt_outcome)outcome,
 							   .idempotent = bits & 1,
@@ -30,7 +30,8 @@
 							   .max_executions = 2,
 							   .time_left = bits & 32,
 							   .upstream_available = bits & 64,
-							   .budget_left = bits & 128 };
+							   .budget_left = bits & 128,
+							   .suspect = bits & 256 };
 			enum attempt_action action = attempt_decide(&summary);
 			bool certainly_not_run =
 				outcome == ATTEMPT_NOT_SENT || outcome == ATTEMPT_NOT_RUN;
@@ -42,6 +43,8 @@
 				g_assert_false(ran || summary.answer_started);
 			if (action == ATTEMPT_ACTION_RETRY && outcome != ATTEMPT_NOT_SENT)
 				g_assert_true(summary.budget_left);
+			if (action == ATTEMPT_ACTION_RETRY && !certainly_not_run)
+				g_assert_false(summary.suspect);
 			if (action == ATTEMPT_ACTION_RETRY && !certainly_not_run)
 				g_assert_cmpuint(summary.executions, <, summary.max_executions);
 			if (action == ATTEMPT_ACTION_FAIL || action == ATTEMPT_ACTION_REFUSE)
--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -491,6 +491,61 @@
 	crash_scene_close(&scene);
 }
 
+static bool crash_scene_is_quarantined(struct crash_scene *scene, uint32_t gateway)
+{
+	g_autofree char *state =
+		testbed_get(scene->f.testbed, scene->gateways[gateway]->metrics_address, "/state");
+
+	return strstr(state, "\"part\":\"" CRASH_PART "\"") != NULL;
+}
+
+/* Sends bad requests; none may reach an engine. */
+static void crash_scene_check_refused(struct crash_scene *scene)
+{
+	for (uint32_t i = 0; i < 2 * CRASH_GATEWAY_COUNT; i++) {
+		struct testbed_answer *answer = &scene->bad[scene->bad_count];
+
+		crash_scene_send(scene, true);
+		g_assert_true(testbed_wait(scene->f.testbed, answer, 5000));
+		g_assert_cmpuint(answer->status, ==, 503);
+		g_assert_cmpfloat(answer->retry_after_s, >, 10.0);
+		g_assert_cmpuint(mock_request_record(scene->f.platform, answer->id).arrivals, ==,
+				 0);
+	}
+}
+
+/* An instance that was killed, or all of them, must not forget a quarantined part. */
+static void test_quarantine_outlives_process(void)
+{
+	struct crash_scene scene;
+
+	crash_scene_open(&scene);
+	crash_scene_run(&scene, 30);
+	for (uint32_t waited = 0; !crash_scene_is_quarantined(&scene, 0); waited++) {
+		g_assert_cmpuint(waited, <, 50);
+		crash_scene_run(&scene, 1);
+	}
+	/* One instance learns it from the other, also without the store's answer to it. */
+	testbed_signal(scene.gateways[1], SIGKILL);
+	g_assert_true(testbed_wait_exit(scene.gateways[1], 2000));
+	testbed_start(scene.gateways[1]);
+	g_assert_true(testbed_wait_ready(scene.gateways[1], READY_TIMEOUT_MS));
+	testbed_run(scene.f.testbed, CRASH_CONTACT_MS);
+	g_assert_true(crash_scene_is_quarantined(&scene, 1));
+	/* After the loss of all instances only the store knows it. */
+	for (uint32_t i = 0; i < CRASH_GATEWAY_COUNT; i++) {
+		testbed_signal(scene.gateways[i], SIGKILL);
+		g_assert_true(testbed_wait_exit(scene.gateways[i], 2000));
+	}
+	for (uint32_t i = 0; i < CRASH_GATEWAY_COUNT; i++) {
+		testbed_start(scene.gateways[i]);
+		g_assert_true(testbed_wait_ready(scene.gateways[i], READY_TIMEOUT_MS));
+	}
+	testbed_run(scene.f.testbed, 1000);
+	crash_scene_check_refused(&scene);
+	crash_scene_close(&scene);
+}
+
 /* When the caller disconnects, the generation is stopped at its engine. */
 static void test_caller_left(void)
 {
@@ -1072,6 +1127,7 @@
 	g_test_add_func("/gateway/moved", test_migrated);
 	g_test_add_func("/gateway/engine-dies", test_engine_crash);
 	g_test_add_func("/gateway/crashing-prompt-part", test_crashing_prompt_part);
+	g_test_add_func("/gateway/quarantine-forgotten", test_quarantine_outlives_process);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
 	g_test_add_func("/gateway/stop", test_stop);
