--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -546,6 +546,144 @@
 	crash_scene_close(&scene);
 }
 
+#define LIMIT_GATEWAY_COUNT  3
+#define LIMIT_UPSTREAM_COUNT 3
+#define LIMIT_REQUEST_COUNT  1200
+#define LIMIT_PER_S	     4.0
+#define LIMIT_ROUND_MS	     30
+#define LIMIT_CONTACT_MS     4000
+#define LIMIT_WINDOW_MS	     4000
+#define LIMIT_MAX_IN_WINDOW  (1.5 * LIMIT_PER_S * LIMIT_WINDOW_MS / 1000 + 5)
+
+/* Three upstreams of the plain service, and gateways in two zones. */
+struct limit_scene {
+	struct fixture f;
+	struct testbed_gateway *gateways[LIMIT_GATEWAY_COUNT];
+	struct mock_upstream *upstreams[LIMIT_UPSTREAM_COUNT];
+	struct testbed_answer answers[LIMIT_REQUEST_COUNT];
+	uint32_t count;
+};
+
+static void limit_scene_open(struct limit_scene *scene)
+{
+	*scene = (struct limit_scene){ 0 };
+	fixture_open(&scene->f);
+	scene->upstreams[0] = scene->f.plain_upstreams[0];
+	scene->upstreams[1] = scene->f.plain_upstreams[1];
+	scene->upstreams[2] = add_upstream(&scene->f, "shop-3", false, 5);
+	scene->gateways[0] = scene->f.gateway;
+	scene->gateways[1] = testbed_gateway(scene->f.testbed, "gw-2", NULL);
+	scene->gateways[2] = testbed_gateway_in_zone(scene->f.testbed, "gw-3", "z2", NULL);
+	for (uint32_t i = 1; i < LIMIT_GATEWAY_COUNT; i++) {
+		testbed_start(scene->gateways[i]);
+		g_assert_true(testbed_wait_ready(scene->gateways[i], READY_TIMEOUT_MS));
+	}
+}
+
+static void limit_scene_close(struct limit_scene *scene)
+{
+	for (uint32_t i = 0; i < scene->count; i++)
+		testbed_answer_clear(&scene->answers[i]);
+	fixture_close(&scene->f);
+}
+
+static void limit_scene_name(struct limit_scene *scene, uint32_t first, uint32_t count,
+			     double limit_per_s)
+{
+	for (uint32_t i = first; i < first + count; i++)
+		configure_upstream(
+			&scene->f,
+			&(struct mock_upstream_conf){ .work_ms = 5, .limit_per_s = limit_per_s },
+			scene->upstreams[i]);
+}
+
+/* Sends requests to all gateways in turn. @return the index of the first one's answer */
+static uint32_t limit_scene_send(struct limit_scene *scene, uint32_t rounds)
+{
+	uint32_t first = scene->count;
+
+	for (uint32_t i = 0; i < rounds; i++) {
+		testbed_begin(scene->gateways[i % LIMIT_GATEWAY_COUNT],
+			      i / LIMIT_GATEWAY_COUNT % 2 ? &once : &safe,
+			      &scene->answers[scene->count++]);
+		testbed_run(scene->f.testbed, LIMIT_ROUND_MS);
+	}
+	return first;
+}
+
+/* Returns the most arrivals at an upstream in any window from a time on. */
+static uint32_t limit_scene_most_arrivals(const struct mock_upstream *upstream, uint64_t since_ms)
+{
+	const GArray *arrivals = mock_upstream_arrivals_ms(upstream);
+	uint32_t most = 0;
+	guint begin = 0;
+
+	for (guint i = 0; i < arrivals->len; i++) {
+		guint64 at_ms = g_array_index(arrivals, guint64, i);
+
+		while (g_array_index(arrivals, guint64, begin) < since_ms ||
+		       g_array_index(arrivals, guint64, begin) + LIMIT_WINDOW_MS < at_ms)
+			if (begin++ == i)
+				break;
+		most = MAX(most, begin <= i ? i - begin + 1 : 0);
+	}
+	return most;
+}
+
+static uint32_t limit_scene_served(struct limit_scene *scene, uint32_t first)
+{
+	uint32_t served = 0;
+
+	for (uint32_t i = first; i < scene->count; i++) {
+		g_assert_true(testbed_wait(scene->f.testbed, &scene->answers[i], 5000));
+		served += scene->answers[i].status == 200;
+		/* a refusal is not held back, and says when to come back */
+		if (scene->answers[i].status == 503)
+			g_assert_cmpfloat(scene->answers[i].retry_after_s, >, 0.0);
+	}
+	return served;
+}
+
+/* Upstreams that name a limit get more than that from all instances together. */
+static void test_upstream_limit_exceeded(void)
+{
+	struct limit_scene scene;
+	uint32_t first;
+	uint64_t since_ms;
+
+	limit_scene_open(&scene);
+	limit_scene_send(&scene, 50);
+	/* two of three: the third one takes the rest */
+	limit_scene_name(&scene, 0, 2, LIMIT_PER_S);
+	since_ms = uv_now(testbed_loop(scene.f.testbed)) + LIMIT_CONTACT_MS;
+	first = limit_scene_send(&scene, 360);
+	for (uint32_t i = 0; i < 2; i++) {
+		uint32_t most = limit_scene_most_arrivals(scene.upstreams[i], since_ms);
+
+		g_test_message("at most %u requests in a window", most);
+		g_assert_cmpuint(most, <=, (uint32_t)LIMIT_MAX_IN_WINDOW);
+		g_assert_cmpuint(most, >, 0);
+	}
+	g_assert_cmpuint(limit_scene_served(&scene, first), ==, scene.count - first);
+	/* all three: what they take is used, and the rest is refused */
+	limit_scene_name(&scene, 0, 3, LIMIT_PER_S);
+	since_ms = uv_now(testbed_loop(scene.f.testbed)) + LIMIT_CONTACT_MS;
+	limit_scene_send(&scene, LIMIT_CONTACT_MS / LIMIT_ROUND_MS);
+	first = limit_scene_send(&scene, 300);
+	for (uint32_t i = 0; i < 3; i++)
+		g_assert_cmpuint(limit_scene_most_arrivals(scene.upstreams[i], since_ms), <=,
+				 (uint32_t)LIMIT_MAX_IN_WINDOW);
+	g_test_message("%u of %u served", limit_scene_served(&scene, first), scene.count - first);
+	g_assert_cmpuint(limit_scene_served(&scene, first), >=,
+			 (uint32_t)(0.5 * 3 * LIMIT_PER_S * 300 * LIMIT_ROUND_MS / 1000));
+	/* none any more: all is served again */
+	limit_scene_name(&scene, 0, 3, 0.0);
+	limit_scene_send(&scene, 2 * LIMIT_CONTACT_MS / LIMIT_ROUND_MS);
+	first = limit_scene_send(&scene, 60);
+	g_assert_cmpuint(limit_scene_served(&scene, first), ==, scene.count - first);
+	limit_scene_close(&scene);
+}
+
 /* When the caller disconnects, the generation is stopped at its engine. */
 static void test_caller_left(void)
 {
@@ -1128,6 +1266,7 @@
 	g_test_add_func("/gateway/engine-dies", test_engine_crash);
 	g_test_add_func("/gateway/crashing-prompt-part", test_crashing_prompt_part);
 	g_test_add_func("/gateway/quarantine-forgotten", test_quarantine_outlives_process);
+	g_test_add_func("/gateway/upstream-limit-exceeded", test_upstream_limit_exceeded);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
 	g_test_add_func("/gateway/stop", test_stop);
--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -63,6 +63,7 @@
 	char *address;
 	char *listed_address; /* address in the entry of the instance list */
 	GPtrArray *jobs;
+	GArray *arrivals_ms; /* guint64 */
 	uint64_t started_ms; /* wall clock */
 	uint64_t leaving_ms; /* when it began to leave; 0 before */
 	uint64_t crashed_ms; /* when it crashed; 0 before */
@@ -172,6 +173,7 @@
 {
 	mock_upstream_crash(upstream);
 	g_ptr_array_free(upstream->jobs, TRUE);
+	g_array_free(upstream->arrivals_ms, TRUE);
 	g_free(upstream->id);
 	g_free(upstream->service);
 	g_free(upstream->zone);
@@ -531,6 +533,7 @@
 	upstream->service = g_strdup(conf->service);
 	upstream->zone = g_strdup(conf->zone);
 	upstream->jobs = g_ptr_array_new();
+	upstream->arrivals_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	upstream->started_ms = (uint64_t)g_get_real_time() / 1000;
 	upstream->srv = http_server_create(platform->loop, &server, mock_upstream_on_request,
 					   upstream, NULL);
@@ -565,6 +568,11 @@
 	upstream->crashed_ms = uv_now(upstream->platform->loop);
 }
 
+const GArray *mock_upstream_arrivals_ms(const struct mock_upstream *upstream)
+{
+	return upstream->arrivals_ms;
+}
+
 uint64_t mock_upstream_crashed_ms(const struct mock_upstream *upstream)
 {
 	return upstream->crashed_ms;
@@ -616,8 +624,18 @@
 	mock_job_free(job);
 }
 
-static void mock_upstream_sign(struct http_req *req, const char *id)
+static void mock_upstream_name_limit(const struct mock_upstream *upstream, struct http_req *req)
+{
+	g_autofree char *limit = g_strdup_printf("%.1f", upstream->conf.limit_per_s);
+
+	if (upstream->conf.limit_per_s > 0.0)
+		http_req_add_response_header(req, "Server-Limit", limit);
+}
+
+static void mock_upstream_sign(const struct mock_upstream *upstream, struct http_req *req,
+			       const char *id)
 {
+	mock_upstream_name_limit(upstream, req);
 	http_req_add_response_header(req, "X-Flamingolatch-Attempt-Id", id);
 	http_req_add_response_header(req, "X-Flamingolatch-Replica-Signature", "stand");
 }
@@ -631,7 +649,7 @@
 
 	if (!job->started) {
 		job->started = true;
-		mock_upstream_sign(req, job->id);
+		mock_upstream_sign(upstream, req, job->id);
 		http_req_stream_begin(req, 200, "text/event-stream");
 	}
 	if (job->abort_midway && job->next_event > job->total_events / 2) {
@@ -658,7 +676,7 @@
 	if (!job->started) {
 		job->started = true;
 		if (job->total_events)
-			mock_upstream_sign(job->req, job->id);
+			mock_upstream_sign(job->upstream, job->req, job->id);
 		http_req_stream_begin(job->req, 200,
 				      job->total_events ? "text/event-stream" : "text/plain");
 	}
@@ -695,16 +713,19 @@
 	}
 	fail = mock_upstream_chance(upstream, upstream->conf.fail_percent);
 	mock_find_or_add_record(upstream->platform, job->id)->completed |= !fail;
-	mock_upstream_sign(req, mock_upstream_chance(upstream, upstream->conf.foreign_percent)
-					? "another"
-					: job->id);
+	mock_upstream_sign(upstream, req,
+			   mock_upstream_chance(upstream, upstream->conf.foreign_percent)
+				   ? "another"
+				   : job->id);
 	mock_job_free(job);
 	http_req_reply(req, fail ? 500 : 200, "text/plain", body, strlen(body));
 }
 
 /* Refuses a request and states that it was not executed. */
-static void mock_upstream_refuse(struct http_req *req, const char *id, uint16_t status)
+static void mock_upstream_refuse(const struct mock_upstream *upstream, struct http_req *req,
+				 const char *id, uint16_t status)
 {
+	mock_upstream_name_limit(upstream, req);
 	http_req_add_response_header(req, "X-Flamingolatch-Attempt-Id", id);
 	http_req_add_response_header(req, "X-Flamingolatch-Not-Executed", "1");
 	http_req_reply(req, status, NULL, "", 0);
@@ -807,8 +828,9 @@
 static void mock_upstream_record_arrival(struct mock_upstream *upstream, struct http_req *req,
 					 struct mock_request_record *record)
 {
-	uint64_t now_ms = uv_now(upstream->platform->loop);
+	guint64 now_ms = uv_now(upstream->platform->loop);
 
+	g_array_append_val(upstream->arrivals_ms, now_ms);
 	record->arrivals++;
 	record->arrived_ms = now_ms;
 	record->leaving_ms = upstream->leaving_ms ? now_ms - upstream->leaving_ms : 0;
@@ -840,7 +862,7 @@
 		return;
 	}
 	if (expected && strcmp(expected, upstream->id) != 0) {
-		mock_upstream_refuse(req, id, 421);
+		mock_upstream_refuse(upstream, req, id, 421);
 		return;
 	}
 	record = mock_find_or_add_record(upstream->platform, id);
@@ -848,7 +870,7 @@
 	first = mock_upstream_first_event(upstream->platform, req);
 	if (first == 0 || mock_upstream_chance(upstream, upstream->conf.shed_percent)) {
 		record->refused++;
-		mock_upstream_refuse(req, id, 503);
+		mock_upstream_refuse(upstream, req, id, 503);
 		return;
 	}
 	if (!http_req_header(req, "kv-from"))
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -44,8 +44,9 @@
 	uint32_t cut_percent;	  /**< closes the connection in the middle of a stream */
 	uint32_t endless_percent; /**< sends bytes that are no answer until the connection ends: an
 				   * event of a stream that never ends, or an unsigned body */
-	const char *crash_part;	  /**< id of a prompt part: the upstream crashes when it begins to
-				   * answer a request that has it before the last part; NULL: none */
+	double limit_per_s; /**< limit of requests a second that its answers name; 0 names none */
+	const char *crash_part; /**< id of a prompt part: the upstream crashes when it begins to
+				 * answer a request that has it before the last part; NULL: none */
 };
 
 /** What upstreams did for one request, over all attempts. */
@@ -94,6 +95,8 @@
 void mock_upstream_crash(struct mock_upstream *upstream);
 /** Returns when the upstream crashed, on the loop's clock in ms; 0 while it runs. */
 uint64_t mock_upstream_crashed_ms(const struct mock_upstream *upstream);
+/** Returns when requests arrived, on the loop's clock in ms, as an array of guint64; borrowed. */
+const GArray *mock_upstream_arrivals_ms(const struct mock_upstream *upstream);
 /** Writes to the entry that the upstream is leaving; it continues to serve. */
 void mock_upstream_drain(struct mock_upstream *upstream);
 /** Removes the entry; from then on the upstream counts as leaving. */
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -103,6 +103,12 @@
 
 struct testbed_gateway *testbed_gateway(struct testbed *testbed, const char *name,
 					const char *store)
+{
+	return testbed_gateway_in_zone(testbed, name, "z1", store);
+}
+
+struct testbed_gateway *testbed_gateway_in_zone(struct testbed *testbed, const char *name,
+						const char *zone, const char *store)
 {
 	struct testbed_gateway *gateway = g_new0(struct testbed_gateway, 1);
 	g_autofree char *ip = testbed_ip(testbed, 10 + testbed->gateways->len);
@@ -110,7 +116,7 @@
 
 	gateway->testbed = testbed;
 	gateway->name = g_strdup(name);
-	gateway->zone = g_strdup("z1");
+	gateway->zone = g_strdup(zone);
 	gateway->address = g_strdup_printf("%s:8740", ip);
 	gateway->ready_address = g_strdup_printf("%s:8749", ip);
 	gateway->metrics_address = g_strdup_printf("%s:8751", ip);
@@ -118,13 +124,13 @@
 	gateway->settings_file = g_strdup_printf("%s/%s.yaml", testbed->directory, name);
 	gateway->log_file = g_strdup_printf("%s/%s.log", testbed->directory, name);
 	text = g_strdup_printf(
-		"instance: %s\nzone: z1\nregion: r1\nzones:\n"
+		"instance: %s\nzone: %s\nregion: r1\nzones:\n"
 		"  - { name: z1, region: r1 }\n  - { name: z2, region: r1 }\n"
 		"callers: \"%s\"\nready: \"%s\"\nmetrics: \"%s\"\n"
 		"bus: \"%s:8750\"\nstore: \"%s\"\nfirst_start: %s\nconfig_wait_ms: 500\n"
 		"bounds:\n  revoke_ms: %d\n  grace_s: %d\n  recheck_s: 1.0\n"
 		"  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window_s: 10\n",
-		name, gateway->address, gateway->ready_address, gateway->metrics_address, ip,
+		name, zone, gateway->address, gateway->ready_address, gateway->metrics_address, ip,
 		gateway->store_address, testbed->first_start ? "true" : "false", TESTBED_REVOKE_MS,
 		TESTBED_GRACE_S);
 	g_assert_true(g_file_set_contents(gateway->settings_file, text, -1, NULL));
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -90,6 +90,9 @@
  * @param store address of a proxy to the store; NULL for the store itself */
 struct testbed_gateway *testbed_gateway(struct testbed *testbed, const char *name,
 					const char *store);
+/** The same for a gateway in another zone, "z2". */
+struct testbed_gateway *testbed_gateway_in_zone(struct testbed *testbed, const char *name,
+						const char *zone, const char *store);
 void testbed_start(struct testbed_gateway *gateway);
 /** Sends a signal; does nothing when the gateway does not run. */
 void testbed_signal(struct testbed_gateway *gateway, int signal);
