Keep to the limit that an upstream names, over all instances

Cause: no code read the limit. The load of an upstream is what is open there, so one that answers in 15 ms looks idle at any rate. The class is a bound on the sum over all instances that no instance can see alone, like the retry budget; that one is divided by the number of instances, which is too coarse here, since one zone has a single instance for a third of the callers.

Change: the adapter decodes the limit; each instance takes a part of it by the demand of its callers (upstream_limit.c), instances tell one another limits and demand while there is a limit (limit_exchange.c). Retries count. Where instances are many for a limit a few of them share it, others for each upstream, in an order that all compute alike. Placement leaves out an upstream whose part is used up; when none is left, a call is refused at once with a Retry-After that spreads the callers over what the upstreams take.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -15,6 +15,8 @@
 #ifndef FLAMINGOLATCH_FLEET_H
 #define FLAMINGOLATCH_FLEET_H
 
+#include "flamingolatch/upstream_limit.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -100,6 +102,8 @@
 
 /** Returns the current incarnation of an upstream, or NULL. */
 struct fleet_upstream *fleet_find(struct fleet *fleet, const char *id);
+/** Returns an upstream by fleet_upstream_key(), without a reference, or NULL. */
+struct fleet_upstream *fleet_find_key(struct fleet *fleet, uint32_t key);
 /** Returns the upstreams of a service in a stable order: an array of struct fleet_upstream. */
 const GPtrArray *fleet_service_upstreams(struct fleet *fleet, const char *service);
 /** Calls @p callback for each upstream that has open requests of this instance, and for others that
@@ -153,6 +157,8 @@
 /** Returns the load placed by this instance. The code that sends requests updates it, and calls
  * fleet_upstream_mark_active() after an increase. */
 struct fleet_load *fleet_upstream_own_load(struct fleet_upstream *up);
+/** Returns the limit that it names in its answers. */
+struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up);
 /** Makes fleet_foreach_active() visit the upstream while it has open requests of this instance. */
 void fleet_upstream_mark_active(struct fleet_upstream *up);
 /** Returns the sum of the loads reported by peers and of other zones that have not expired. */
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -50,11 +50,13 @@
 	X(METRIC_BUS_REPORT_BYTES_FAR, "bus_far_report_bytes_total", "Bytes of load reports sent to other regions.") \
 	X(METRIC_BUS_DELEGATION_BYTES, "bus_delegation_bytes_total", "Bytes of messages by which one instance watches the store for others.") \
 	X(METRIC_BUS_QUARANTINE_BYTES, "bus_quarantine_bytes_total", "Bytes of messages on prompt parts that crash engines.") \
+	X(METRIC_BUS_LIMIT_BYTES, "bus_limit_bytes_total", "Bytes of messages on limits that upstreams name.") \
 	X(METRIC_BUS_MESSAGES_RECEIVED, "bus_received_total", "Messages received from peers.") \
 	X(METRIC_BUS_MESSAGES_INVALID, "bus_bad_total", "Messages from peers that could not be decoded.") \
 	X(METRIC_CLAIM_ROWS_DELETED, "rows_collected_total", "Claim rows of finished calls deleted after their time to live.") \
 	X(METRIC_CRASHED_STARTS, "crashed_starts_total", "Attempts whose connection to the engine broke before the answer got going.") \
 	X(METRIC_QUARANTINE_REFUSED, "quarantine_refused_total", "Requests refused because a part of their prompt is quarantined.") \
+	X(METRIC_LIMIT_REFUSED, "limit_refused_total", "Requests refused because the upstreams of the service take no more, by the limits that they name.") \
 	X(METRIC_ENGINE_ORDERS, "orders_total", "Orders sent to engines.") \
 	X(METRIC_CONNECTION_CLOSE_ANSWERS, "closing_answers_total", "Generation answers after which the engine closes the connection.") \
 	X(METRIC_GENERATIONS_SPILLED, "spilled_total", "Generations sent to another availability zone.")
--- a/include/flamingolatch/protocol.h
+++ b/include/flamingolatch/protocol.h
@@ -73,6 +73,9 @@
 	bool (*owns)(const struct http_response_head *head, const char *id);
 	/** Classifies an answer by its head. */
 	enum protocol_answer_class (*classify_answer)(const struct http_response_head *head);
+	/** Returns the requests a second that the upstream takes from all instances together,
+	 * as its answer names them; negative when it names no limit. */
+	double (*decode_limit)(const struct http_response_head *head);
 	/** Returns path and body of the call that migrates a generation, as new strings. Free the
 	 * body with free(). */
 	void (*encode_migration)(const struct protocol_migration *migration, char **path,
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -32,6 +32,7 @@
 	uint64_t suspension_us; /* length of the last suspension; 0 for none */
 	uint64_t last_progress_us;
 	struct fleet_load own_load;
+	struct upstream_limit limit;
 	GHashTable *peer_loads; /* peer id to struct fleet_peer_load */
 	GHashTable *zone_loads; /* other zone to struct fleet_peer_load, for all its instances */
 	double failure_share;
@@ -384,6 +385,11 @@
 	return g_hash_table_lookup(fleet->by_id, id);
 }
 
+struct fleet_upstream *fleet_find_key(struct fleet *fleet, uint32_t key)
+{
+	return g_hash_table_lookup(fleet->by_key, GUINT_TO_POINTER(key));
+}
+
 const GPtrArray *fleet_service_upstreams(struct fleet *fleet, const char *service)
 {
 	static GPtrArray empty;
@@ -441,6 +447,11 @@
 	}
 }
 
+struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up)
+{
+	return &up->limit;
+}
+
 const char *fleet_upstream_id(const struct fleet_upstream *up)
 {
 	return up->id;
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -176,7 +176,8 @@
 			       uint64_t now_us)
 {
 	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
-	    fleet_upstream_suspended(up, now_us))
+	    fleet_upstream_suspended(up, now_us) ||
+	    !upstream_limit_allows(fleet_upstream_limit((struct fleet_upstream *)up), now_us))
 		return false;
 	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
 }
@@ -300,6 +301,19 @@
 	return fill <= DISPATCH_MAX_BACKUP_FILL ? up : NULL;
 }
 
+bool dispatch_is_limited(struct dispatch *dispatch, const char *service)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	uint64_t now_us = env_now_us();
+
+	for (guint i = 0; i < ups->len; i++) {
+		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
+		    !upstream_limit_allows(fleet_upstream_limit(ups->pdata[i]), now_us))
+			return true;
+	}
+	return false;
+}
+
 bool dispatch_has_upstream(struct dispatch *dispatch, const char *service)
 {
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -75,6 +75,9 @@
 struct fleet_upstream *dispatch_select_backup(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      const struct fleet_upstream *main);
+/** Tells whether an upstream of a service gets no request now because of the limit that it names.
+ */
+bool dispatch_is_limited(struct dispatch *dispatch, const char *service);
 /** Tells whether any upstream of a service may get new requests. */
 bool dispatch_has_upstream(struct dispatch *dispatch, const char *service);
 
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -23,6 +23,7 @@
 #include <uv.h>
 
 struct crash_guard;
+struct limit_exchange;
 
 struct env {
 	uv_loop_t *loop;
@@ -33,6 +34,7 @@
 	struct store_client *store_client;
 	const struct protocol_ops *protocol;
 	struct crash_guard *crash_guard;
+	struct limit_exchange *limit_exchange;
 	struct route_config *config; /**< in force; NULL before the first */
 	struct freshness freshness;  /**< age of the configuration */
 	GHashTable *retry_budgets;   /**< name of a service to struct retry_budget */
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -115,6 +115,8 @@
 	} message_cbs[PEER_EXCHANGE_TYPE_COUNT];
 	void (*joined_cb)(void *ctx, const char *address);
 	void *joined_ctx;
+	void (*totals_cb)(void *ctx, const char *address);
+	void *totals_ctx;
 	const char *row_prefix;
 	void (*row_cb)(void *ctx, const char *id, const char *text);
 	void *row_ctx;
@@ -296,6 +298,13 @@
 	exchange->joined_ctx = ctx;
 }
 
+void peer_exchange_set_totals_cb(struct peer_exchange *exchange,
+				 void (*cb)(void *ctx, const char *address), void *ctx)
+{
+	exchange->totals_cb = cb;
+	exchange->totals_ctx = ctx;
+}
+
 void peer_exchange_set_row_cb(struct peer_exchange *exchange, const char *prefix,
 			      void (*cb)(void *ctx, const char *id, const char *text), void *ctx)
 {
@@ -518,13 +527,17 @@
 			MIN(exchange->totals[class].credit + rate * PEER_EXCHANGE_TICK_MS / 1000.0,
 			    1.0 + rate * PEER_EXCHANGE_TICK_MS / 1000.0);
 		while (peers->len > 0 && exchange->totals[class].credit >= 1.0) {
+			const struct peer_exchange_peer *peer =
+				peers->pdata[exchange->totals[class].next++ % peers->len];
+
 			if (!encoded)
 				peer_exchange_encode_totals(exchange, live + 1);
 			encoded = true;
 			exchange->totals[class].credit -= 1.0;
-			peer_exchange_send_report(
-				exchange, peers->pdata[exchange->totals[class].next++ % peers->len],
-				PEER_EXCHANGE_MSG_TOTALS, exchange->encoded);
+			peer_exchange_send_report(exchange, peer, PEER_EXCHANGE_MSG_TOTALS,
+						  exchange->encoded);
+			if (exchange->totals_cb)
+				exchange->totals_cb(exchange->totals_ctx, peer->address);
 		}
 	}
 }
@@ -588,6 +601,29 @@
 		each(ctx, peer->address, peer->instance, peer->zone);
 }
 
+void peer_exchange_each_live(struct peer_exchange *exchange,
+			     void (*member)(void *ctx, const char *address),
+			     void (*zone)(void *ctx, const char *name), void *ctx)
+{
+	uint64_t now_us = env_now_us();
+	GHashTableIter iter;
+	const struct peer_exchange_peer *peer;
+	const struct peer_exchange_zone *totals;
+	const char *name;
+
+	g_hash_table_iter_init(&iter, exchange->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->distance == FLEET_SAME_ZONE && peer->last_report_us &&
+		    now_us - peer->last_report_us < PEER_EXCHANGE_LIVE_US)
+			member(ctx, peer->address);
+	}
+	g_hash_table_iter_init(&iter, exchange->zones);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&name, (gpointer *)&totals)) {
+		if (now_us < totals->expires_us)
+			zone(ctx, name);
+	}
+}
+
 GPtrArray *peer_exchange_group(struct peer_exchange *exchange, bool region)
 {
 	GPtrArray *group = g_ptr_array_new();
--- a/src/serve/peer_exchange.h
+++ b/src/serve/peer_exchange.h
@@ -47,6 +47,9 @@
 /** Sets the callback for the first report of a new incarnation of a peer; @p cb may be NULL. */
 void peer_exchange_set_joined_cb(struct peer_exchange *exchange,
 				 void (*cb)(void *ctx, const char *address), void *ctx);
+/** Sets the callback for each peer of another zone to which totals are sent; @p cb may be NULL. */
+void peer_exchange_set_totals_cb(struct peer_exchange *exchange,
+				 void (*cb)(void *ctx, const char *address), void *ctx);
 /** Sets the callback for the system's own rows whose key has a prefix, which are no instances'.
  * @param prefix static; NULL with @p cb NULL */
 void peer_exchange_set_row_cb(struct peer_exchange *exchange, const char *prefix,
@@ -85,6 +88,11 @@
 			     void (*each)(void *ctx, const char *address, const char *instance,
 					  const char *zone),
 			     void *ctx);
+/** Calls @p member for each other instance of this zone that reported lately, and @p zone for each
+ * other zone whose totals arrived lately. */
+void peer_exchange_each_live(struct peer_exchange *exchange,
+			     void (*member)(void *ctx, const char *address),
+			     void (*zone)(void *ctx, const char *name), void *ctx);
 /** Returns true once the rows of the instances were read. */
 bool peer_exchange_has_read(const struct peer_exchange *exchange);
 /** Reports to the peers that this instance stops and removes it from the store. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "crash_guard.h"
+#include "limit_exchange.h"
 #include "relay_migrate.h"
 #include "relay_attempt.h"
 #include "relay_state.h"
@@ -183,6 +184,18 @@
 	return true;
 }
 
+/* Refuses a request that no upstream takes now because of the limits that they name. */
+static void relay_refuse_limited(struct relay_request *request)
+{
+	struct env *env = request->relay->env;
+
+	metric_add(env->metric, METRIC_LIMIT_REFUSED, 1);
+	relay_reply_error(request, ERR_OVERLOADED,
+			  MAX(limit_exchange_return_ms(env->limit_exchange, request->service_name),
+			      relay_retry_after_ms(request)),
+			  "upstream-limit");
+}
+
 static void relay_place(struct relay_request *request)
 {
 	struct dispatch *dispatch = request->relay->dispatch;
@@ -207,6 +220,8 @@
 	if (!up) {
 		if (request->may_have_run)
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "no-other-upstream");
+		else if (dispatch_is_limited(dispatch, request->service_name))
+			relay_refuse_limited(request);
 		else
 			relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request),
 					  "no-upstream");
@@ -433,6 +448,7 @@
 		relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS, "stopping");
 		return;
 	}
+	limit_exchange_on_request(relay->env->limit_exchange, request->service_name);
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
 	relay_place(request);
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -1,6 +1,7 @@
 #include "relay_attempt.h"
 
 #include "crash_guard.h"
+#include "limit_exchange.h"
 
 #include "flamingolatch/quarantine.h"
 
@@ -94,6 +95,7 @@
 				  ? request->decoded.prompt_tokens + request->expected_output_tokens
 				  : 0,
 			  from_address ? 0 : request->decoded.prompt_tokens);
+	upstream_limit_take(fleet_upstream_limit(up), env_now_us());
 	env->placed_generation |= relay_is_generation(request);
 	/* A resumed generation occupies memory before its first event. */
 	if (from_address)
@@ -163,6 +165,9 @@
 	fleet_upstream_record_progress(request->attempt.up, request->last_progress_us);
 	crash_guard_on_alive(request->relay->env->crash_guard, request->attempt.up);
 	request->status = http_response_status(head);
+	if (verdict == PROTOCOL_ANSWERED || verdict == PROTOCOL_NOT_RUN)
+		limit_exchange_on_answer(request->relay->env->limit_exchange, request->attempt.up,
+					 request->relay->env->protocol->decode_limit(head));
 	if (http_response_closes_connection(head) && relay_is_generation(request) &&
 	    verdict == PROTOCOL_ANSWERED)
 		metric_add(request->relay->env->metric, METRIC_CONNECTION_CLOSE_ANSWERS, 1);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -341,6 +341,17 @@
 	g_assert_false(ops->decode_kv_copy("{}", 2, &kv_copy));
 }
 
+static void test_limit(void)
+{
+	static const char *const malformed[] = { "",	"x",   "1x",  "-1", "nan",
+						 "inf", "1e9", "1,5", "1 2" };
+
+	g_assert_cmpfloat(platform_parse_limit("3.4"), ==, 3.4);
+	g_assert_cmpfloat(platform_parse_limit("0"), ==, 0.0);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+		g_assert_cmpfloat(platform_parse_limit(malformed[i]), <, 0.0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -353,5 +364,6 @@
 	g_test_add_func("/platform/request", test_request);
 	g_test_add_func("/platform/forged", test_reserved_headers);
 	g_test_add_func("/platform/move", test_migration);
+	g_test_add_func("/platform/limit", test_limit);
 	return g_test_run();
 }
