End a stream without any event as broken, not as complete

What callers would see: an engine that ends before its first event, and whose answer has neither a length nor chunks, closes the connection in the way in which such an answer ends. The caller got a complete, empty stream, and for the quarantine of prompt parts the answer had got going.

Cause: a stream was taken as cut only inside an event.

--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -317,6 +317,15 @@
 	return request->status >= 500;
 }
 
+/* Tells whether a stream whose connection ended properly lacks its end: it stops inside an event,
+ * or before the first. A stream without length and chunks ends like that when its engine does. One
+ * that is resumed may have no event left. */
+static bool relay_is_stream_cut(const struct relay_request *request)
+{
+	return event_stream_pending_bytes(request->events) > 0 ||
+	       (request->event_count == 0 && !request->decoded.last_event_id);
+}
+
 static void relay_on_end(void *ctx, enum http_call_result result, bool sent)
 {
 	struct relay_request *request = ctx;
@@ -351,7 +360,7 @@
 		if (request->response_body->len > 0 && request->caller)
 			http_req_stream_write(request->caller, request->response_body->str,
 					      request->response_body->len);
-		if (request->stream && event_stream_pending_bytes(request->events) > 0) {
+		if (request->stream && relay_is_stream_cut(request)) {
 			relay_report_crash(request);
 			request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 			return;
