Soak: prompts that crash engines, and replicas that name a limit

Checked from what replicas saw of requests whose instance was undisturbed: at most three arrivals with the part later than 4 s after the fifth crash, and no window above one and a half times the limit plus 5.

--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -497,6 +497,10 @@
 					       const uint64_t *parts, uint32_t part_count,
 					       uint64_t now_us)
 {
+#if defined(FL_FAULT_NO_QUARANTINE)
+	/* Deliberate defect, which the tests have to detect: quarantines nothing. */
+	return NULL;
+#endif
 	for (uint32_t i = 0; i < part_count && quarantine->quarantined_count > 0; i++) {
 		const struct quarantine_record *record = quarantine_lookup(quarantine, parts[i]);
 
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -36,8 +36,16 @@
 #define SOAK_UNSEEN_CUT_MS     (3 * TESTBED_REVOKE_MS)
 #define SOAK_KEY_COUNT	       4
 #define SOAK_FAULT_KEYS_UNSEEN "keys-unseen"
-#define SOAK_LONG_TOKENS       600
-#define SOAK_QUICK_TOKENS      40
+/* Engines crash under one part of prompts from a random time on. */
+#define SOAK_FAULT_PROMPT_CRASH "prompt-crash"
+#define SOAK_CRASH_PART		"bad0"
+#define SOAK_FREE_CRASHES	5 /* before the bound on arrivals counts */
+#define SOAK_LATE_ARRIVALS	3
+/* A shop names a limit for a while. */
+#define SOAK_FAULT_LIMIT     "replica-limit"
+#define SOAK_LIMIT_WINDOW_MS 4000
+#define SOAK_LONG_TOKENS     600
+#define SOAK_QUICK_TOKENS    40
 
 /* Command line options, named like their flags. */
 struct soak_options {
@@ -86,9 +94,11 @@
 	struct testbed_request spec;
 	struct testbed_call *call;
 	struct instance *instance;
-	uint32_t key;	      /* index into the keys of struct soak */
-	uint64_t leave_at_ms; /* when the caller disconnects; 0 if it waits for the answer */
-	bool undisturbed;     /* is_undisturbed() for its instance when it was sent */
+	uint32_t key;		 /* index into the keys of struct soak */
+	uint64_t leave_at_ms;	 /* when the caller disconnects; 0 if it waits for the answer */
+	bool undisturbed;	 /* is_undisturbed() for its instance when it was sent */
+	bool stayed_undisturbed; /* also when it ended */
+	bool crashes_engines;	 /* its prompt has the part that does */
 	bool caller_left;
 	bool checked;
 };
@@ -114,12 +124,18 @@
 	uint64_t next_poll_at_ms;
 	uint32_t replicas_created;
 	uint32_t violations;
-	uint32_t completed; /* all requests that ended, the sum of the four below */
-	uint32_t succeeded; /* status 200 and the whole answer */
-	uint32_t refused;   /* status 503 */
-	uint32_t failed;    /* another status or no answer; it may have run */
-	uint32_t truncated; /* status 200, but the connection broke */
-	GHashTable *faults; /* fault name to count */
+	uint32_t completed;	     /* all requests that ended, the sum of the four below */
+	uint32_t succeeded;	     /* status 200 and the whole answer */
+	uint32_t refused;	     /* status 503 */
+	uint32_t failed;	     /* another status or no answer; it may have run */
+	uint32_t truncated;	     /* status 200, but the connection broke */
+	GHashTable *faults;	     /* fault name to count */
+	uint64_t crash_part_from_ms; /* when callers begin to send it; 0: never */
+	GArray *crashes_ms;	     /* guint64: engines that crashed under it */
+	struct replica *limited;     /* names a limit, or did; NULL before */
+	double limit_per_s;
+	uint64_t limit_from_ms; /* 0: never */
+	uint64_t limit_until_ms;
 };
 
 static uint64_t now_ms(void)
@@ -194,7 +210,8 @@
 						     .address = replica->ip,
 						     .engine = engine,
 						     .work_ms = engine ? 30 : 5,
-						     .pace_ms = 8 };
+						     .pace_ms = 8,
+						     .crash_part = SOAK_CRASH_PART };
 	replica->stand_in = mock_upstream_create(soak->mock_platform, &replica->conf);
 	replica->proxy = proxy_create(testbed_loop(soak->testbed), replica->ip,
 				      mock_upstream_address(replica->stand_in));
@@ -275,13 +292,51 @@
 		mock_upstream_configure(replica->stand_in, &conf);
 }
 
+/* Notes that an engine crashed under a prompt. */
+static void check_prompt_crash(struct soak *soak, struct replica *replica)
+{
+	guint64 crashed_ms = mock_upstream_crashed_ms(replica->stand_in);
+
+	if (replica->replace_at_ms || crashed_ms == 0)
+		return;
+	record_fault(soak, SOAK_FAULT_PROMPT_CRASH);
+	g_array_append_val(soak->crashes_ms, crashed_ms);
+	proxy_set_mode(replica->proxy, PROXY_RESET, 0);
+	mock_upstream_unlist(replica->stand_in);
+	replica->crash_at_ms = 0;
+	replica->replace_at_ms = now_ms() + 500 + random_below(soak, 1500);
+}
+
+/* Begins or ends the limit of a shop. */
+static void update_limit(struct soak *soak)
+{
+	struct mock_upstream_conf conf;
+
+	if (!soak->limited && soak->limit_from_ms && now_ms() >= soak->limit_from_ms) {
+		soak->limited = soak->replicas->pdata[soak->options.engines];
+		record_fault(soak, SOAK_FAULT_LIMIT);
+	} else if (!soak->limited || now_ms() < soak->limit_until_ms) {
+		return;
+	}
+	conf = soak->limited->conf;
+	conf.limit_per_s = now_ms() < soak->limit_until_ms ? soak->limit_per_s : 0.0;
+	soak->limited->conf = conf;
+	if (!soak->limited->replace_at_ms)
+		mock_upstream_configure(soak->limited->stand_in, &conf);
+	if (conf.limit_per_s == 0.0)
+		soak->limit_until_ms = UINT64_MAX;
+}
+
 static void update_replicas(struct soak *soak)
 {
 	uint64_t now = now_ms();
 
+	update_limit(soak);
 	for (guint i = 0; i < soak->replicas->len; i++) {
 		struct replica *replica = soak->replicas->pdata[i];
 
+		check_prompt_crash(soak, replica);
+
 		if (replica->crash_at_ms && now >= replica->crash_at_ms)
 			replica_crash(replica, now + 500 + random_below(soak, 1500));
 		if (replica->replace_at_ms && now >= replica->replace_at_ms) {
@@ -543,6 +598,19 @@
 	return soak->instances->pdata[random_below(soak, soak->instances->len)];
 }
 
+/* Returns the parts of a prompt: one of a few, another, and one of its own. */
+static char *select_parts(struct soak *soak, struct request *request)
+{
+	g_autofree char *part = g_strdup_printf("c%x", random_below(soak, 30));
+
+	request->crashes_engines = soak->crash_part_from_ms &&
+				   now_ms() >= soak->crash_part_from_ms &&
+				   random_below(soak, 6) == 0;
+	return g_strdup_printf("a%x:350,%s:40,%x:200", random_below(soak, 3),
+			       request->crashes_engines ? SOAK_CRASH_PART : part,
+			       0x10000 + soak->requests->len);
+}
+
 static void start_request(struct soak *soak)
 {
 	static const struct testbed_request specs[] = {
@@ -556,6 +624,7 @@
 		{ .path = "/quick/", .output_tokens = SOAK_QUICK_TOKENS, .wait_ms = 6000 },
 	};
 	struct request *request = g_new0(struct request, 1);
+	g_autofree char *parts = NULL;
 
 	request->soak = soak;
 	request->spec = specs[random_below(soak, G_N_ELEMENTS(specs))];
@@ -563,7 +632,11 @@
 	request->spec.key = soak->keys[request->key].name;
 	request->instance = select_instance(soak);
 	request->undisturbed = is_undisturbed(soak, request->instance);
+	if (request->spec.output_tokens)
+		parts = select_parts(soak, request);
+	request->spec.prompt_parts = parts;
 	request->call = testbed_begin(request->instance->gateway, &request->spec, &request->answer);
+	request->spec.prompt_parts = NULL;
 	if (random_below(soak, 12) == 0)
 		request->leave_at_ms = now_ms() + random_below(soak, 600);
 	g_ptr_array_add(soak->requests, request);
@@ -586,6 +659,8 @@
 			open++;
 		} else if (!request->checked) {
 			request->checked = true;
+			request->stayed_undisturbed =
+				request->undisturbed && is_undisturbed(soak, request->instance);
 			count_request(soak, request);
 			check_request(soak, request);
 		}
@@ -648,6 +723,92 @@
 	}
 }
 
+/* Draws the times of the faults of prompts and limits. They come once in a seed, beside the others,
+ * or alone if the options say so. */
+static void schedule_single_faults(struct soak *soak)
+{
+	g_autoptr(GRand) rand = g_rand_new_with_seed((guint32)soak->options.seed + 1);
+	const char *only = soak->options.only;
+	uint32_t half_ms = (uint32_t)soak->options.seconds * 500;
+
+	if (!only || strcmp(only, SOAK_FAULT_PROMPT_CRASH) == 0)
+		soak->crash_part_from_ms = now_ms() + g_rand_int(rand) % half_ms;
+	if (!only || strcmp(only, SOAK_FAULT_LIMIT) == 0)
+		soak->limit_from_ms = now_ms() + g_rand_int(rand) % half_ms;
+	soak->limit_per_s = g_rand_double_range(rand, 2.0, 8.0);
+	soak->limit_until_ms = soak->limit_from_ms + half_ms;
+}
+
+static gint compare_ms(gconstpointer a, gconstpointer b)
+{
+	guint64 left = *(const guint64 *)a;
+	guint64 right = *(const guint64 *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+/* Checks how many requests with the part that crashes engines reached one after the bound, from
+ * instances without a fault. */
+static void check_prompt_crashes(struct soak *soak)
+{
+	uint32_t late = 0;
+	uint64_t since_ms;
+
+	if (soak->crashes_ms->len < SOAK_FREE_CRASHES)
+		return;
+	g_array_sort(soak->crashes_ms, compare_ms);
+	since_ms = g_array_index(soak->crashes_ms, guint64, SOAK_FREE_CRASHES - 1) +
+		   SOAK_UNDISTURBED_MS;
+	for (guint i = 0; i < soak->requests->len; i++) {
+		const struct request *request = soak->requests->pdata[i];
+		struct mock_request_record record =
+			mock_request_record(soak->mock_platform, request->answer.id);
+
+		if (request->crashes_engines && request->stayed_undisturbed &&
+		    record.arrived_ms > since_ms)
+			late += record.arrivals;
+	}
+	if (late > SOAK_LATE_ARRIVALS)
+		violation(soak,
+			  "%u requests that crash engines reached one after the bound; %u "
+			  "engines crashed",
+			  late, soak->crashes_ms->len);
+}
+
+/* Checks that a shop got no more requests than it named, from instances without a fault. */
+static void check_limit(struct soak *soak)
+{
+	g_autoptr(GArray) arrivals_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
+	uint32_t allowed = (uint32_t)(1.5 * soak->limit_per_s * SOAK_LIMIT_WINDOW_MS / 1000) + 5;
+	uint32_t most = 0;
+	guint begin = 0;
+
+	for (guint i = 0; soak->limited && i < soak->requests->len; i++) {
+		const struct request *request = soak->requests->pdata[i];
+		struct mock_request_record record =
+			mock_request_record(soak->mock_platform, request->answer.id);
+		guint64 arrived_ms = record.arrived_ms;
+
+		if (request->stayed_undisturbed &&
+		    g_strcmp0(record.upstream, soak->limited->id) == 0 &&
+		    arrived_ms > soak->limit_from_ms + SOAK_UNDISTURBED_MS &&
+		    arrived_ms < soak->limit_from_ms + (uint64_t)soak->options.seconds * 500)
+			g_array_append_val(arrivals_ms, arrived_ms);
+	}
+	g_array_sort(arrivals_ms, compare_ms);
+	for (guint i = 0; i < arrivals_ms->len; i++) {
+		while (g_array_index(arrivals_ms, guint64, begin) + SOAK_LIMIT_WINDOW_MS <
+		       g_array_index(arrivals_ms, guint64, i))
+			begin++;
+		most = MAX(most, i - begin + 1);
+	}
+	if (most > allowed)
+		violation(soak,
+			  "%s named a limit of %.1f a second and got %u in a window; %u are "
+			  "allowed",
+			  soak->limited->id, soak->limit_per_s, most, allowed);
+}
+
 static void soak_setup(struct soak *soak)
 {
 	soak->testbed = testbed_create((uint32_t)soak->options.seed);
@@ -657,6 +818,7 @@
 	soak->replicas = g_ptr_array_new();
 	soak->requests = g_ptr_array_new_with_free_func(request_free);
 	soak->faults = g_hash_table_new(g_str_hash, g_str_equal);
+	soak->crashes_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	for (uint32_t i = 0; i < SOAK_KEY_COUNT; i++) {
 		soak->keys[i].name = g_strdup_printf("soak-key-%u", i);
 		soak->keys[i].granted = true;
@@ -762,11 +924,18 @@
 	g_ptr_array_free(soak->instances, TRUE);
 	g_ptr_array_free(soak->requests, TRUE);
 	g_hash_table_destroy(soak->faults);
+	g_array_free(soak->crashes_ms, TRUE);
 	for (uint32_t i = 0; i < SOAK_KEY_COUNT; i++)
 		g_free(soak->keys[i].name);
 	g_rand_free(soak->rand);
 }
 
+static bool is_single_fault(const char *name)
+{
+	return g_strcmp0(name, SOAK_FAULT_PROMPT_CRASH) == 0 ||
+	       g_strcmp0(name, SOAK_FAULT_LIMIT) == 0;
+}
+
 static uint32_t soak_run(const struct soak_options *options)
 {
 	struct soak soak = { .options = *options };
@@ -777,7 +946,8 @@
 
 	soak_setup(&soak);
 	end = now_ms() + (uint64_t)options->seconds * 1000;
-	soak.next_fault_at_ms = now_ms() + 300;
+	soak.next_fault_at_ms = is_single_fault(options->only) ? UINT64_MAX : now_ms() + 300;
+	schedule_single_faults(&soak);
 	while (now_ms() < end && !(options->until_violation && soak.violations)) {
 		if (update_requests(&soak) < (uint32_t)options->callers)
 			start_request(&soak);
@@ -802,6 +972,8 @@
 		    request->spec.path[1] != 'q')
 			violation(&soak, "%s was refused but ran later", request->answer.id);
 	}
+	check_prompt_crashes(&soak);
+	check_limit(&soak);
 	printf("seed %d: %u requests: %u succeeded, %u refused, %u failed, %u truncated; "
 	       "%u violations; faults:",
 	       options->seed, soak.completed, soak.succeeded, soak.refused, soak.failed,
@@ -859,6 +1031,7 @@
 		return 2;
 	}
 	if (options.only && strcmp(options.only, SOAK_FAULT_KEYS_UNSEEN) != 0 &&
+	    !is_single_fault(options.only) &&
 	    find_replica_fault(options.only) == REPLICA_FAULT_COUNT) {
 		fprintf(stderr, "unknown fault: %s\n", options.only);
 		return 2;
--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -108,6 +108,7 @@
 
 	g_free(record->customer);
 	g_free(record->service);
+	g_free(record->upstream);
 	g_free(record);
 }
 
@@ -832,6 +833,8 @@
 
 	g_array_append_val(upstream->arrivals_ms, now_ms);
 	record->arrivals++;
+	g_free(record->upstream);
+	record->upstream = g_strdup(upstream->id);
 	record->arrived_ms = now_ms;
 	record->leaving_ms = upstream->leaving_ms ? now_ms - upstream->leaving_ms : 0;
 	record->key_forwarded |= http_req_header(req, "authorization") != NULL;
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -57,6 +57,7 @@
 	bool completed;	     /**< an answer or stream was sent whole, without a server error */
 	char *customer;	     /**< as the gateway named it; borrowed; NULL when it did not */
 	char *service;	     /**< of the upstream that executed it last; borrowed */
+	char *upstream;	     /**< id of the upstream that it reached last; borrowed */
 	uint64_t arrived_ms; /**< when it last reached an upstream */
 	uint64_t leaving_ms; /**< how long that upstream had been leaving then; 0: it was not */
 	bool key_forwarded;  /**< an attempt carried the caller's key */
