--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -684,6 +684,38 @@
 	limit_scene_close(&scene);
 }
 
+/* Engines keep their limit too: generations wait for a short time, then they are refused. */
+static void test_engine_limit_exceeded(void)
+{
+	struct limit_scene scene;
+	struct testbed_request request = generation("/quick/", 40);
+	uint64_t since_ms;
+	uint32_t first;
+
+	limit_scene_open(&scene);
+	for (uint32_t i = 0; i < 2; i++)
+		configure_upstream(&scene.f,
+				   &(struct mock_upstream_conf){ .engine = true,
+								 .work_ms = 20,
+								 .limit_per_s = LIMIT_PER_S },
+				   scene.f.engines[i]);
+	since_ms = uv_now(testbed_loop(scene.f.testbed)) + LIMIT_CONTACT_MS;
+	for (uint32_t i = 0; i < 200; i++) {
+		testbed_begin(scene.gateways[i % LIMIT_GATEWAY_COUNT], &request,
+			      &scene.answers[scene.count++]);
+		testbed_run(scene.f.testbed, 2 * LIMIT_ROUND_MS);
+	}
+	for (uint32_t i = 0; i < 2; i++)
+		g_assert_cmpuint(limit_scene_most_arrivals(scene.f.engines[i], since_ms), <=,
+				 (uint32_t)LIMIT_MAX_IN_WINDOW);
+	first = LIMIT_CONTACT_MS / (2 * LIMIT_ROUND_MS);
+	g_test_message("%u of %u served", limit_scene_served(&scene, first), scene.count - first);
+	g_assert_cmpuint(
+		limit_scene_served(&scene, first), >=,
+		(uint32_t)(0.5 * 2 * LIMIT_PER_S * (200 - first) * 2 * LIMIT_ROUND_MS / 1000));
+	limit_scene_close(&scene);
+}
+
 #define UNFRAMED_HEAD                                                                              \
 	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Replica-Signature: s\r\n"                              \
 	"Content-Type: text/event-stream\r\n\r\n"
@@ -1379,6 +1411,7 @@
 	g_test_add_func("/gateway/crashing-prompt-part", test_crashing_prompt_part);
 	g_test_add_func("/gateway/quarantine-forgotten", test_quarantine_outlives_process);
 	g_test_add_func("/gateway/upstream-limit-exceeded", test_upstream_limit_exceeded);
+	g_test_add_func("/gateway/engine-limit-exceeded", test_engine_limit_exceeded);
 	g_test_add_func("/gateway/unframed-stream-cut", test_unframed_stream);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
