--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -716,118 +716,6 @@
 	limit_scene_close(&scene);
 }
 
-#define UNFRAMED_HEAD                                                                              \
-	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Replica-Signature: s\r\n"                              \
-	"Content-Type: text/event-stream\r\n\r\n"
-
-/* An engine that answers every request with the same bytes and closes the connection, so that the
- * answer has neither a length nor chunks. */
-struct unframed_engine {
-	uv_tcp_t listener;
-	const char *answer;
-};
-
-static void unframed_engine_on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	static char bytes[65536];
-
-	(void)handle;
-	(void)suggested;
-	*buf = uv_buf_init(bytes, sizeof(bytes));
-}
-
-static void unframed_engine_on_closed(uv_handle_t *handle)
-{
-	g_free(handle);
-}
-
-static void unframed_engine_on_written(uv_write_t *write, int status)
-{
-	(void)status;
-	uv_close((uv_handle_t *)write->handle, unframed_engine_on_closed);
-	g_free(write);
-}
-
-static void unframed_engine_on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buf)
-{
-	const struct unframed_engine *engine = stream->data;
-	uv_buf_t answer = uv_buf_init((char *)engine->answer, (unsigned int)strlen(engine->answer));
-
-	(void)buf;
-	if (count == 0)
-		return;
-	uv_read_stop(stream);
-	uv_write(g_new0(uv_write_t, 1), stream, &answer, 1, unframed_engine_on_written);
-}
-
-static void unframed_engine_on_connection(uv_stream_t *listener, int status)
-{
-	uv_tcp_t *conn = g_new0(uv_tcp_t, 1);
-
-	g_assert_cmpint(status, ==, 0);
-	uv_tcp_init(listener->loop, conn);
-	conn->data = listener->data;
-	g_assert_cmpint(uv_accept(listener, (uv_stream_t *)conn), ==, 0);
-	uv_read_start((uv_stream_t *)conn, unframed_engine_on_alloc, unframed_engine_on_read);
-}
-
-/* Starts the engine and lists it; the engines of the fixture leave. */
-static void unframed_engine_start(struct unframed_engine *engine, struct fixture *f)
-{
-	g_autofree char *ip = testbed_ip(f->testbed, 120);
-	g_autofree char *entry = g_strdup_printf(
-		"{\"service\":\"" TESTBED_ENGINE_SERVICE
-		"\",\"address\":\"%s:8700\",\"zone\":\"z1\","
-		"\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,\"born\":1}",
-		ip);
-	struct sockaddr_in address;
-
-	uv_tcp_init(testbed_loop(f->testbed), &engine->listener);
-	engine->listener.data = engine;
-	g_assert_cmpint(uv_ip4_addr(ip, 8700, &address), ==, 0);
-	g_assert_cmpint(uv_tcp_bind(&engine->listener, (const struct sockaddr *)&address, 0), ==,
-			0);
-	g_assert_cmpint(
-		uv_listen((uv_stream_t *)&engine->listener, 8, unframed_engine_on_connection), ==,
-		0);
-	for (uint32_t i = 0; i < 2; i++)
-		mock_upstream_drain(f->engines[i]);
-	mock_store_put(f->platform, "servers", "unframed", entry);
-	testbed_run(f->testbed, 300);
-}
-
-/* A stream that ends with its connection before its first event, or inside an event, is not
- * delivered as complete. */
-static void test_unframed_stream(void)
-{
-	static const struct {
-		const char *answer;
-		bool complete;
-	} cases[] = {
-		{ UNFRAMED_HEAD "id: 1\ndata: a\n\nid: 2\ndata: end\n\n", true },
-		{ UNFRAMED_HEAD, false },
-		{ UNFRAMED_HEAD "id: 1\nda", false },
-		{ UNFRAMED_HEAD "id: 1\ndata: a\n\nid: 2\nda", false },
-	};
-	struct fixture f;
-	struct unframed_engine engine;
-
-	fixture_open(&f);
-	unframed_engine_start(&engine, &f);
-	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct testbed_request request = generation("/long/", 200);
-		struct testbed_answer answer;
-
-		engine.answer = cases[i].answer;
-		answer = testbed_call(f.gateway, &request);
-		g_test_message("case %zu: status %u, broken %d", i, answer.status, answer.broken);
-		g_assert_true((answer.status == 200 && !answer.broken) == cases[i].complete);
-		testbed_answer_clear(&answer);
-	}
-	uv_close((uv_handle_t *)&engine.listener, NULL);
-	fixture_close(&f);
-}
-
 /* When the caller disconnects, the generation is stopped at its engine. */
 static void test_caller_left(void)
 {
@@ -1412,7 +1300,6 @@
 	g_test_add_func("/gateway/quarantine-forgotten", test_quarantine_outlives_process);
 	g_test_add_func("/gateway/upstream-limit-exceeded", test_upstream_limit_exceeded);
 	g_test_add_func("/gateway/engine-limit-exceeded", test_engine_limit_exceeded);
-	g_test_add_func("/gateway/unframed-stream-cut", test_unframed_stream);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
 	g_test_add_func("/gateway/stop", test_stop);
--- /dev/null
+++ b/test/test_gateway_raw.c
@@ -0,0 +1,369 @@
+/**
+ * @file test_gateway_raw.c
+ * The gateway program against upstreams that send bytes which are no proper
+ * answer: without length, twice, without end, or too slowly, and against many
+ * connections at a planned stop. Checked is what callers get.
+ */
+#include "raw_upstream.h"
+#include "testbed.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#define READY_TIMEOUT_MS 20000
+#define RAW_PORT	 8700
+#define RAW_HOST_NUMBER	 120
+#define QUICK_TOKENS	 40
+#define QUICK_EVENTS	 10 /* of four tokens */
+#define QUICK_TIMEOUT_MS 6000
+#define STOP_CALLERS	 300
+
+/* A gateway, a raw upstream of one service, and a sound one of each service. */
+struct fixture {
+	struct testbed *testbed;
+	struct mock_platform *platform;
+	struct testbed_gateway *gateway;
+	struct mock_upstream *engine;
+	struct mock_upstream *shop;
+	struct raw_upstream *raw;
+};
+
+static struct mock_upstream *add_upstream(struct fixture *f, const char *id, bool engine,
+					  uint32_t number)
+{
+	g_autofree char *ip = testbed_ip(f->testbed, 100 + number);
+	struct mock_upstream_conf conf = { .id = id,
+					   .service = engine ? TESTBED_ENGINE_SERVICE
+							     : TESTBED_PLAIN_SERVICE,
+					   .zone = "z1",
+					   .address = ip,
+					   .engine = engine,
+					   .work_ms = 20,
+					   .pace_ms = 4 };
+
+	return mock_upstream_create(f->platform, &conf);
+}
+
+static void fixture_open(struct fixture *f)
+{
+	*f = (struct fixture){ 0 };
+	f->testbed = testbed_create(7);
+	f->platform = testbed_platform(f->testbed);
+	f->engine = add_upstream(f, "engine-1", true, 1);
+	f->shop = add_upstream(f, "shop-1", false, 2);
+	testbed_configure(f->testbed, NULL, NULL);
+	f->gateway = testbed_gateway(f->testbed, "gw-1", NULL);
+	testbed_start(f->gateway);
+	g_assert_true(testbed_wait_ready(f->gateway, READY_TIMEOUT_MS));
+}
+
+static void fixture_close(struct fixture *f)
+{
+	if (f->raw)
+		raw_upstream_destroy(f->raw);
+	testbed_destroy(f->testbed);
+}
+
+/* Starts a raw upstream of a service and lists it. */
+static void add_raw(struct fixture *f, const char *service, raw_upstream_cb cb, void *ctx)
+{
+	g_autofree char *ip = testbed_ip(f->testbed, RAW_HOST_NUMBER);
+	g_autofree char *entry = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z1\",\"slots\":8,"
+		"\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,\"born\":1}",
+		service, ip, RAW_PORT);
+
+	f->raw = raw_upstream_create(testbed_loop(f->testbed), ip, RAW_PORT, cb, ctx);
+	mock_store_put(f->platform, "servers", "raw", entry);
+	testbed_run(f->testbed, 300);
+}
+
+static const struct testbed_request once = { .path = "/once/",
+					     .key = TESTBED_KEY,
+					     .wait_ms = 3000 };
+static const struct testbed_request quick = { .path = "/quick/",
+					      .key = TESTBED_KEY,
+					      .output_tokens = QUICK_TOKENS,
+					      .wait_ms = QUICK_TIMEOUT_MS };
+
+/* streams without length and chunks */
+
+#define STREAM_HEAD                                                                                \
+	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Replica-Signature: s\r\n"                              \
+	"Content-Type: text/event-stream\r\n"
+
+static void answer_and_close(void *ctx, struct raw_conn *conn, const char *id)
+{
+	const char *const *answer = ctx;
+
+	(void)id;
+	raw_conn_close(conn);
+	raw_conn_write(conn, *answer);
+}
+
+/* A stream that ends with its connection before its first event, or inside an event, is not
+ * delivered as complete. */
+static void test_unframed_stream(void)
+{
+	static const struct {
+		const char *answer;
+		bool complete;
+	} cases[] = {
+		{ STREAM_HEAD "\r\nid: 1\ndata: a\n\nid: 2\ndata: end\n\n", true },
+		{ STREAM_HEAD "\r\n", false },
+		{ STREAM_HEAD "\r\nid: 1\nda", false },
+		{ STREAM_HEAD "\r\nid: 1\ndata: a\n\nid: 2\nda", false },
+	};
+	struct testbed_request request = quick;
+	const char *answer = NULL;
+	struct fixture f;
+
+	fixture_open(&f);
+	add_raw(&f, TESTBED_ENGINE_SERVICE, answer_and_close, &answer);
+	request.path = "/long/";
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct testbed_answer got;
+
+		answer = cases[i].answer;
+		got = testbed_call(f.gateway, &request);
+		g_test_message("case %zu: status %u, broken %d", i, got.status, got.broken);
+		g_assert_true((got.status == 200 && !got.broken) == cases[i].complete);
+		testbed_answer_clear(&got);
+	}
+	fixture_close(&f);
+}
+
+/* second copies of an answer */
+
+/* How a second copy of an answer is sent. */
+struct copies {
+	uint32_t delay_ms; /* after the answer */
+	bool in_use;	   /* ahead of the next answer on the connection */
+	char *last;	   /* answer that was sent last */
+};
+
+static void answer_twice(void *ctx, struct raw_conn *conn, const char *id)
+{
+	struct copies *copies = ctx;
+	char *answer = g_strdup_printf("HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+				       "X-Flamingolatch-Replica-Signature: s\r\n"
+				       "Content-Length: %zu\r\n\r\n%s",
+				       id, strlen(id), id);
+
+	if (copies->in_use && copies->last) {
+		raw_conn_write(conn, copies->last);
+		raw_conn_write_later(conn, answer, 10, false);
+	} else {
+		raw_conn_write(conn, answer);
+		if (!copies->in_use)
+			raw_conn_write_later(conn, answer, copies->delay_ms, false);
+	}
+	g_free(copies->last);
+	copies->last = answer;
+}
+
+/* No caller gets a byte of a second copy of another one's answer. */
+static void test_second_copy(void)
+{
+	static const struct copies cases[] = {
+		{ 0, false, NULL },    { 1, false, NULL }, { 50, false, NULL },
+		{ 2000, false, NULL }, { 0, true, NULL },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct copies copies = cases[i];
+		struct fixture f;
+		uint32_t served = 0;
+
+		fixture_open(&f);
+		add_raw(&f, TESTBED_PLAIN_SERVICE, answer_twice, &copies);
+		for (uint32_t n = 0; n < 20; n++) {
+			struct testbed_answer got = testbed_call(f.gateway, &once);
+
+			if (got.status == 200) {
+				g_assert_cmpstr(got.body->str, ==, got.id);
+				served++;
+			}
+			testbed_answer_clear(&got);
+			/* around the time of the copy, on either side */
+			testbed_run(f.testbed, copies.delay_ms > 100 ? 220 : n * 5);
+		}
+		g_test_message("case %zu: %u of 20 served", i, served);
+		g_assert_cmpuint(served, >=, copies.in_use ? 1 : 18);
+		g_free(copies.last);
+		fixture_close(&f);
+	}
+}
+
+/* streams that trickle */
+
+static void trickle(void *ctx, struct raw_conn *conn, const char *id)
+{
+	const uint32_t *events = ctx;
+	g_autofree char *event = mock_event(id, 1, QUICK_EVENTS);
+
+	raw_conn_write(conn, STREAM_HEAD "\r\n");
+	if (*events > 0)
+		raw_conn_write(conn, event);
+	raw_conn_write_later(conn, ":\n", 300, true);
+}
+
+/* A stream that sends a few bytes now and then, but no event, is continued elsewhere. */
+static void test_trickle(void)
+{
+	for (uint32_t events = 0; events < 2; events++) {
+		struct testbed_request request = quick;
+		struct testbed_answer got = { 0 };
+		struct fixture f;
+
+		fixture_open(&f);
+		add_raw(&f, TESTBED_ENGINE_SERVICE, trickle, &events);
+		testbed_begin(f.gateway, &request, &got);
+		testbed_run(f.testbed, 1000);
+		g_assert_cmpuint(raw_upstream_conn_count(f.raw), ==, 1);
+		mock_upstream_list(f.engine);
+		g_assert_true(testbed_wait(f.testbed, &got, QUICK_TIMEOUT_MS));
+		g_test_message("%u events: status %u, broken %d, %zu bytes", events, got.status,
+			       got.broken, got.body->len);
+		g_assert_true(got.status == 200 && !got.broken);
+		g_assert_nonnull(strstr(got.body->str, " end\n"));
+		testbed_run(f.testbed, 100);
+		g_assert_cmpuint(raw_upstream_conn_count(f.raw), ==, 0);
+		testbed_answer_clear(&got);
+		fixture_close(&f);
+	}
+}
+
+/* With no other engine the caller gets an end at the route's timeout, half a second later at most.
+ */
+static void test_trickle_alone(void)
+{
+	struct testbed_answer got;
+	struct fixture f;
+	uint32_t events = 0;
+
+	fixture_open(&f);
+	add_raw(&f, TESTBED_ENGINE_SERVICE, trickle, &events);
+	got = testbed_call(f.gateway, &quick);
+	g_assert_false(got.status == 200 && !got.broken);
+	g_assert_cmpuint(got.ended_ms - got.sent_ms, <=, QUICK_TIMEOUT_MS + 500);
+	testbed_run(f.testbed, 100);
+	g_assert_cmpuint(raw_upstream_conn_count(f.raw), ==, 0);
+	testbed_answer_clear(&got);
+	fixture_close(&f);
+}
+
+/* answers without end */
+
+struct endless {
+	const char *begin;
+	char *more;
+};
+
+static void answer_endlessly(void *ctx, struct raw_conn *conn, const char *id)
+{
+	const struct endless *endless = ctx;
+
+	(void)id;
+	raw_conn_write(conn, endless->begin);
+	raw_conn_write_later(conn, endless->more, 1, true);
+}
+
+/* A head line, headers or a chunk size without end: the connection is closed long before the
+ * deadline, and the caller learns that the request may have run. */
+static void test_endless_head(void)
+{
+	static const struct {
+		const char *begin;
+		const char *piece;
+	} cases[] = {
+		{ "HTTP/1.1 200 ", "x" },
+		{ "HTTP/1.1 200 OK\r\nX-A: ", "x" },
+		{ "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
+		{ "HTTP/1.1 200 OK\r\nX-Flamingolatch-Replica-Signature: s\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		  "1" },
+		{ "HTTP/1.1 200 OK\r\nX-Flamingolatch-Replica-Signature: s\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n1;",
+		  "x" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GString) more = g_string_new(NULL);
+		struct endless endless = { .begin = cases[i].begin };
+		struct testbed_answer got;
+		struct fixture f;
+
+		while (more->len < 16384)
+			g_string_append(more, cases[i].piece);
+		endless.more = more->str;
+		fixture_open(&f);
+		add_raw(&f, TESTBED_PLAIN_SERVICE, answer_endlessly, &endless);
+		got = testbed_call(f.gateway, &once);
+		g_test_message("case %zu: status %u after %" G_GUINT64_FORMAT " ms", i, got.status,
+			       got.ended_ms - got.sent_ms);
+		g_assert_true(got.status == 502 || got.status == 504);
+		testbed_run(f.testbed, 100);
+		g_assert_cmpuint(raw_upstream_conn_count(f.raw), ==, 0);
+		testbed_answer_clear(&got);
+		fixture_close(&f);
+	}
+}
+
+/* a planned stop */
+
+/* Hundreds of requests that arrive around a planned stop, on new and on kept connections: none that
+ * reached an upstream is cut, and in the first second all are answered. */
+static void test_stop_under_load(void)
+{
+	struct testbed_request kept = once;
+	static struct testbed_answer answers[STOP_CALLERS];
+	uint32_t unanswered = 0;
+	struct fixture f;
+	uint64_t stop_ms = 0;
+
+	fixture_open(&f);
+	mock_upstream_list(f.shop);
+	mock_upstream_configure(f.shop, &(struct mock_upstream_conf){ .work_ms = 300 });
+	testbed_run(f.testbed, 300);
+	kept.reuse_connection = true;
+	for (uint32_t i = 0; i < STOP_CALLERS; i++) {
+		testbed_begin(f.gateway, i % 2 ? &kept : &once, &answers[i]);
+		if (i == STOP_CALLERS / 3) {
+			testbed_signal(f.gateway, SIGTERM);
+			stop_ms = answers[i].sent_ms;
+		}
+		if (i % 8 == 0)
+			testbed_run(f.testbed, 10);
+	}
+	for (uint32_t i = 0; i < STOP_CALLERS; i++) {
+		struct mock_request_record record;
+
+		g_assert_true(testbed_wait(f.testbed, &answers[i], 8000));
+		record = mock_request_record(f.platform, answers[i].id);
+		if (answers[i].status > 0 && !answers[i].broken)
+			continue;
+		unanswered++;
+		g_assert_cmpuint(record.arrivals, ==, 0);
+		g_assert_cmpuint(answers[i].sent_ms, >, stop_ms + 1000);
+	}
+	g_test_message("%u of %u were not answered", unanswered, STOP_CALLERS);
+	g_assert_true(testbed_wait_exit(f.gateway, TESTBED_GRACE_S * 1000));
+	for (uint32_t i = 0; i < STOP_CALLERS; i++)
+		testbed_answer_clear(&answers[i]);
+	fixture_close(&f);
+}
+
+int main(int argc, char **argv)
+{
+	signal(SIGPIPE, SIG_IGN);
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gateway-raw/unframed-stream-cut", test_unframed_stream);
+	g_test_add_func("/gateway-raw/second-copy", test_second_copy);
+	g_test_add_func("/gateway-raw/trickle", test_trickle);
+	g_test_add_func("/gateway-raw/trickle-alone", test_trickle_alone);
+	g_test_add_func("/gateway-raw/endless-head", test_endless_head);
+	g_test_add_func("/gateway-raw/stop-under-load", test_stop_under_load);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/testbed/raw_upstream.h
@@ -0,0 +1,40 @@
+/**
+ * @file raw_upstream.h
+ * A stand-in for an upstream that sends arbitrary bytes, also after its answer and
+ * without end.
+ *
+ * raw_upstream_create() with a callback that is called for each request head;
+ * from there raw_conn_write(), raw_conn_write_later() and raw_conn_close();
+ * raw_upstream_destroy() last, before the loop is closed.
+ */
+#ifndef FLAMINGOLATCH_TEST_RAW_UPSTREAM_H
+#define FLAMINGOLATCH_TEST_RAW_UPSTREAM_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+struct raw_upstream;
+/** A connection; valid until it is closed. */
+struct raw_conn;
+
+/** Called with each request. @param id id of the request, "" when it has none */
+typedef void (*raw_upstream_cb)(void *ctx, struct raw_conn *conn, const char *id);
+
+struct raw_upstream *raw_upstream_create(uv_loop_t *loop, const char *ip, uint16_t port,
+					 raw_upstream_cb cb, void *ctx);
+/** Closes the listener and all connections. */
+void raw_upstream_destroy(struct raw_upstream *upstream);
+/** Returns the number of bytes that were written and not sent yet, over all connections. */
+uint64_t raw_upstream_unsent_bytes(const struct raw_upstream *upstream);
+/** Returns the number of open connections. */
+uint32_t raw_upstream_conn_count(const struct raw_upstream *upstream);
+
+void raw_conn_write(struct raw_conn *conn, const char *text);
+/** Writes a text after a delay, and again after each further delay if @p repeat is set. Replaces an
+ * earlier call for the connection. */
+void raw_conn_write_later(struct raw_conn *conn, const char *text, uint32_t delay_ms, bool repeat);
+/** Closes the connection when all is sent. */
+void raw_conn_close(struct raw_conn *conn);
+
+#endif
