Quarantine: say progress and known to be good, the usual terms

Names and comments only: answers make progress (they got going), parts are known to be good and cleared (sound).

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -54,7 +54,7 @@
 	X(METRIC_BUS_MESSAGES_RECEIVED, "bus_received_total", "Messages received from peers.") \
 	X(METRIC_BUS_MESSAGES_INVALID, "bus_bad_total", "Messages from peers that could not be decoded.") \
 	X(METRIC_CLAIM_ROWS_DELETED, "rows_collected_total", "Claim rows of finished calls deleted after their time to live.") \
-	X(METRIC_CRASHED_STARTS, "crashed_starts_total", "Attempts whose connection to the engine broke before the answer got going.") \
+	X(METRIC_CRASHED_STARTS, "crashed_starts_total", "Attempts whose connection to the engine broke before the answer made progress.") \
 	X(METRIC_QUARANTINE_REFUSED, "quarantine_refused_total", "Requests refused because a part of their prompt is quarantined.") \
 	X(METRIC_LIMIT_REFUSED, "limit_refused_total", "Requests refused because the upstreams of the service take no more, by the limits that they name.") \
 	X(METRIC_ENGINE_ORDERS, "orders_total", "Orders sent to engines.") \
--- a/include/flamingolatch/quarantine.h
+++ b/include/flamingolatch/quarantine.h
@@ -5,12 +5,12 @@
  * Requests share parts of their prompts. When an engine crashes as soon as it
  * begins to answer a prompt with a certain part, each retry and each further
  * request with that part takes one more engine away from all callers. The load
- * that this answers is a few such requests a second, at any instance, among sound
+ * that this answers is a few such requests a second, at any instance, among other
  * ones that share the customer, the route and the other parts.
  *
- * A crash is reported with the parts of each request that had not got going on the
+ * A crash is reported with the parts of each request that had made no progress on the
  * engine. A part is blamed after crashes of several engines under several
- * requests, unless an answer with it got going since. Of the parts that explain
+ * requests, unless an answer with it made progress since. Of the parts that explain
  * the same crashes one is blamed: the one under which most engines crashed, then
  * one that was never answered, and after some more crashes the more specific one. A blamed part is
  * quarantined for a time that doubles when it is blamed again. An engine that
@@ -30,12 +30,12 @@
 
 /** Parts of a crash report; further ones are left out. */
 #define QUARANTINE_MAX_PARTS 32
-/** Events after which an answer has got going. */
-#define QUARANTINE_GOING_EVENTS 3
+/** Events after which an answer has made progress. */
+#define QUARANTINE_PROGRESS_EVENTS 3
 
 struct quarantine;
 
-/** An engine crashed while a request on it had not got going. */
+/** An engine crashed while a request on it had made no progress. */
 struct quarantine_crash {
 	uint64_t engine;  /**< names the incarnation of the engine */
 	uint64_t request; /**< differs between requests, but not between attempts of one */
@@ -57,8 +57,8 @@
 	void (*added)(void *ctx, const struct quarantine_entry *entry, uint32_t crashes);
 	/** The quarantine of a part ended. */
 	void (*ended)(void *ctx, uint64_t part);
-	/** Peers may blame a part that this instance knows to be sound; tell them. */
-	void (*sound)(void *ctx, uint64_t part, uint64_t going_us);
+	/** Peers may blame a part that this instance knows to be good; tell them. */
+	void (*cleared)(void *ctx, uint64_t part, uint64_t progress_us);
 	void *ctx;
 };
 
@@ -72,11 +72,12 @@
  * effect. */
 void quarantine_add_crash(struct quarantine *quarantine, const struct quarantine_crash *crash,
 			  uint64_t now_us);
-/** Records that an answer got going here. Ends the quarantine of its parts. */
-void quarantine_add_going(struct quarantine *quarantine, const uint64_t *parts, uint32_t part_count,
-			  uint64_t now_us);
-/** Records that an answer with a part got going at a peer. @param going_us when */
-void quarantine_add_peer_going(struct quarantine *quarantine, uint64_t part, uint64_t going_us);
+/** Records that an answer made progress here. Ends the quarantine of its parts. */
+void quarantine_add_progress(struct quarantine *quarantine, const uint64_t *parts,
+			     uint32_t part_count, uint64_t now_us);
+/** Records that an answer with a part made progress at a peer. @param progress_us when */
+void quarantine_add_peer_progress(struct quarantine *quarantine, uint64_t part,
+				  uint64_t progress_us);
 /** Records that an engine has sent something. */
 void quarantine_add_alive(struct quarantine *quarantine, uint64_t engine, uint64_t now_us);
 /** Takes over a quarantine from a peer or the store.
--- a/src/core/quarantine.c
+++ b/src/core/quarantine.c
@@ -9,26 +9,27 @@
 #define QUARANTINE_MIN_REQUESTS 2
 /* Engines that must have crashed under two parts alike to blame one of them. */
 #define QUARANTINE_MIN_ENGINES_TIED 5
-/* What blames a part with which answers got going lately: one that is in many requests is in many
- * crashes too, and an outage ends many engines at once. */
-#define QUARANTINE_MIN_ENGINES_SOUND  5
-#define QUARANTINE_MIN_REQUESTS_SOUND 3
-#define QUARANTINE_MIN_MOMENTS_SOUND  4
+/* What blames a part with which answers made progress lately: one that is in many requests is in
+ * many crashes too, and an outage ends many engines at once. */
+#define QUARANTINE_MIN_ENGINES_KNOWN_GOOD  5
+#define QUARANTINE_MIN_REQUESTS_KNOWN_GOOD 3
+#define QUARANTINE_MIN_MOMENTS_KNOWN_GOOD  4
 /* Crashes within this time of one another may have one cause. */
 #define QUARANTINE_MOMENT_US (200ULL * 1000)
-/* Time for peers to say that a part is sound, from the last crash that is needed to blame it. */
+/* Time for peers to say that a part is known to be good, from the last crash that is needed to
+ * blame it. */
 #define QUARANTINE_SETTLE_US (700ULL * 1000)
 /* An instance says so after a random part of this time, unless another one has. */
-#define QUARANTINE_SOUND_JITTER_US (350ULL * 1000)
-#define QUARANTINE_SOUND_REPEAT_US (1000ULL * 1000)
+#define QUARANTINE_CLEAR_JITTER_US (350ULL * 1000)
+#define QUARANTINE_CLEAR_REPEAT_US (1000ULL * 1000)
 /* Engines that must have crashed before peers are told, or a retry is not worth it. */
-#define QUARANTINE_SUSPECT_ENGINES	 2
-#define QUARANTINE_SUSPECT_ENGINES_SOUND 4
+#define QUARANTINE_SUSPECT_ENGINES	      2
+#define QUARANTINE_SUSPECT_ENGINES_KNOWN_GOOD 4
 /* Messages of the engine and of peers that were under way at a crash have arrived by then. */
 #define QUARANTINE_ALIVE_AFTER_US (250ULL * 1000)
 /* Crashes are counted, and answers remembered, for this long. */
-#define QUARANTINE_CRASH_MEMORY_US (120ULL * QUARANTINE_US_PER_S)
-#define QUARANTINE_GOING_MEMORY_US (60ULL * QUARANTINE_US_PER_S)
+#define QUARANTINE_CRASH_MEMORY_US    (120ULL * QUARANTINE_US_PER_S)
+#define QUARANTINE_PROGRESS_MEMORY_US (60ULL * QUARANTINE_US_PER_S)
 /* Ends of one quarantine at two instances differ by less. */
 #define QUARANTINE_SAME_END_US	   (5ULL * QUARANTINE_US_PER_S)
 #define QUARANTINE_MAX_DURATION_US (3600ULL * QUARANTINE_US_PER_S)
@@ -40,9 +41,9 @@
 /* What is known of a part. */
 struct quarantine_record {
 	struct quarantine_entry entry; /* until_us is 0 unless it is or was quarantined */
-	uint64_t going_us;	       /* when an answer with it last got going; 0: not known */
-	uint64_t sound_told_us;	       /* when peers were last told so */
-	uint64_t sound_due_us;	       /* when they are to be told; 0: not */
+	uint64_t progress_us;	       /* when an answer with it last made progress; 0: not known */
+	uint64_t cleared_us;	       /* when peers were last told so */
+	uint64_t clear_due_us;	       /* when they are to be told; 0: not */
 	uint64_t blamed_since_us;      /* since when there is enough to blame it; 0: there is not */
 	bool quarantined;
 };
@@ -114,15 +115,16 @@
 	return record;
 }
 
-static uint64_t quarantine_going_us(const struct quarantine *quarantine, uint64_t part)
+static uint64_t quarantine_progress_us(const struct quarantine *quarantine, uint64_t part)
 {
 	const struct quarantine_record *record = quarantine_lookup(quarantine, part);
 
-#if defined(FL_FAULT_FORGET_SOUND)
-	/* Deliberate defect, which the tests have to detect: counts crashes under sound parts. */
+#if defined(FL_FAULT_FORGET_PROGRESS)
+	/* Deliberate defect, which the tests have to detect: counts crashes under parts that are
+	 * known to be good. */
 	return 0;
 #endif
-	return record ? record->going_us : 0;
+	return record ? record->progress_us : 0;
 }
 
 static bool quarantine_is_active(const struct quarantine_record *record, uint64_t now_us)
@@ -160,21 +162,21 @@
 	}
 }
 
-/* Counts the crashes under a part since an answer with it last got going. */
+/* Counts the crashes under a part since an answer with it last made progress. */
 static struct quarantine_blame quarantine_blame_of(const struct quarantine *quarantine,
 						   uint64_t part)
 {
 	struct quarantine_blame blame = { 0 };
 	g_autoptr(GHashTable) engines = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_autoptr(GHashTable) requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-	uint64_t going_us = quarantine_going_us(quarantine, part);
+	uint64_t progress_us = quarantine_progress_us(quarantine, part);
 	uint64_t moment_us = 0;
 
 	for (guint i = 0; i < quarantine->crashes->len; i++) {
 		struct quarantine_crash *crash = quarantine->crashes->pdata[i];
 		int32_t position = quarantine_position(crash, part);
 
-		if (position < 0 || crash->at_us <= going_us ||
+		if (position < 0 || crash->at_us <= progress_us ||
 		    g_hash_table_contains(quarantine->explained, &crash->engine))
 			continue;
 		g_hash_table_add(engines, &crash->engine);
@@ -199,10 +201,10 @@
 	/* A part that was quarantined before needs no second proof. */
 	if (record && record->entry.until_us > 0 && blame->engines > 0)
 		return true;
-	if (record && record->going_us > 0)
-		return blame->engines >= QUARANTINE_MIN_ENGINES_SOUND &&
-		       blame->requests >= QUARANTINE_MIN_REQUESTS_SOUND &&
-		       blame->moments >= QUARANTINE_MIN_MOMENTS_SOUND;
+	if (record && record->progress_us > 0)
+		return blame->engines >= QUARANTINE_MIN_ENGINES_KNOWN_GOOD &&
+		       blame->requests >= QUARANTINE_MIN_REQUESTS_KNOWN_GOOD &&
+		       blame->moments >= QUARANTINE_MIN_MOMENTS_KNOWN_GOOD;
 	return blame->engines >= QUARANTINE_MIN_ENGINES &&
 	       blame->requests >= QUARANTINE_MIN_REQUESTS;
 }
@@ -213,12 +215,12 @@
 			      const struct quarantine_blame *blame, uint64_t other_part,
 			      const struct quarantine_blame *other)
 {
-	bool sound = quarantine_going_us(quarantine, part) > 0;
-	bool other_sound = quarantine_going_us(quarantine, other_part) > 0;
+	bool known_good = quarantine_progress_us(quarantine, part) > 0;
+	bool other_known_good = quarantine_progress_us(quarantine, other_part) > 0;
 
 	if (blame->engines != other->engines)
 		return blame->engines > other->engines ? 1 : -1;
-	return (int)other_sound - (int)sound;
+	return (int)other_known_good - (int)known_good;
 }
 
 /* Finds the part that is most likely to blame for crashes that are not explained yet; the more
@@ -272,12 +274,12 @@
 	quarantine->callbacks.ended(quarantine->callbacks.ctx, record->entry.part);
 }
 
-/* Ends a quarantine that began before an answer with the part got going. */
+/* Ends a quarantine that began before an answer with the part made progress. */
 static void quarantine_end_disproved(struct quarantine *quarantine,
 				     struct quarantine_record *record)
 {
 	if (record->entry.until_us == 0 ||
-	    record->going_us + record->entry.duration_us <= record->entry.until_us)
+	    record->progress_us + record->entry.duration_us <= record->entry.until_us)
 		return;
 	if (record->quarantined)
 		quarantine_end(quarantine, record);
@@ -285,16 +287,15 @@
 	record->entry.duration_us = 0;
 }
 
-/* Has peers told after a while that a part is sound, unless one of them is first. */
-static void quarantine_schedule_sound(struct quarantine *quarantine,
-				      struct quarantine_record *record, uint64_t now_us)
+/* Has peers told after a while that a part is known to be good, unless one of them is first. */
+static void quarantine_schedule_clearing(struct quarantine *quarantine,
+					 struct quarantine_record *record, uint64_t now_us)
 {
-	if (record->sound_due_us > 0 ||
-	    (record->sound_told_us > 0 &&
-	     now_us - record->sound_told_us < QUARANTINE_SOUND_REPEAT_US))
+	if (record->clear_due_us > 0 ||
+	    (record->cleared_us > 0 && now_us - record->cleared_us < QUARANTINE_CLEAR_REPEAT_US))
 		return;
-	record->sound_due_us = now_us + (uint64_t)g_rand_int_range(quarantine->rand, 1,
-								   QUARANTINE_SOUND_JITTER_US);
+	record->clear_due_us = now_us + (uint64_t)g_rand_int_range(quarantine->rand, 1,
+								   QUARANTINE_CLEAR_JITTER_US);
 }
 
 static bool quarantine_is_known(const struct quarantine *quarantine,
@@ -323,15 +324,15 @@
 	for (uint32_t i = 0; i < crash->part_count; i++) {
 		struct quarantine_record *record = quarantine_lookup(quarantine, crash->parts[i]);
 
-		if (record && record->going_us > 0 &&
+		if (record && record->progress_us > 0 &&
 		    quarantine_blame_of(quarantine, crash->parts[i]).engines >=
 			    QUARANTINE_SUSPECT_ENGINES)
-			quarantine_schedule_sound(quarantine, record, now_us);
+			quarantine_schedule_clearing(quarantine, record, now_us);
 	}
 }
 
-void quarantine_add_going(struct quarantine *quarantine, const uint64_t *parts, uint32_t part_count,
-			  uint64_t now_us)
+void quarantine_add_progress(struct quarantine *quarantine, const uint64_t *parts,
+			     uint32_t part_count, uint64_t now_us)
 {
 	for (uint32_t i = 0; i < part_count; i++) {
 		struct quarantine_record *record = quarantine_lookup(quarantine, parts[i]);
@@ -342,22 +343,23 @@
 			continue;
 		record = quarantine_record(quarantine, parts[i]);
 		blamed |= record->quarantined;
-		record->going_us = now_us;
+		record->progress_us = now_us;
 		quarantine_end_disproved(quarantine, record);
 		if (blamed)
-			quarantine_schedule_sound(quarantine, record, now_us);
+			quarantine_schedule_clearing(quarantine, record, now_us);
 	}
 }
 
-void quarantine_add_peer_going(struct quarantine *quarantine, uint64_t part, uint64_t going_us)
+void quarantine_add_peer_progress(struct quarantine *quarantine, uint64_t part,
+				  uint64_t progress_us)
 {
 	struct quarantine_record *record = quarantine_record(quarantine, part);
 
-	if (going_us + QUARANTINE_SOUND_REPEAT_US > record->going_us) {
-		record->sound_due_us = 0;
-		record->sound_told_us = MAX(going_us, record->going_us);
+	if (progress_us + QUARANTINE_CLEAR_REPEAT_US > record->progress_us) {
+		record->clear_due_us = 0;
+		record->cleared_us = MAX(progress_us, record->progress_us);
 	}
-	record->going_us = MAX(record->going_us, going_us);
+	record->progress_us = MAX(record->progress_us, progress_us);
 	quarantine_end_disproved(quarantine, record);
 	quarantine->undecided = true;
 }
@@ -386,8 +388,8 @@
 	if (quarantine->duration_us == 0 || until_us <= now_us)
 		return false;
 	record = quarantine_record(quarantine, entry->part);
-	if (record->going_us > 0 && record->going_us + duration_us > until_us) {
-		quarantine_schedule_sound(quarantine, record, now_us);
+	if (record->progress_us > 0 && record->progress_us + duration_us > until_us) {
+		quarantine_schedule_clearing(quarantine, record, now_us);
 		return false;
 	}
 	if (record->quarantined && until_us <= record->entry.until_us + QUARANTINE_SAME_END_US)
@@ -452,12 +454,13 @@
 	quarantine_update_explained(quarantine);
 	g_hash_table_iter_init(&iter, quarantine->records);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record)) {
-		if (record->going_us > 0 && now_us > record->going_us + QUARANTINE_GOING_MEMORY_US)
-			record->going_us = 0;
+		if (record->progress_us > 0 &&
+		    now_us > record->progress_us + QUARANTINE_PROGRESS_MEMORY_US)
+			record->progress_us = 0;
 		/* After the quarantine, one crash within its duration is enough to repeat it. */
 		if (now_us > record->entry.until_us + record->entry.duration_us)
 			record->entry.until_us = 0;
-		if (record->going_us == 0 && record->entry.until_us == 0 &&
+		if (record->progress_us == 0 && record->entry.until_us == 0 &&
 		    now_us > record->blamed_since_us + QUARANTINE_CRASH_MEMORY_US)
 			g_hash_table_iter_remove(&iter);
 	}
@@ -477,13 +480,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&record)) {
 		if (record->quarantined && now_us >= record->entry.until_us)
 			quarantine_end(quarantine, record);
-		if (record->sound_due_us == 0 || now_us < record->sound_due_us)
+		if (record->clear_due_us == 0 || now_us < record->clear_due_us)
 			continue;
-		record->sound_due_us = 0;
-		record->sound_told_us = now_us;
-		if (record->going_us > 0)
-			quarantine->callbacks.sound(quarantine->callbacks.ctx, record->entry.part,
-						    record->going_us);
+		record->clear_due_us = 0;
+		record->cleared_us = now_us;
+		if (record->progress_us > 0)
+			quarantine->callbacks.cleared(quarantine->callbacks.ctx, record->entry.part,
+						      record->progress_us);
 	}
 	if (now_us >= quarantine->swept_us + QUARANTINE_SWEEP_US) {
 		quarantine->swept_us = now_us;
@@ -514,10 +517,11 @@
 			   uint32_t part_count)
 {
 	for (uint32_t i = 0; i < part_count && quarantine->crashes->len > 0; i++) {
-		bool sound = quarantine_going_us(quarantine, parts[i]) > 0;
+		bool known_good = quarantine_progress_us(quarantine, parts[i]) > 0;
 
 		if (quarantine_blame_of(quarantine, parts[i]).engines >=
-		    (sound ? QUARANTINE_SUSPECT_ENGINES_SOUND : QUARANTINE_SUSPECT_ENGINES))
+		    (known_good ? QUARANTINE_SUSPECT_ENGINES_KNOWN_GOOD
+				: QUARANTINE_SUSPECT_ENGINES))
 			return true;
 	}
 	return false;
--- a/src/serve/crash_guard.c
+++ b/src/serve/crash_guard.c
@@ -45,7 +45,7 @@
 
 static void crash_guard_on_added(void *ctx, const struct quarantine_entry *entry, uint32_t crashes);
 static void crash_guard_on_ended(void *ctx, uint64_t part);
-static void crash_guard_on_sound(void *ctx, uint64_t part, uint64_t going_us);
+static void crash_guard_on_cleared(void *ctx, uint64_t part, uint64_t progress_us);
 static void crash_guard_on_tick(uv_timer_t *timer);
 static void crash_guard_on_message(void *ctx, uint8_t type, const void *buf, size_t len);
 static void crash_guard_on_joined(void *ctx, const char *address);
@@ -73,7 +73,7 @@
 {
 	struct crash_guard *guard = g_new0(struct crash_guard, 1);
 	struct quarantine_callbacks callbacks = { crash_guard_on_added, crash_guard_on_ended,
-						  crash_guard_on_sound, guard };
+						  crash_guard_on_cleared, guard };
 
 	guard->env = env;
 	guard->exchange = exchange;
@@ -341,11 +341,12 @@
 		quarantine_add_crash(guard->quarantine,
 				     &g_array_index(message.crashes, struct quarantine_crash, i),
 				     now_us);
-	for (guint i = 0; i < message.sound->len; i++) {
-		const struct crash_guard_sound *sound =
-			&g_array_index(message.sound, struct crash_guard_sound, i);
+	for (guint i = 0; i < message.cleared->len; i++) {
+		const struct crash_guard_cleared *cleared =
+			&g_array_index(message.cleared, struct crash_guard_cleared, i);
 
-		quarantine_add_peer_going(guard->quarantine, sound->part, sound->going_us);
+		quarantine_add_peer_progress(guard->quarantine, cleared->part,
+					     cleared->progress_us);
 	}
 	crash_guard_apply_entries(guard, message.entries, now_us);
 	for (guint i = 0; i < message.stored->len; i++)
@@ -371,7 +372,7 @@
 		g_array_append_vals(guard->repeated.crashes, guard->outgoing.crashes->data,
 				    guard->outgoing.crashes->len);
 		g_array_set_size(guard->outgoing.crashes, 0);
-		g_array_set_size(guard->outgoing.sound, 0);
+		g_array_set_size(guard->outgoing.cleared, 0);
 		g_array_set_size(guard->outgoing.entries, 0);
 		g_array_set_size(guard->outgoing.stored, 0);
 	}
@@ -404,12 +405,12 @@
 		crash_guard_schedule_row(guard, part, true);
 }
 
-static void crash_guard_on_sound(void *ctx, uint64_t part, uint64_t going_us)
+static void crash_guard_on_cleared(void *ctx, uint64_t part, uint64_t progress_us)
 {
 	struct crash_guard *guard = ctx;
-	struct crash_guard_sound sound = { part, going_us };
+	struct crash_guard_cleared cleared = { part, progress_us };
 
-	g_array_append_val(guard->outgoing.sound, sound);
+	g_array_append_val(guard->outgoing.cleared, cleared);
 }
 
 /* commands: observations */
@@ -430,10 +431,10 @@
 	g_array_append_val(guard->outgoing.crashes, crash);
 }
 
-void crash_guard_on_going(struct crash_guard *guard, const struct protocol_request *request)
+void crash_guard_on_progress(struct crash_guard *guard, const struct protocol_request *request)
 {
-	quarantine_add_going(guard->quarantine, request->prompt_parts,
-			     crash_guard_shared_count(request), env_now_us());
+	quarantine_add_progress(guard->quarantine, request->prompt_parts,
+				crash_guard_shared_count(request), env_now_us());
 }
 
 void crash_guard_on_alive(struct crash_guard *guard, const struct fleet_upstream *engine)
--- a/src/serve/crash_guard.h
+++ b/src/serve/crash_guard.h
@@ -29,12 +29,12 @@
 
 /** @name What the relay observes
  * @{ */
-/** A connection broke on which a request had not got going.
+/** A connection broke on which a request had made no progress.
  * @param request its prompt has the parts */
 void crash_guard_on_crash(struct crash_guard *guard, const struct fleet_upstream *engine,
 			  const struct protocol_request *request);
-/** An answer got going: QUARANTINE_GOING_EVENTS events arrived, or it ended whole. */
-void crash_guard_on_going(struct crash_guard *guard, const struct protocol_request *request);
+/** An answer made progress: QUARANTINE_PROGRESS_EVENTS events arrived, or it ended whole. */
+void crash_guard_on_progress(struct crash_guard *guard, const struct protocol_request *request);
 /** An engine has sent something. */
 void crash_guard_on_alive(struct crash_guard *guard, const struct fleet_upstream *engine);
 /** @} */
--- a/src/serve/crash_guard_message.c
+++ b/src/serve/crash_guard_message.c
@@ -3,20 +3,20 @@
 /* engine, request, age in ms, parts */
 #define CRASH_GUARD_CRASH_TYPE "(ttuat)"
 /* part, age in ms */
-#define CRASH_GUARD_SOUND_TYPE "(tu)"
+#define CRASH_GUARD_CLEARED_TYPE "(tu)"
 /* part, time left in ms, duration in ms */
 #define CRASH_GUARD_ENTRY_TYPE "(tuu)"
 #define CRASH_GUARD_MESSAGE_TYPE                                                                   \
-	"(a" CRASH_GUARD_CRASH_TYPE "a" CRASH_GUARD_SOUND_TYPE "a" CRASH_GUARD_ENTRY_TYPE "at)"
+	"(a" CRASH_GUARD_CRASH_TYPE "a" CRASH_GUARD_CLEARED_TYPE "a" CRASH_GUARD_ENTRY_TYPE "at)"
 
 /* The same for g_variant_new() and g_variant_get(): the last array is passed as a value. */
-#define CRASH_GUARD_MESSAGE_TYPE_NEW                                                               \
-	"(a" CRASH_GUARD_CRASH_TYPE "a" CRASH_GUARD_SOUND_TYPE "a" CRASH_GUARD_ENTRY_TYPE "@at)"
+#define CRASH_GUARD_MESSAGE_FORMAT                                                                 \
+	"(a" CRASH_GUARD_CRASH_TYPE "a" CRASH_GUARD_CLEARED_TYPE "a" CRASH_GUARD_ENTRY_TYPE "@at)"
 
 void crash_guard_message_init(struct crash_guard_message *message)
 {
 	message->crashes = g_array_new(FALSE, FALSE, sizeof(struct quarantine_crash));
-	message->sound = g_array_new(FALSE, FALSE, sizeof(struct crash_guard_sound));
+	message->cleared = g_array_new(FALSE, FALSE, sizeof(struct crash_guard_cleared));
 	message->entries = g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
 	message->stored = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 }
@@ -24,14 +24,14 @@
 void crash_guard_message_clear(struct crash_guard_message *message)
 {
 	g_array_free(message->crashes, TRUE);
-	g_array_free(message->sound, TRUE);
+	g_array_free(message->cleared, TRUE);
 	g_array_free(message->entries, TRUE);
 	g_array_free(message->stored, TRUE);
 }
 
 bool crash_guard_message_is_empty(const struct crash_guard_message *message)
 {
-	return message->crashes->len + message->sound->len + message->entries->len +
+	return message->crashes->len + message->cleared->len + message->entries->len +
 		       message->stored->len ==
 	       0;
 }
@@ -58,12 +58,12 @@
 				uint64_t now_us)
 {
 	GVariantBuilder crashes;
-	GVariantBuilder sound;
+	GVariantBuilder cleared;
 	GVariantBuilder entries;
 	GVariant *root;
 
 	g_variant_builder_init(&crashes, G_VARIANT_TYPE("a" CRASH_GUARD_CRASH_TYPE));
-	g_variant_builder_init(&sound, G_VARIANT_TYPE("a" CRASH_GUARD_SOUND_TYPE));
+	g_variant_builder_init(&cleared, G_VARIANT_TYPE("a" CRASH_GUARD_CLEARED_TYPE));
 	g_variant_builder_init(&entries, G_VARIANT_TYPE("a" CRASH_GUARD_ENTRY_TYPE));
 	for (guint i = 0; i < message->crashes->len; i++) {
 		const struct quarantine_crash *crash =
@@ -73,12 +73,12 @@
 				      crash_guard_message_ms(crash->at_us, now_us),
 				      crash_guard_message_parts(crash));
 	}
-	for (guint i = 0; i < message->sound->len; i++) {
-		const struct crash_guard_sound *part =
-			&g_array_index(message->sound, struct crash_guard_sound, i);
+	for (guint i = 0; i < message->cleared->len; i++) {
+		const struct crash_guard_cleared *part =
+			&g_array_index(message->cleared, struct crash_guard_cleared, i);
 
-		g_variant_builder_add(&sound, CRASH_GUARD_SOUND_TYPE, part->part,
-				      crash_guard_message_ms(part->going_us, now_us));
+		g_variant_builder_add(&cleared, CRASH_GUARD_CLEARED_TYPE, part->part,
+				      crash_guard_message_ms(part->progress_us, now_us));
 	}
 	for (guint i = 0; i < message->entries->len; i++) {
 		const struct quarantine_entry *entry =
@@ -89,7 +89,7 @@
 				      crash_guard_message_ms(0, entry->duration_us));
 	}
 	root = g_variant_ref_sink(g_variant_new(
-		CRASH_GUARD_MESSAGE_TYPE_NEW, &crashes, &sound, &entries,
+		CRASH_GUARD_MESSAGE_FORMAT, &crashes, &cleared, &entries,
 		g_variant_new_fixed_array(G_VARIANT_TYPE_UINT64, message->stored->data,
 					  message->stored->len, sizeof(uint64_t))));
 	g_byte_array_append(out, g_variant_get_data(root), (guint)g_variant_get_size(root));
@@ -116,7 +116,7 @@
 	g_autoptr(GVariant) root = g_variant_ref_sink(
 		g_variant_new_from_bytes(G_VARIANT_TYPE(CRASH_GUARD_MESSAGE_TYPE), bytes, FALSE));
 	g_autoptr(GVariantIter) crashes = NULL;
-	g_autoptr(GVariantIter) sound = NULL;
+	g_autoptr(GVariantIter) cleared = NULL;
 	g_autoptr(GVariantIter) entries = NULL;
 	g_autoptr(GVariant) stored = NULL;
 	GVariant *parts;
@@ -129,7 +129,7 @@
 
 	if (!g_variant_is_normal_form(root))
 		return false;
-	g_variant_get(root, CRASH_GUARD_MESSAGE_TYPE_NEW, &crashes, &sound, &entries, &stored);
+	g_variant_get(root, CRASH_GUARD_MESSAGE_FORMAT, &crashes, &cleared, &entries, &stored);
 	stored_ids = g_variant_get_fixed_array(stored, &stored_count, sizeof(uint64_t));
 	g_array_append_vals(out->stored, stored_ids, (guint)stored_count);
 	while (g_variant_iter_next(crashes, "(ttu@at)", &first, &request, &time_ms, &parts)) {
@@ -137,11 +137,11 @@
 					      crash_guard_message_time(now_us, time_ms), parts);
 		g_variant_unref(parts);
 	}
-	while (g_variant_iter_next(sound, CRASH_GUARD_SOUND_TYPE, &first, &time_ms)) {
-		struct crash_guard_sound part = { first,
-						  crash_guard_message_time(now_us, time_ms) };
+	while (g_variant_iter_next(cleared, CRASH_GUARD_CLEARED_TYPE, &first, &time_ms)) {
+		struct crash_guard_cleared part = { first,
+						    crash_guard_message_time(now_us, time_ms) };
 
-		g_array_append_val(out->sound, part);
+		g_array_append_val(out->cleared, part);
 	}
 	while (g_variant_iter_next(entries, CRASH_GUARD_ENTRY_TYPE, &first, &time_ms,
 				   &duration_ms)) {
--- a/src/serve/crash_guard_message.h
+++ b/src/serve/crash_guard_message.h
@@ -16,16 +16,16 @@
 /** Type of the message on the bus. */
 #define CRASH_GUARD_MSG 8
 
-/** An answer with a part got going. */
-struct crash_guard_sound {
+/** An answer with a part made progress. */
+struct crash_guard_cleared {
 	uint64_t part;
-	uint64_t going_us;
+	uint64_t progress_us;
 };
 
 /** One message; each array may be empty. */
 struct crash_guard_message {
 	GArray *crashes; /**< struct quarantine_crash */
-	GArray *sound;	 /**< struct crash_guard_sound */
+	GArray *cleared; /**< struct crash_guard_cleared */
 	GArray *entries; /**< struct quarantine_entry */
 	GArray *stored;	 /**< uint64_t: parts whose quarantine is in the store */
 };
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -291,7 +291,7 @@
 		relay_request_free(request);
 		return;
 	}
-	summary.suspect = request->attempt_event_count < QUARANTINE_GOING_EVENTS &&
+	summary.suspect = request->attempt_event_count < QUARANTINE_PROGRESS_EVENTS &&
 			  crash_guard_is_suspect(env->crash_guard, &request->decoded);
 	summary.upstream_available =
 		relay_is_generation(request)
@@ -474,7 +474,7 @@
 		struct relay_request *request = item->data;
 
 		next = item->next;
-		if (!request->caller || request->event_count >= QUARANTINE_GOING_EVENTS)
+		if (!request->caller || request->event_count >= QUARANTINE_PROGRESS_EVENTS)
 			continue;
 		request->may_have_run |= request->call != NULL;
 		relay_refuse_if_quarantined(request);
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -240,8 +240,8 @@
 	request->last_progress_us = now_us;
 	fleet_upstream_record_progress(request->attempt.up, now_us);
 	crash_guard_on_alive(env->crash_guard, request->attempt.up);
-	if (request->event_count == QUARANTINE_GOING_EVENTS)
-		crash_guard_on_going(env->crash_guard, &request->decoded);
+	if (request->event_count == QUARANTINE_PROGRESS_EVENTS)
+		crash_guard_on_progress(env->crash_guard, &request->decoded);
 	if (request->event_count % RELAY_ESTIMATE_INTERVAL_EVENTS == 0)
 		relay_update_estimate(request);
 	if (*id) {
@@ -298,13 +298,13 @@
 	}
 }
 
-/* Reports an attempt that broke before the answer got going. An engine that is leaving may have
+/* Reports an attempt that broke before the answer made progress. An engine that is leaving may have
  * exited as announced. */
 static void relay_report_crash(struct relay_request *request)
 {
 	struct env *env = request->relay->env;
 
-	if (!relay_is_generation(request) || request->event_count >= QUARANTINE_GOING_EVENTS ||
+	if (!relay_is_generation(request) || request->event_count >= QUARANTINE_PROGRESS_EVENTS ||
 	    fleet_upstream_state(request->attempt.up) > FLEET_UPSTREAM_LAPSED)
 		return;
 	metric_add(env->metric, METRIC_CRASHED_STARTS, 1);
@@ -365,8 +365,9 @@
 			request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 			return;
 		}
-		if (request->stream && request->event_count < QUARANTINE_GOING_EVENTS)
-			crash_guard_on_going(request->relay->env->crash_guard, &request->decoded);
+		if (request->stream && request->event_count < QUARANTINE_PROGRESS_EVENTS)
+			crash_guard_on_progress(request->relay->env->crash_guard,
+						&request->decoded);
 		relay_finish_streamed(request);
 		return;
 	}
--- a/test/test_crash_guard.c
+++ b/test/test_crash_guard.c
@@ -18,14 +18,14 @@
 					  .at_us = NOW_US - 3000,
 					  .part_count = 2,
 					  .parts = { 11, 12 } };
-	struct crash_guard_sound sound = { 13, NOW_US - 4000000 };
+	struct crash_guard_cleared cleared = { 13, NOW_US - 4000000 };
 	struct quarantine_entry entry = { 14, NOW_US + 5000000, 300000000 };
 	uint64_t stored = 15;
 
 	crash_guard_message_init(&message);
 	g_assert_true(crash_guard_message_is_empty(&message));
 	g_array_append_val(message.crashes, crash);
-	g_array_append_val(message.sound, sound);
+	g_array_append_val(message.cleared, cleared);
 	g_array_append_val(message.entries, entry);
 	g_array_append_val(message.stored, stored);
 	g_assert_false(crash_guard_message_is_empty(&message));
@@ -51,8 +51,8 @@
 	g_assert_cmpuint(crash->at_us, ==, 2 * NOW_US - 3000);
 	g_assert_cmpuint(crash->part_count, ==, 2);
 	g_assert_cmpuint(crash->parts[1], ==, 12);
-	g_assert_cmpuint(g_array_index(message.sound, struct crash_guard_sound, 0).going_us, ==,
-			 2 * NOW_US - 4000000);
+	g_assert_cmpuint(g_array_index(message.cleared, struct crash_guard_cleared, 0).progress_us,
+			 ==, 2 * NOW_US - 4000000);
 	entry = &g_array_index(message.entries, struct quarantine_entry, 0);
 	g_assert_cmpuint(entry->part, ==, 14);
 	g_assert_cmpuint(entry->until_us, ==, 2 * NOW_US + 5000000);
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -20,7 +20,7 @@
 #define MAX_ENGINES   62
 #define PROMPT_PARTS  3 /* the last is the request's own */
 #define PREFILL_US    (300 * MS)
-#define GOING_US      (180 * MS) /* from the first event */
+#define PROGRESS_US   (180 * MS) /* from the first event */
 #define RESTART_US    (4 * SECOND)
 #define MAX_DELAY_US  (40 * MS) /* of a message, and until a broken connection is noticed */
 #define CONTACT_US    (4 * SECOND)
@@ -63,12 +63,12 @@
 	uint32_t engine;
 	uint32_t attempts;
 	bool bad;
-	bool going;
+	bool progressed;
 };
 
 enum message_kind {
 	MESSAGE_CRASH,
-	MESSAGE_SOUND,
+	MESSAGE_KNOWN_GOOD,
 	MESSAGE_ENTRY,
 	MESSAGE_OWN_CRASH
 };
@@ -80,7 +80,7 @@
 	struct quarantine_crash crash;
 	struct quarantine_entry entry;
 	uint64_t part;
-	uint64_t going_us;
+	uint64_t progress_us;
 	struct request request; /* that broke; MESSAGE_OWN_CRASH only */
 };
 
@@ -146,10 +146,12 @@
 	(void)part;
 }
 
-static void on_sound(void *ctx, uint64_t part, uint64_t going_us)
+static void on_sound(void *ctx, uint64_t part, uint64_t progress_us)
 {
 	struct instance *instance = ctx;
-	struct message message = { .kind = MESSAGE_SOUND, .part = part, .going_us = going_us };
+	struct message message = { .kind = MESSAGE_KNOWN_GOOD,
+				   .part = part,
+				   .progress_us = progress_us };
 
 	send_to_peers(instance, &message);
 }
@@ -175,7 +177,7 @@
 			continue;
 		request.started_us = world->now_us + PREFILL_US;
 		request.attempts++;
-		request.going = false;
+		request.progressed = false;
 		g_array_append_val(world->requests, request);
 		if (request.bad)
 			g_array_append_val(world->arrivals_us, world->now_us);
@@ -229,8 +231,8 @@
 	case MESSAGE_CRASH:
 		quarantine_add_crash(quarantine, &message->crash, world->now_us);
 		break;
-	case MESSAGE_SOUND:
-		quarantine_add_peer_going(quarantine, message->part, message->going_us);
+	case MESSAGE_KNOWN_GOOD:
+		quarantine_add_peer_progress(quarantine, message->part, message->progress_us);
 		break;
 	default:
 		quarantine_add_entry(quarantine, &message->entry, world->now_us);
@@ -308,13 +310,13 @@
 			g_array_append_val(world->crashes_us, world->now_us);
 			crash_engine(world, request->engine);
 			i = 0;
-		} else if (world->now_us < request->started_us + GOING_US) {
+		} else if (world->now_us < request->started_us + PROGRESS_US) {
 			quarantine_add_alive(quarantine, engine_key(world, request->engine),
 					     world->now_us);
 			i++;
 		} else {
-			quarantine_add_going(quarantine, request->parts, PROMPT_PARTS - 1,
-					     world->now_us);
+			quarantine_add_progress(quarantine, request->parts, PROMPT_PARTS - 1,
+						world->now_us);
 			g_array_remove_index_fast(world->requests, i);
 		}
 	}
@@ -515,11 +517,11 @@
 	log->ended++;
 }
 
-static void log_sound(void *ctx, uint64_t part, uint64_t going_us)
+static void log_sound(void *ctx, uint64_t part, uint64_t progress_us)
 {
 	(void)ctx;
 	(void)part;
-	(void)going_us;
+	(void)progress_us;
 }
 
 /* Reports crashes of @p count engines, a second apart, the first at @p at_us; decides after each.
@@ -551,7 +553,7 @@
 
 	quarantine_set_duration(quarantine, DURATION_US);
 	part = FIRST_PART;
-	quarantine_add_going(quarantine, &part, 1, now_us - SECOND);
+	quarantine_add_progress(quarantine, &part, 1, now_us - SECOND);
 	part = BAD_PART;
 	report_crashes(quarantine, 1, 3, now_us);
 	g_assert_cmpuint(log.added, ==, 1);
@@ -568,7 +570,7 @@
 	quarantine_destroy(quarantine);
 }
 
-/* An answer that gets going disproves a quarantine, also one that a peer reports later. */
+/* An answer that makes progress disproves a quarantine, also one that a peer reports later. */
 static void test_disproved(void)
 {
 	struct quarantine_log log = { 0 };
@@ -581,7 +583,7 @@
 	quarantine_set_duration(quarantine, DURATION_US);
 	g_assert_true(quarantine_add_entry(quarantine, &entry, now_us));
 	g_assert_false(quarantine_add_entry(quarantine, &entry, now_us));
-	quarantine_add_going(quarantine, &part, 1, now_us + SECOND);
+	quarantine_add_progress(quarantine, &part, 1, now_us + SECOND);
 	g_assert_cmpuint(log.ended, ==, 1);
 	g_assert_null(quarantine_find(quarantine, &part, 1, now_us + SECOND));
 	g_assert_false(quarantine_add_entry(quarantine, &entry, now_us + SECOND));
