A quarantine must not mark other open requests as perhaps run

Found by reading the change. When a prompt part was quarantined, every open request with fewer than three events was marked as perhaps executed, calls to plain services too. If its upstream then stated that it had not run, the caller got 502 instead of the truthful 503, and no retry.

Cause: the mark was set before the request was known to have the part. Now only the refusal itself considers whether an attempt is open.

/gateway-raw/refusal-during-quarantine: a call is open while a part is quarantined, and is refused without execution afterwards: 502 before, 503 now.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -177,7 +177,7 @@
 	metric_add(request->relay->env->metric, METRIC_QUARANTINE_REFUSED, 1);
 	if (request->response_started)
 		relay_abort_response(request, "quarantined");
-	else if (request->may_have_run)
+	else if (request->may_have_run || request->call)
 		relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "quarantined");
 	else
 		relay_reply_error(request, ERR_QUARANTINED, left_ms, "quarantined");
@@ -474,10 +474,8 @@
 		struct relay_request *request = item->data;
 
 		next = item->next;
-		if (!request->caller || request->event_count >= QUARANTINE_PROGRESS_EVENTS)
-			continue;
-		request->may_have_run |= request->call != NULL;
-		relay_refuse_if_quarantined(request);
+		if (request->caller && request->event_count < QUARANTINE_PROGRESS_EVENTS)
+			relay_refuse_if_quarantined(request);
 	}
 }
 
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -311,6 +311,66 @@
 	}
 }
 
+/* a quarantine beside other requests */
+
+#define CRASH_PART    "bad0"
+#define CRASH_ENGINES 4
+#define REFUSAL_MS    1300 /* after the quarantine, before the timeout of the route */
+
+static void refuse_later(void *ctx, struct raw_conn *conn, const char *id)
+{
+	g_autofree char *answer =
+		g_strdup_printf("HTTP/1.1 503 Busy\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+				"X-Flamingolatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+				id);
+
+	(void)ctx;
+	raw_conn_write_later(conn, answer, REFUSAL_MS, false);
+}
+
+/* A call that is under way while a prompt part is quarantined, and that its upstream then refuses
+ * without running it, is reported as not run. */
+static void test_refusal_during_quarantine(void)
+{
+	struct testbed_request bad = quick;
+	struct testbed_answer call = { 0 };
+	struct testbed_answer crashing[2];
+	g_autofree char *state = NULL;
+	struct fixture f;
+
+	fixture_open(&f);
+	for (uint32_t i = 0; i < CRASH_ENGINES; i++) {
+		g_autofree char *id = g_strdup_printf("crash-%u", i);
+		struct mock_upstream *engine = add_upstream(&f, id, true, 10 + i);
+
+		mock_upstream_configure(engine,
+					&(struct mock_upstream_conf){ .engine = true,
+								      .work_ms = 20,
+								      .pace_ms = 4,
+								      .crash_part = CRASH_PART });
+		mock_upstream_list(engine);
+	}
+	add_raw(&f, TESTBED_PLAIN_SERVICE, refuse_later, NULL);
+	testbed_begin(f.gateway, &once, &call);
+	for (uint32_t i = 0; i < 2; i++) {
+		g_autofree char *parts = g_strdup_printf(CRASH_PART ":40,%x:9", 100 + i);
+
+		bad.prompt_parts = parts;
+		testbed_begin(f.gateway, &bad, &crashing[i]);
+		testbed_run(f.testbed, 100);
+	}
+	g_assert_true(testbed_wait(f.testbed, &call, 3000));
+	state = testbed_get(f.testbed, f.gateway->metrics_address, "/state");
+	g_assert_nonnull(strstr(state, "\"part\":\"" CRASH_PART "\""));
+	g_assert_cmpuint(call.status, ==, 503);
+	testbed_answer_clear(&call);
+	for (uint32_t i = 0; i < 2; i++) {
+		g_assert_true(testbed_wait(f.testbed, &crashing[i], QUICK_TIMEOUT_MS + 500));
+		testbed_answer_clear(&crashing[i]);
+	}
+	fixture_close(&f);
+}
+
 /* a planned stop */
 
 /* Hundreds of requests that arrive around a planned stop, on new and on kept connections: none that
@@ -364,6 +424,7 @@
 	g_test_add_func("/gateway-raw/trickle", test_trickle);
 	g_test_add_func("/gateway-raw/trickle-alone", test_trickle_alone);
 	g_test_add_func("/gateway-raw/endless-head", test_endless_head);
+	g_test_add_func("/gateway-raw/refusal-during-quarantine", test_refusal_during_quarantine);
 	g_test_add_func("/gateway-raw/stop-under-load", test_stop_under_load);
 	return g_test_run();
 }
