--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -165,6 +165,22 @@
 	return g_strdup_printf("%s.%u", testbed->subnet, number);
 }
 
+struct mock_upstream *testbed_upstream(struct testbed *testbed, const char *id, bool engine,
+				       uint32_t number)
+{
+	g_autofree char *ip = testbed_ip(testbed, 100 + number);
+	struct mock_upstream_conf conf = { .id = id,
+					   .service = engine ? TESTBED_ENGINE_SERVICE
+							     : TESTBED_PLAIN_SERVICE,
+					   .zone = "z1",
+					   .address = ip,
+					   .engine = engine,
+					   .work_ms = engine ? 20 : 5,
+					   .pace_ms = 4 };
+
+	return mock_upstream_create(testbed->platform, &conf);
+}
+
 void testbed_configure(struct testbed *testbed, const char *keys, const char *route)
 {
 	static const char base[] =
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -77,6 +77,13 @@
 /** Returns a loopback address that only this testbed uses. The caller frees it.
  * @param number last byte of the address */
 char *testbed_ip(const struct testbed *testbed, uint32_t number);
+/**
+ * Starts an upstream in zone z1, without an entry in the instance list.
+ * @param engine false for an upstream of the plain service
+ * @param number tells its address from those of others, from 0 to 150
+ */
+struct mock_upstream *testbed_upstream(struct testbed *testbed, const char *id, bool engine,
+				       uint32_t number);
 /**
  * Writes a new version of the configuration to the store.
  * @param keys JSON strings of further API keys, each after a comma, or NULL
