--- /dev/null
+++ b/review/3/case.c
@@ -0,0 +1,160 @@
+/* A replica that was full for a moment sends its refusal twice. The second copy arrives late, where
+ * the answer to the next request on the connection is due. */
+#include "stand.h"
+
+#include "raw_upstream.h"
+
+#include <string.h>
+
+#define REPLICA_COUNT 2
+#define REQUEST_COUNT 120
+#define BATCH_COUNT   4	 /* requests at the same time */
+#define FULL_EVERY    10 /* requests at the first replica, of which one finds it full */
+/* Only after so many answers of the replica: garble spoils at most 3 in 100 (x = 0.03). */
+#define ANSWERS_BEFORE 34
+
+/* As `fleetbench wire` shows it: "a server sheds". */
+static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\n"
+			      "X-Flamingolatch-Not-Executed: 1\r\n"
+			      "Content-Length: 0\r\n\r\n";
+
+struct replica {
+	struct stand *stand;
+	const char *id;
+	bool sheds;
+	uint32_t arrivals;
+	struct raw_conn *refused_on; /* connection of the last refusal, which is sent again */
+	bool spoiled;		     /* a refusal was sent twice */
+	GHashTable *runs;	     /* ids of the requests that ran here */
+};
+
+static void replica_on_request(void *ctx, struct raw_conn *conn, const char *id)
+{
+	struct replica *replica = ctx;
+	struct stand *stand = replica->stand;
+	g_autofree char *answer = NULL;
+
+	if (replica->sheds && ++replica->arrivals % FULL_EVERY == 0) {
+		stand_record(stand, "%s is full and refuses %s", replica->id, id);
+		raw_conn_write(conn, refusal);
+		if (replica->arrivals > ANSWERS_BEFORE)
+			replica->refused_on = conn;
+		return;
+	}
+	if (stand->trouble && !replica->spoiled && conn == replica->refused_on) {
+		stand_record(stand,
+			     "%s gets %s on the same connection; the refusal's second copy "
+			     "arrives",
+			     replica->id, id);
+		replica->spoiled = true;
+		raw_conn_write(conn, refusal);
+	}
+	if (replica->spoiled)
+		stand_record(stand, "%s runs %s", replica->id, id);
+	g_hash_table_add(replica->runs, g_strdup(id));
+	answer = g_strdup_printf("HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+				 "X-Flamingolatch-Replica-Signature: %s\r\n"
+				 "Content-Length: 4\r\n\r\ndone",
+				 id, replica->id);
+	raw_conn_write_later(conn, answer, 15, false);
+}
+
+/* A call that must not be repeated. */
+struct call {
+	char *id;
+	struct stand_client *client;
+	struct stand_answer answer;
+};
+
+static void call_start(struct call *call, struct stand *stand, struct stand_gateway *gateway,
+		       uint32_t number)
+{
+	g_autofree char *body = g_strdup_printf("{\"claim\":%u}", number);
+	g_autofree char *text = NULL;
+
+	call->id = g_strdup_printf("c0ffee%04x", number);
+	text = stand_request(call->id, "/once/x", 3000, "key-one", NULL, body);
+	call->client = stand_client_open(stand, gateway->callers, text);
+}
+
+static void call_wait(struct call *call, struct stand *stand)
+{
+	uint64_t until_ms = stand_now_ms(stand) + 3000;
+
+	while (!call->client->closed && call->answer.state < STAND_ANSWER_COMPLETE &&
+	       stand_now_ms(stand) < until_ms) {
+		stand_run(stand, 1);
+		if (call->answer.body)
+			g_string_free(call->answer.body, TRUE);
+		call->answer = stand_read_answer(call->client->input);
+	}
+}
+
+static void call_end(struct call *call)
+{
+	stand_client_close(call->client);
+	g_free(call->id);
+	if (call->answer.body)
+		g_string_free(call->answer.body, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	struct stand *stand = stand_create(argc, argv);
+	struct replica replicas[REPLICA_COUNT] = { { .id = "i-desk-1", .sheds = true },
+						   { .id = "i-desk-2" } };
+	struct stand_gateway *gateway;
+	uint32_t answered = 0;
+	uint32_t refused_and_ran = 0;
+	uint32_t twice = 0;
+
+	stand_configure(stand, NULL, NULL);
+	for (uint32_t i = 0; i < REPLICA_COUNT; i++) {
+		g_autofree char *ip = stand_ip(stand, 100 + i);
+		g_autofree char *entry = g_strdup_printf(
+			"{\"service\":\"desk\",\"address\":\"%s:8300\",\"zone\":\"z1\",\"slots\":6,"
+			"\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,"
+			"\"born\":%" G_GINT64_FORMAT "}",
+			ip, g_get_real_time() / 1000);
+
+		replicas[i].stand = stand;
+		replicas[i].runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		raw_upstream_create(&stand->loop, ip, 8300, replica_on_request, &replicas[i]);
+		mock_store_put(stand->platform, "servers", replicas[i].id, entry);
+	}
+	gateway = stand_gateway(stand, "edge-1", "z1");
+	if (!stand_wait_ready(gateway, 10000))
+		return stand_destroy(stand, STAND_CANNOT_RUN);
+	for (uint32_t i = 0; i < REQUEST_COUNT; i += BATCH_COUNT) {
+		struct call calls[BATCH_COUNT] = { 0 };
+
+		for (uint32_t k = 0; k < BATCH_COUNT; k++)
+			call_start(&calls[k], stand, gateway, i + k);
+		for (uint32_t k = 0; k < BATCH_COUNT; k++)
+			call_wait(&calls[k], stand);
+		/* A run that the gateway does not wait for ends meanwhile. */
+		stand_run(stand, 30);
+		for (uint32_t k = 0; k < BATCH_COUNT; k++) {
+			const struct call *call = &calls[k];
+			uint32_t ran = 0;
+
+			for (uint32_t n = 0; n < REPLICA_COUNT; n++)
+				ran += g_hash_table_contains(replicas[n].runs, call->id);
+			answered += call->answer.status == 200;
+			twice += ran > 1;
+			refused_and_ran += call->answer.status == 503 && ran > 0;
+			if (ran != 1 || call->answer.status != 200)
+				stand_record(stand,
+					     "%s (not idempotent): answered %u, ran %u times",
+					     call->id, call->answer.status, ran);
+			call_end(&calls[k]);
+		}
+	}
+	stand_record(stand,
+		     "%u requests, %u answered 200, %u ran twice, %u refused and ran; "
+		     "answers of i-desk-1: %u",
+		     REQUEST_COUNT, answered, twice, refused_and_ran, replicas[0].arrivals);
+	if (answered == 0 || (stand->trouble && !replicas[0].spoiled))
+		return stand_destroy(stand, STAND_CANNOT_RUN);
+	return stand_destroy(stand, twice || refused_and_ran ? STAND_BROKEN : STAND_HELD);
+}
