--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,275 +1,226 @@
-/* An instance that follows the store for another one is lost while it decodes a configuration that
- * takes a key away. */
+/* A replica in trouble sends the body of an answer without end. The platform kills a process that
+ * exceeds its memory. */
 #include "stand.h"
 
-#include <pthread.h>
+#include "raw_upstream.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-
-#define GATEWAY_COUNT	 2
-#define ROUTE_COUNT	 1400
-#define KEY_COUNT	 24
-#define REVOKE_MS	 5000
-#define CONFIG_APPLY_MS	 3000
-#define KILL_MAX_MS	 400 /* after the change was sent: limit of after_ack_kill, how timed */
-#define LAST_TRIAL_MS	 98000
-#define CALM_TRIAL_COUNT 3 /* with TROUBLE=0 */
-/* A machine has a quarter of a core. */
-#define CORE_RUN_US  5000
-#define CORE_STOP_US 15000
-/* The change is made this long before the query that it is to cross. */
-#define QUERY_LEAD_MS 25
-
-/* The processes that share of a core is given to; 0: none. */
-static volatile pid_t core_pids[GATEWAY_COUNT];
-
-static void *core_share(void *arg)
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MACHINE_COUNT 2
+#define REPLICA_COUNT 2
+#define MEMORY_MB     110 /* memory_mb of the sheet */
+#define ENDS_MAX      3	  /* by itself, on each of two machines */
+#define RESTART_MS    500
+#define LAST_CALL_MS  95000
+#define CALL_COUNT    4 /* at the same time, at one machine */
+#define CALL_MS	      2500
+#define CALM_ROUNDS   20 /* with TROUBLE=0 */
+/* The first replica spoils one of so many answers: garble has x = 0.05 at most. */
+#define SPOIL_EVERY 21
+/* The replica's link has 1,000 Mbit/s, the client's 30 Mbit/s. */
+#define CHUNK_BYTES	    125000
+#define CLIENT_BYTES_PER_MS 3750
+
+struct replica {
+	struct stand *stand;
+	const char *id;
+	char *chunk;
+	uint32_t answers;
+	uint32_t spoiled;
+	bool faulty;
+};
+
+struct call {
+	int fd;
+	char id[32];
+	GString *input;
+	uint64_t read_ms;
+	bool open;
+};
+
+/* helpers: the replicas */
+
+static void replica_on_request(void *ctx, struct raw_conn *conn, const char *id)
 {
-	for (;;) {
-		for (int turn = 0; turn < 2; turn++) {
-			for (int i = 0; i < GATEWAY_COUNT; i++) {
-				pid_t pid = core_pids[i];
-
-				if (pid)
-					kill(pid, turn ? SIGCONT : SIGSTOP);
-			}
-			g_usleep(turn ? CORE_RUN_US : CORE_STOP_US);
-		}
+	struct replica *replica = ctx;
+	g_autofree char *head = g_strdup_printf("HTTP/1.1 200 OK\r\n"
+						"X-Flamingolatch-Attempt-Id: %s\r\n"
+						"X-Flamingolatch-Replica-Signature: %s\r\n",
+						id, replica->id);
+	g_autofree char *answer = g_strdup_printf("%sContent-Length: 4\r\n\r\ndone", head);
+
+	replica->answers++;
+	if (replica->faulty && replica->answers % SPOIL_EVERY == 0) {
+		g_autofree char *start =
+			g_strdup_printf("%sTransfer-Encoding: chunked\r\n\r\n", head);
+
+		replica->spoiled++;
+		stand_record(replica->stand, "%s sends a body without end for %s", replica->id, id);
+		raw_conn_write(conn, start);
+		raw_conn_write_later(conn, replica->chunk, 1, true);
+		return;
 	}
-	return arg;
-}
-
-static char *make_routes(void)
-{
-	GString *out = g_string_new(NULL);
-
-	for (uint32_t i = 0; i < ROUTE_COUNT; i++)
-		g_string_append_printf(
-			out,
-			",{\"name\":\"more-%u\",\"host\":\"" STAND_HOST
-			"\",\"prefix\":\"/more%u/\","
-			"\"route_kind\":\"safe\",\"timeout_ms\":1500,\"slo_ms\":200,\"priority\":2,"
-			"\"service\":\"desk\",\"max_attempts\":2}",
-			i, i);
-	return g_string_free(out, FALSE);
-}
-
-/* Returns how many bytes of queries a gateway has sent to the one that it follows. */
-static uint64_t query_bytes(struct stand_gateway *gateway)
-{
-	static const char name[] = "\nflamingolatch_bus_delegation_bytes_total ";
-	g_autofree char *text = stand_get(gateway, "/metrics");
-	const char *at = text ? strstr(text, name) : NULL;
-
-	return at ? strtoull(at + strlen(name), NULL, 10) : 0;
+	raw_conn_write_later(conn, answer, 15, false);
 }
 
-/* Waits until a gateway sends a query. @return when that was seen */
-static uint64_t wait_query_ms(struct stand *stand, struct stand_gateway *gateway)
-{
-	uint64_t until_ms = stand_now_ms(stand) + 3000;
-	uint64_t before = query_bytes(gateway);
-
-	while (query_bytes(gateway) == before && stand_now_ms(stand) < until_ms)
-		stand_run(stand, 1);
-	return stand_now_ms(stand);
-}
+/* helpers: the clients */
 
-/* Waits until shortly before the next query of a gateway, which come at equal intervals. */
-static void wait_before_query(struct stand *stand, struct stand_gateway *gateway)
+static void call_start(struct call *call, const struct stand_gateway *gateway, uint32_t number)
 {
-	uint64_t first_ms = wait_query_ms(stand, gateway);
-	uint64_t second_ms = wait_query_ms(stand, gateway);
-	uint64_t at_ms = second_ms + (second_ms - first_ms) - QUERY_LEAD_MS;
-
-	if (stand_now_ms(stand) < at_ms)
-		stand_run(stand, (uint32_t)(at_ms - stand_now_ms(stand)));
+	g_autofree char *ip = g_strndup(gateway->callers, strcspn(gateway->callers, ":"));
+	g_autofree char *text = NULL;
+	struct sockaddr_in target = { .sin_family = AF_INET,
+				      .sin_port = htons(
+					      (uint16_t)atoi(strchr(gateway->callers, ':') + 1)) };
+
+	g_snprintf(call->id, sizeof(call->id), "c0ffee%06x", number);
+	text = stand_request(call->id, "/safe/x", 3000, "key-one", NULL, NULL);
+	inet_pton(AF_INET, ip, &target.sin_addr);
+	call->input = g_string_new(NULL);
+	call->read_ms = 0;
+	call->fd = socket(AF_INET, SOCK_STREAM, 0);
+	call->open = connect(call->fd, (struct sockaddr *)&target, sizeof(target)) == 0 &&
+		     send(call->fd, text, strlen(text), 0) == (ssize_t)strlen(text);
 }
 
-/* Writes the configuration in which the first keys are taken away. */
-static void configure(struct stand *stand, const char *routes, uint32_t revoked)
+/* Reads what the link of the client has brought. The bytes of a long answer are not kept. */
+static void call_read(struct call *call, uint64_t now_ms)
 {
-	g_autoptr(GString) keys = g_string_new(NULL);
-
-	for (uint32_t i = revoked; i < KEY_COUNT; i++)
-		g_string_append_printf(keys, ",\"key-%u\"", i);
-	stand_configure(stand, routes, keys->str);
+	static char bytes[CLIENT_BYTES_PER_MS * 50];
+	uint64_t elapsed_ms = call->read_ms ? MIN(now_ms - call->read_ms, 50) : 1;
+	ssize_t count;
+
+	if (!call->open || now_ms == call->read_ms)
+		return;
+	call->read_ms = now_ms;
+	count = recv(call->fd, bytes, (size_t)(elapsed_ms * CLIENT_BYTES_PER_MS), MSG_DONTWAIT);
+	if (count > 0 && call->input->len < 65536)
+		g_string_append_len(call->input, bytes, count);
+	call->open = count > 0 || (count < 0 && errno == EAGAIN);
 }
 
-/* Tells whether the state dump of a gateway has a text. */
-static bool state_has(struct stand_gateway *gateway, const char *text)
+static bool call_is_answered(const struct call *call)
 {
-	g_autofree char *state = stand_get(gateway, "/state");
+	struct stand_answer answer = stand_read_answer(call->input);
 
-	return state && strstr(state, text);
-}
-
-static bool has_version(struct stand_gateway *gateway, uint32_t version)
-{
-	g_autofree char *text = g_strdup_printf("\"config_version\":%u,", version);
-
-	return state_has(gateway, text);
+	g_string_free(answer.body, TRUE);
+	return answer.state == STAND_ANSWER_COMPLETE;
 }
 
-/* Returns the index of the only gateway that follows the store, once all have the configuration;
- * -1 when that does not come about. */
-static int find_follower(struct stand_gateway **gateways, struct stand *stand, uint32_t ms)
-{
-	uint64_t until_ms = stand_now_ms(stand) + ms;
-
-	while (stand_now_ms(stand) < until_ms) {
-		int found = -1;
-		uint32_t follow = 0;
-		uint32_t current = 0;
-
-		for (int i = 0; i < GATEWAY_COUNT; i++) {
-			if (state_has(gateways[i], "\"follows_store\":true")) {
-				found = i;
-				follow++;
-			}
-			current += has_version(gateways[i], stand->version);
-		}
-		if (follow == 1 && current == GATEWAY_COUNT)
-			return found;
-		stand_run(stand, 100);
-	}
-	return -1;
-}
+/* helpers: the platform */
 
-/* Tells whether a gateway has logged that a version is in force. */
-static bool has_logged(const struct stand_gateway *gateway, uint32_t version)
+static uint32_t resident_mb(pid_t pid)
 {
-	g_autofree char *needle = g_strdup_printf("\"event\":200,\"revision\":\"%u\"", version);
+	g_autofree char *path = g_strdup_printf("/proc/%d/statm", (int)pid);
 	g_autofree char *text = NULL;
+	unsigned long pages = 0;
 
-	return g_file_get_contents(gateway->log_file, &text, NULL, NULL) && strstr(text, needle);
+	if (!g_file_get_contents(path, &text, NULL, NULL) || sscanf(text, "%*u %lu", &pages) != 1)
+		return 0;
+	return (uint32_t)(pages * (unsigned long)sysconf(_SC_PAGESIZE) >> 20);
 }
 
-/* Sends a request with a key. @return true when a replica has run it */
-static bool runs_with_key(struct stand *stand, struct stand_gateway *gateway, uint32_t key,
-			  uint32_t number)
+/* Kills a process that exceeds its memory, and starts it again. @return true when it did */
+static bool enforce_memory(struct stand *stand, struct stand_gateway *gateway, uint32_t *peak_mb)
 {
-	g_autofree char *id = g_strdup_printf("c0ffee%02x%02x", key, number);
-	g_autofree char *name = g_strdup_printf("key-%u", key);
-	g_autofree char *text = stand_request(id, "/safe/x", 1500, name, NULL, NULL);
-	struct stand_client *client;
-	struct stand_answer answer;
-	bool ran;
-
-	stand_record(stand, "client sends %s to %s with %s", id, gateway->name, name);
-	client = stand_client_open(stand, gateway->callers, text);
-	stand_run(stand, 800);
-	answer = stand_read_answer(client->input);
-	ran = mock_request_record(stand->platform, id).executions > 0;
-	stand_record(stand, "%s is answered %u, a replica has %s it", id, answer.status,
-		     ran ? "run" : "not run");
-	g_string_free(answer.body, TRUE);
-	stand_client_close(client);
-	return ran;
+	uint32_t used_mb = resident_mb(gateway->pid);
+
+	*peak_mb = MAX(*peak_mb, used_mb);
+	if (used_mb <= MEMORY_MB)
+		return false;
+	stand_record(stand, "%s uses %u MB, more than its %u MB: it is killed", gateway->name,
+		     used_mb, MEMORY_MB);
+	stand_signal(gateway, SIGKILL);
+	return true;
 }
 
-static void run_until(struct stand *stand, uint64_t at_ms)
+/* Sends calls to a machine until all have ended. @return true when its process was killed */
+static bool run_calls(struct stand *stand, struct stand_gateway *gateway, uint32_t *number,
+		      uint32_t *peak_mb)
 {
-	if (stand_now_ms(stand) < at_ms)
-		stand_run(stand, (uint32_t)(at_ms - stand_now_ms(stand)));
-}
-
-/* Takes a key away and kills the follower when it has decoded three quarters of the configuration.
- * @return true when the key is accepted too late */
-static bool try_once(struct stand *stand, struct stand_gateway **gateways, int follower,
-		     const char *routes, uint32_t key, uint32_t kill_ms)
-{
-	struct stand_gateway *other = gateways[1 - follower];
-	uint64_t acknowledged_ms;
-	bool broken;
-
-	stand_record(stand, "%s follows the store, %s follows it", gateways[follower]->name,
-		     other->name);
-	wait_before_query(stand, other);
-	configure(stand, routes, key + 1);
-	acknowledged_ms = stand_now_ms(stand);
-	stand_record(stand, "key-%u is taken away", key);
-	if (stand->trouble) {
-		run_until(stand, acknowledged_ms + kill_ms);
-		core_pids[follower] = 0;
-		stand_signal(gateways[follower], SIGKILL);
-	}
-	run_until(stand, acknowledged_ms + CONFIG_APPLY_MS + 200);
-	if (has_version(other, stand->version)) {
-		stand_record(stand, "%s has the configuration", other->name);
-		if (stand->trouble)
-			return false;
+	struct call calls[CALL_COUNT];
+	uint64_t until_ms = stand_now_ms(stand) + CALL_MS;
+	bool killed = false;
+	uint32_t open = CALL_COUNT;
+
+	for (uint32_t i = 0; i < CALL_COUNT; i++)
+		call_start(&calls[i], gateway, ++*number);
+	while (open > 0 && stand_now_ms(stand) < until_ms) {
+		stand_run(stand, 1);
+		killed = killed || enforce_memory(stand, gateway, peak_mb);
+		open = 0;
+		for (uint32_t i = 0; i < CALL_COUNT; i++) {
+			call_read(&calls[i], stand_now_ms(stand));
+			open += calls[i].open && !call_is_answered(&calls[i]);
+		}
 	}
-	run_until(stand, acknowledged_ms + REVOKE_MS + 300);
-	broken = runs_with_key(stand, other, key, 1);
-	if (broken) {
-		g_autofree char *state = stand_get(other, "/state");
-		char *at = state ? strstr(state, "\"config_version\"") : NULL;
-
-		stand_record(stand, "state of %s: %.160s", other->name, at ? at : "-");
-		run_until(stand, acknowledged_ms + 3 * REVOKE_MS);
-		runs_with_key(stand, other, key, 2);
+	for (uint32_t i = 0; i < CALL_COUNT; i++) {
+		if (!call_is_answered(&calls[i]))
+			stand_record(stand, "%s has no whole answer, its connection is %s",
+				     calls[i].id, calls[i].open ? "open" : "closed");
+		close(calls[i].fd);
+		g_string_free(calls[i].input, TRUE);
 	}
-	return broken;
+	if (!killed)
+		return false;
+	while (!stand_has_exited(gateway))
+		stand_run(stand, 5);
+	stand_run(stand, RESTART_MS);
+	stand_start(gateway);
+	stand_wait_ready(gateway, 10000);
+	return true;
 }
 
 int main(int argc, char **argv)
 {
 	struct stand *stand = stand_create(argc, argv);
-	g_autofree char *routes = make_routes();
-	g_autofree char *ip = stand_ip(stand, 100);
-	struct mock_upstream_conf conf = {
-		.id = "i-desk", .service = "desk", .zone = "z1", .address = ip, .work_ms = 15
-	};
-	struct stand_gateway *gateways[GATEWAY_COUNT];
-	pthread_t thread;
-	uint64_t written_ms;
-	uint32_t kill_ms;
-	uint32_t key = 0;
-	int follower;
-
-	mock_upstream_list(mock_upstream_create(stand->platform, &conf));
-	configure(stand, routes, 0);
-	for (int i = 0; i < GATEWAY_COUNT; i++) {
-		g_autofree char *name = g_strdup_printf("edge-%d", i + 1);
+	struct replica replicas[REPLICA_COUNT] = { { .id = "i-desk-1", .faulty = stand->trouble },
+						   { .id = "i-desk-2" } };
+	struct stand_gateway *gateways[MACHINE_COUNT];
+	uint32_t ends[MACHINE_COUNT] = { 0 };
+	uint32_t peaks_mb[MACHINE_COUNT] = { 0 };
+	uint32_t number = 0;
+	bool broken = false;
+
+	stand_configure(stand, NULL, NULL);
+	for (uint32_t i = 0; i < REPLICA_COUNT; i++) {
+		g_autofree char *ip = stand_ip(stand, 100 + i);
+		g_autofree char *body = g_strnfill(CHUNK_BYTES, 'x');
+		g_autofree char *entry = g_strdup_printf(
+			"{\"service\":\"desk\",\"address\":\"%s:8300\",\"zone\":\"z1\",\"slots\":6,"
+			"\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,"
+			"\"born\":%" G_GINT64_FORMAT "}",
+			ip, g_get_real_time() / 1000);
+
+		replicas[i].stand = stand;
+		replicas[i].chunk = g_strdup_printf("%x\r\n%s\r\n", CHUNK_BYTES, body);
+		raw_upstream_create(&stand->loop, ip, 8300, replica_on_request, &replicas[i]);
+		mock_store_put(stand->platform, "servers", replicas[i].id, entry);
+	}
+	for (uint32_t i = 0; i < MACHINE_COUNT; i++) {
+		g_autofree char *name = g_strdup_printf("edge-%u", i + 1);
 
 		gateways[i] = stand_gateway(stand, name, "z1");
 		if (!stand_wait_ready(gateways[i], 10000))
 			return stand_destroy(stand, STAND_CANNOT_RUN);
-		core_pids[i] = gateways[i]->pid;
 	}
-	pthread_create(&thread, NULL, core_share, NULL);
-	follower = find_follower(gateways, stand, 15000);
-	if (follower < 0)
-		return stand_destroy(stand, STAND_CANNOT_RUN);
-	/* How long a new configuration takes on such a machine. */
-	configure(stand, routes, 0);
-	written_ms = stand_now_ms(stand);
-	while (!has_logged(gateways[follower], stand->version) &&
-	       stand_now_ms(stand) < written_ms + 5000)
-		stand_run(stand, 1);
-	kill_ms = (uint32_t)(stand_now_ms(stand) - written_ms) * 3 / 4;
-	stand_record(stand, "%s has configuration %u after %u ms", gateways[follower]->name,
-		     stand->version, kill_ms * 4 / 3);
-	kill_ms = MIN(kill_ms, KILL_MAX_MS);
-	while (stand_now_ms(stand) < LAST_TRIAL_MS && key < KEY_COUNT) {
-		follower = find_follower(gateways, stand, 15000);
-		if (follower < 0)
-			return stand_destroy(stand, STAND_CANNOT_RUN);
-		if (try_once(stand, gateways, follower, routes, key, kill_ms))
-			return stand_destroy(stand, STAND_BROKEN);
-		if (++key == CALM_TRIAL_COUNT && !stand->trouble)
+	for (uint32_t round = 0; !broken && stand_now_ms(stand) < LAST_CALL_MS; round++) {
+		for (uint32_t i = 0; i < MACHINE_COUNT; i++)
+			ends[i] += run_calls(stand, gateways[i], &number, &peaks_mb[i]);
+		broken = ends[0] >= ENDS_MAX && ends[1] >= ENDS_MAX;
+		if (!stand->trouble && round >= CALM_ROUNDS)
 			break;
-		if (!stand->trouble)
-			continue;
-		while (!stand_has_exited(gateways[follower]))
-			stand_run(stand, 10);
-		stand_start(gateways[follower]);
-		if (!stand_wait_ready(gateways[follower], 10000))
-			return stand_destroy(stand, STAND_CANNOT_RUN);
-		core_pids[follower] = gateways[follower]->pid;
 	}
-	stand_record(stand, "%u keys were taken away", key);
-	return stand_destroy(stand, STAND_HELD);
+	stand_record(stand, "%u calls; i-desk-1 spoiled %u of %u answers", number,
+		     replicas[0].spoiled, replicas[0].answers);
+	for (uint32_t i = 0; i < MACHINE_COUNT; i++)
+		stand_record(stand, "%s: %u times over its memory, at most %u MB",
+			     gateways[i]->name, ends[i], peaks_mb[i]);
+	return stand_destroy(stand, broken ? STAND_BROKEN : STAND_HELD);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,160 +1,126 @@
-/* A replica that was full for a moment sends its refusal twice. The second copy arrives late, where
- * the answer to the next request on the connection is due. */
+/* A resumable stream stalls after its first events, because the path to its replica is cut, while
+ * the other replica of the service is full. */
 #include "stand.h"
 
-#include "raw_upstream.h"
+#include "proxy.h"
 
 #include <string.h>
 
-#define REPLICA_COUNT 2
-#define REQUEST_COUNT 120
-#define BATCH_COUNT   4	 /* requests at the same time */
-#define FULL_EVERY    10 /* requests at the first replica, of which one finds it full */
-/* Only after so many answers of the replica: garble spoils at most 3 in 100 (x = 0.03). */
-#define ANSWERS_BEFORE 34
+#define EVENT_PACE_MS 160 /* below the route's target_gap_ms */
+#define QUICK_TOKENS  48  /* 12 events */
+#define CUT_MS	      4000
 
-/* As `fleetbench wire` shows it: "a server sheds". */
-static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\n"
-			      "X-Flamingolatch-Not-Executed: 1\r\n"
-			      "Content-Length: 0\r\n\r\n";
-
-struct replica {
-	struct stand *stand;
-	const char *id;
-	bool sheds;
-	uint32_t arrivals;
-	struct raw_conn *refused_on; /* connection of the last refusal, which is sent again */
-	bool spoiled;		     /* a refusal was sent twice */
-	GHashTable *runs;	     /* ids of the requests that ran here */
-};
-
-static void replica_on_request(void *ctx, struct raw_conn *conn, const char *id)
+static struct mock_upstream *make_replica(struct stand *stand, const char *id, uint32_t number)
 {
-	struct replica *replica = ctx;
-	struct stand *stand = replica->stand;
-	g_autofree char *answer = NULL;
-
-	if (replica->sheds && ++replica->arrivals % FULL_EVERY == 0) {
-		stand_record(stand, "%s is full and refuses %s", replica->id, id);
-		raw_conn_write(conn, refusal);
-		if (replica->arrivals > ANSWERS_BEFORE)
-			replica->refused_on = conn;
-		return;
-	}
-	if (stand->trouble && !replica->spoiled && conn == replica->refused_on) {
-		stand_record(stand,
-			     "%s gets %s on the same connection; the refusal's second copy "
-			     "arrives",
-			     replica->id, id);
-		replica->spoiled = true;
-		raw_conn_write(conn, refusal);
-	}
-	if (replica->spoiled)
-		stand_record(stand, "%s runs %s", replica->id, id);
-	g_hash_table_add(replica->runs, g_strdup(id));
-	answer = g_strdup_printf("HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
-				 "X-Flamingolatch-Replica-Signature: %s\r\n"
-				 "Content-Length: 4\r\n\r\ndone",
-				 id, replica->id);
-	raw_conn_write_later(conn, answer, 15, false);
+	g_autofree char *ip = stand_ip(stand, 100 + number);
+	struct mock_upstream_conf conf = { .id = id,
+					   .service = "writer",
+					   .zone = "z1",
+					   .address = ip,
+					   .engine = true,
+					   .work_ms = 100,
+					   .pace_ms = EVENT_PACE_MS };
+
+	return mock_upstream_create(stand->platform, &conf);
 }
 
-/* A call that must not be repeated. */
-struct call {
-	char *id;
-	struct stand_client *client;
-	struct stand_answer answer;
-};
-
-static void call_start(struct call *call, struct stand *stand, struct stand_gateway *gateway,
-		       uint32_t number)
+static struct stand_client *generate(struct stand *stand, const struct stand_gateway *gateway,
+				     const char *id, const char *path, uint32_t tokens)
 {
-	g_autofree char *body = g_strdup_printf("{\"claim\":%u}", number);
-	g_autofree char *text = NULL;
-
-	call->id = g_strdup_printf("c0ffee%04x", number);
-	text = stand_request(call->id, "/once/x", 3000, "key-one", NULL, body);
-	call->client = stand_client_open(stand, gateway->callers, text);
+	g_autofree char *headers = g_strdup_printf("X-Flamingolatch-Model: m\r\n"
+						   "X-Flamingolatch-Token-Usage: 2200,%u\r\n"
+						   "X-Flamingolatch-Prompt-Prefix: %s:2200\r\n",
+						   tokens, id);
+	g_autofree char *body = g_strdup_printf("{\"prompt\":\"%s\"}", id);
+	g_autofree char *text = stand_request(
+		id, path, g_str_has_prefix(path, "/long") ? 39000 : 6000, "key-one", headers, body);
+
+	stand_record(stand, "client sends %s, %s", id, path);
+	return stand_client_open(stand, gateway->callers, text);
 }
 
-static void call_wait(struct call *call, struct stand *stand)
+/* Sends long generations until one is refused: then the only replica has no room for another. */
+static bool fill(struct stand *stand, const struct stand_gateway *gateway)
 {
-	uint64_t until_ms = stand_now_ms(stand) + 3000;
-
-	while (!call->client->closed && call->answer.state < STAND_ANSWER_COMPLETE &&
-	       stand_now_ms(stand) < until_ms) {
-		stand_run(stand, 1);
-		if (call->answer.body)
-			g_string_free(call->answer.body, TRUE);
-		call->answer = stand_read_answer(call->client->input);
+	for (uint32_t i = 0; i < 40; i++) {
+		g_autofree char *id = g_strdup_printf("f111%04x", i);
+		struct stand_client *client = generate(stand, gateway, id, "/long/x", 944);
+		struct stand_answer answer;
+		uint32_t status;
+
+		stand_run(stand, 600);
+		answer = stand_read_answer(client->input);
+		status = answer.status;
+		g_string_free(answer.body, TRUE);
+		if (status == 200)
+			continue; /* the connection stays open, the generation runs */
+		stand_record(stand, "%s got %u after %u generations: the replica is full", id,
+			     status, i);
+		stand_client_close(client);
+		return status == 503 && i > 0;
 	}
-}
-
-static void call_end(struct call *call)
-{
-	stand_client_close(call->client);
-	g_free(call->id);
-	if (call->answer.body)
-		g_string_free(call->answer.body, TRUE);
+	return false;
 }
 
 int main(int argc, char **argv)
 {
 	struct stand *stand = stand_create(argc, argv);
-	struct replica replicas[REPLICA_COUNT] = { { .id = "i-desk-1", .sheds = true },
-						   { .id = "i-desk-2" } };
+	struct mock_upstream *busy = make_replica(stand, "i-busy", 0);
+	struct mock_upstream *cut = make_replica(stand, "i-cut", 1);
+	g_autofree char *ip = stand_ip(stand, 120);
+	struct proxy *proxy = proxy_create(&stand->loop, ip, mock_upstream_address(cut));
 	struct stand_gateway *gateway;
-	uint32_t answered = 0;
-	uint32_t refused_and_ran = 0;
-	uint32_t twice = 0;
+	struct stand_client *client;
+	struct stand_answer answer = { .body = g_string_new(NULL) };
+	struct mock_request_record run;
+	g_autofree char *shown = NULL;
+	uint64_t until_ms;
+	bool broken;
 
 	stand_configure(stand, NULL, NULL);
-	for (uint32_t i = 0; i < REPLICA_COUNT; i++) {
-		g_autofree char *ip = stand_ip(stand, 100 + i);
-		g_autofree char *entry = g_strdup_printf(
-			"{\"service\":\"desk\",\"address\":\"%s:8300\",\"zone\":\"z1\",\"slots\":6,"
-			"\"state\":\"ready\",\"cold_left_ms\":0,\"seq_no\":1,"
-			"\"born\":%" G_GINT64_FORMAT "}",
-			ip, g_get_real_time() / 1000);
-
-		replicas[i].stand = stand;
-		replicas[i].runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-		raw_upstream_create(&stand->loop, ip, 8300, replica_on_request, &replicas[i]);
-		mock_store_put(stand->platform, "servers", replicas[i].id, entry);
-	}
+	mock_upstream_list(busy);
 	gateway = stand_gateway(stand, "edge-1", "z1");
-	if (!stand_wait_ready(gateway, 10000))
+	if (!stand_wait_ready(gateway, 10000) || !fill(stand, gateway))
 		return stand_destroy(stand, STAND_CANNOT_RUN);
-	for (uint32_t i = 0; i < REQUEST_COUNT; i += BATCH_COUNT) {
-		struct call calls[BATCH_COUNT] = { 0 };
-
-		for (uint32_t k = 0; k < BATCH_COUNT; k++)
-			call_start(&calls[k], stand, gateway, i + k);
-		for (uint32_t k = 0; k < BATCH_COUNT; k++)
-			call_wait(&calls[k], stand);
-		/* A run that the gateway does not wait for ends meanwhile. */
-		stand_run(stand, 30);
-		for (uint32_t k = 0; k < BATCH_COUNT; k++) {
-			const struct call *call = &calls[k];
-			uint32_t ran = 0;
-
-			for (uint32_t n = 0; n < REPLICA_COUNT; n++)
-				ran += g_hash_table_contains(replicas[n].runs, call->id);
-			answered += call->answer.status == 200;
-			twice += ran > 1;
-			refused_and_ran += call->answer.status == 503 && ran > 0;
-			if (ran != 1 || call->answer.status != 200)
-				stand_record(stand,
-					     "%s (not idempotent): answered %u, ran %u times",
-					     call->id, call->answer.status, ran);
-			call_end(&calls[k]);
-		}
+	mock_upstream_set_listed_address(cut, proxy_address(proxy));
+	mock_upstream_list(cut);
+	stand_record(stand, "replica i-cut is added");
+	stand_run(stand, 1000);
+	client = generate(stand, gateway, "c0ffee01", "/quick/x", QUICK_TOKENS);
+	until_ms = stand_now_ms(stand) + 5000;
+	while (!strstr(client->input->str, "id: 3\n") && stand_now_ms(stand) < until_ms)
+		stand_run(stand, 1);
+	run = mock_request_record(stand->platform, "c0ffee01");
+	stand_record(stand, "c0ffee01 has three events, runs at %s",
+		     run.upstream ? run.upstream : "-");
+	if (g_strcmp0(run.upstream, "i-cut") != 0 || !strstr(client->input->str, "id: 3\n"))
+		return stand_destroy(stand, STAND_CANNOT_RUN);
+	if (stand->trouble) {
+		proxy_set_mode(proxy, PROXY_SILENT, 0);
+		stand_record(stand, "i-cut is cut off for %u ms", CUT_MS);
+	}
+	until_ms = stand_now_ms(stand) + CUT_MS;
+	while (stand_now_ms(stand) < until_ms && !client->closed) {
+		stand_run(stand, 10);
+		g_string_free(answer.body, TRUE);
+		answer = stand_read_answer(client->input);
+		if (answer.state >= STAND_ANSWER_COMPLETE)
+			break;
 	}
-	stand_record(stand,
-		     "%u requests, %u answered 200, %u ran twice, %u refused and ran; "
-		     "answers of i-desk-1: %u",
-		     REQUEST_COUNT, answered, twice, refused_and_ran, replicas[0].arrivals);
-	if (answered == 0 || (stand->trouble && !replicas[0].spoiled))
+	proxy_set_mode(proxy, PROXY_PASS, 0);
+	shown = g_strescape(client->input->str + answer.unreadable_at, NULL);
+	broken = answer.state == STAND_ANSWER_UNREADABLE;
+	stand_record(stand, "c0ffee01: status %u, answer %s, connection %s", answer.status,
+		     answer.state == STAND_ANSWER_COMPLETE ? "complete"
+		     : broken				   ? "unreadable"
+							   : "incomplete",
+		     client->closed ? "closed" : "open");
+	if (broken)
+		stand_record(stand, "where the size of a chunk is due: %.160s", shown);
+	run = mock_request_record(stand->platform, "c0ffee01");
+	stand_record(stand, "c0ffee01: %u executions, replica has ended its answer: %s",
+		     run.executions, run.completed ? "yes" : "no");
+	if (!stand->trouble && answer.state != STAND_ANSWER_COMPLETE)
 		return stand_destroy(stand, STAND_CANNOT_RUN);
-	return stand_destroy(stand, twice || refused_and_ran ? STAND_BROKEN : STAND_HELD);
+	return stand_destroy(stand, broken ? STAND_BROKEN : STAND_HELD);
 }
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -14,6 +14,14 @@
 #include <unistd.h>
 
 #define STAND_CLOSE_MS 300
+/* A case that runs for longer ends as one that could not run; its processes end with it. */
+#define STAND_MAX_S 118
+
+static void stand_on_alarm(int number)
+{
+	(void)number;
+	_exit(STAND_CANNOT_RUN);
+}
 
 struct stand *stand_create(int argc, char **argv)
 {
@@ -27,6 +35,8 @@
 		exit(STAND_CANNOT_RUN);
 	}
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGALRM, stand_on_alarm);
+	alarm(STAND_MAX_S);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	stand->program = argv[1];
 	stand->record = fopen(argv[2], "w");
