--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -4,24 +4,20 @@
  * answer: without length, twice, without end, or too slowly, and against many
  * connections at a planned stop. Checked is what callers get.
  */
+#include "raw_caller.h"
 #include "raw_upstream.h"
 #include "testbed.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
 #include <glib.h>
 #include <signal.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define READY_TIMEOUT_MS 20000
 #define RAW_PORT	 8700
 #define RAW_HOST_NUMBER	 120
-#define QUICK_TOKENS	 40
+#define QUICK_TOKENS	 RAW_CALLER_TOKENS
 #define QUICK_EVENTS	 10 /* of four tokens */
-#define QUICK_TIMEOUT_MS 6000
+#define QUICK_TIMEOUT_MS RAW_CALLER_TIMEOUT_MS
 #define STOP_CALLERS	 300
 #define NEW_ENGINE_MS	 1500
 
@@ -79,72 +75,6 @@
 	f->raw = start_raw(f, "raw", RAW_HOST_NUMBER, "z1", service, cb, ctx);
 }
 
-/* callers that keep every byte */
-
-struct raw_caller {
-	int fd;
-	bool closed; /* by the gateway */
-	GString *input;
-};
-
-static struct raw_caller raw_caller_connect(struct fixture *f)
-{
-	const char *address = f->gateway->address;
-	g_autofree char *ip = g_strndup(address, strcspn(address, ":"));
-	struct sockaddr_in target = {
-		.sin_family = AF_INET,
-		.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1)),
-	};
-	struct raw_caller caller = { .fd = socket(AF_INET, SOCK_STREAM, 0),
-				     .input = g_string_new(NULL) };
-
-	inet_pton(AF_INET, ip, &target.sin_addr);
-	g_assert_cmpint(connect(caller.fd, (struct sockaddr *)&target, sizeof(target)), ==, 0);
-	return caller;
-}
-
-/* Sends a request with the key. */
-static void raw_caller_send(struct raw_caller *caller, const char *id, const char *path)
-{
-	g_autofree char *text = g_strdup_printf(
-		"POST %s HTTP/1.1\r\nHost: " TESTBED_HOST "\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
-		"X-Flamingolatch-Deadline-Ms: %d\r\nX-Flamingolatch-Token-Usage: 100,%d\r\n"
-		"Authorization: Bearer " TESTBED_KEY "\r\nContent-Length: 0\r\n\r\n",
-		path, id, QUICK_TIMEOUT_MS, QUICK_TOKENS);
-
-	g_assert_cmpint(send(caller->fd, text, strlen(text), 0), ==, (ssize_t)strlen(text));
-}
-
-static struct raw_caller raw_caller_open(struct fixture *f, const char *id, const char *path)
-{
-	struct raw_caller caller = raw_caller_connect(f);
-
-	raw_caller_send(&caller, id, path);
-	return caller;
-}
-
-/* Reads what has arrived, at most @p max bytes. */
-static void raw_caller_read(struct raw_caller *caller, size_t max)
-{
-	static char bytes[65536];
-	ssize_t count = 1;
-
-	while (max > 0 && count > 0) {
-		count = recv(caller->fd, bytes, MIN(sizeof(bytes), max), MSG_DONTWAIT);
-		if (count > 0) {
-			g_string_append_len(caller->input, bytes, count);
-			max -= (size_t)count;
-		}
-	}
-	caller->closed |= max > 0 && !(count < 0 && errno == EAGAIN);
-}
-
-static void raw_caller_close(struct raw_caller *caller)
-{
-	close(caller->fd);
-	g_string_free(caller->input, TRUE);
-}
-
 static const struct testbed_request once = { .path = "/once/",
 					     .key = TESTBED_KEY,
 					     .wait_ms = 3000 };
@@ -279,7 +209,7 @@
 					 answer_begun, &error);
 		/* Until then engines of other zones are not used. */
 		testbed_run(f.testbed, next ? NEW_ENGINE_MS : 0);
-		caller = raw_caller_open(&f, "be0001", first[i].path);
+		caller = raw_caller_open(f.gateway, "be0001", first[i].path);
 		for (uint32_t ms = 0; ms < QUICK_TIMEOUT_MS + 500 && !caller.closed; ms += 20) {
 			testbed_run(f.testbed, 20);
 			raw_caller_read(&caller, SIZE_MAX);
@@ -344,7 +274,7 @@
 		fixture_open(&f);
 		add_raw(&f, i < 2 ? TESTBED_ENGINE_SERVICE : TESTBED_PLAIN_SERVICE,
 			answer_after_silence, &cases[i]);
-		caller = raw_caller_open(&f, "511e", cases[i].path);
+		caller = raw_caller_open(f.gateway, "511e", cases[i].path);
 		for (uint32_t ms = 0; ms < QUICK_TIMEOUT_MS && !caller.closed &&
 				      !g_str_has_suffix(caller.input->str, end);
 		     ms += 20) {
@@ -387,7 +317,7 @@
 
 		fixture_open(&f);
 		add_raw(&f, TESTBED_ENGINE_SERVICE, answer_begun, &begun);
-		caller = raw_caller_open(&f, "9a0001", "/long/x");
+		caller = raw_caller_open(f.gateway, "9a0001", "/long/x");
 		for (uint32_t ms = 0; ms < QUICK_TIMEOUT_MS && !caller.closed &&
 				      !g_str_has_suffix(caller.input->str, "0\r\n\r\n");
 		     ms += 20) {
@@ -491,7 +421,7 @@
 		for (uint32_t call = 0; call < 2; call++) {
 			g_autofree char *id = g_strdup_printf("4ef%u", call);
 
-			callers[call] = raw_caller_open(&f, id, "/once/x");
+			callers[call] = raw_caller_open(f.gateway, id, "/once/x");
 			testbed_run(f.testbed, NEXT_CALL_MS);
 		}
 		testbed_run(f.testbed, 1000);
@@ -557,7 +487,7 @@
 		entry = g_strdup(mock_store_text(f.platform, "servers", "raw"));
 		for (uint32_t call = 0; call < DEPARTURE_CALLS; call++) {
 			g_autofree char *id = g_strdup_printf("de%02x", call);
-			struct raw_caller caller = raw_caller_open(&f, id, "/once/x");
+			struct raw_caller caller = raw_caller_open(f.gateway, id, "/once/x");
 
 			testbed_run(f.testbed, DEPARTURE_WAIT_MS / 4);
 			raw_caller_read(&caller, SIZE_MAX);
@@ -609,7 +539,7 @@
 
 static uint16_t raw_call(struct fixture *f, const char *id, double *retry_after_s)
 {
-	struct raw_caller caller = raw_caller_open(f, id, "/once/x");
+	struct raw_caller caller = raw_caller_open(f->gateway, id, "/once/x");
 	const char *header;
 	uint16_t status;
 
@@ -984,7 +914,7 @@
 	for (uint32_t i = 0; i < BODY_CALLERS; i++) {
 		g_autofree char *id = g_strdup_printf("e0%u", i);
 
-		callers[i] = raw_caller_open(&f, id, "/safe/x");
+		callers[i] = raw_caller_open(f.gateway, id, "/safe/x");
 	}
 	testbed_run(f.testbed, BODY_RUN_MS);
 	peak_kb = peak_memory_kb(f.gateway);
@@ -1021,7 +951,7 @@
 
 	fixture_open(&f);
 	add_raw(&f, TESTBED_PLAIN_SERVICE, answer_long, NULL);
-	caller = raw_caller_open(&f, "f00d", "/safe/x");
+	caller = raw_caller_open(f.gateway, "f00d", "/safe/x");
 	for (uint32_t i = 0; i < 2 * SOUND_BYTES / SLOW_READ_BYTES_STEP &&
 			     !g_str_has_suffix(caller.input->str, "0\r\n\r\n");
 	     i++) {
@@ -1129,7 +1059,7 @@
 	mock_upstream_list(f.shop);
 	testbed_run(f.testbed, 300);
 	for (uint32_t i = 0; i < LATE_CALLERS; i++)
-		callers[i] = raw_caller_connect(&f);
+		callers[i] = raw_caller_connect(f.gateway);
 	testbed_run(f.testbed, 100);
 	testbed_signal(f.gateway, SIGTERM);
 	testbed_run(f.testbed, LATE_PAUSE_MS);
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -20,6 +20,7 @@
 	uv_loop_t loop;
 	struct http_client *cli;
 	uint32_t unused_routes;
+	uint32_t call_timeout_ms; /* of the routes to the plain service */
 	struct mock_platform *platform;
 	GPtrArray *gateways;
 	char *directory;
@@ -57,6 +58,7 @@
 	/* Stand-ins write to connections that the program under test has closed. */
 	signal(SIGPIPE, SIG_IGN);
 	testbed->seed = seed;
+	testbed->call_timeout_ms = 1500;
 	/* A loopback subnet for each process, so that tests can run in parallel. */
 	testbed->subnet = g_strdup_printf("127.%u.%u", 16 + pid % 200, pid / 200 % 250);
 	testbed->directory = g_dir_make_tmp("site-XXXXXX", NULL);
@@ -194,6 +196,11 @@
 	testbed->unused_routes = count;
 }
 
+void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms)
+{
+	testbed->call_timeout_ms = timeout_ms;
+}
+
 /* Returns the further routes, each after a comma. */
 static char *testbed_unused_routes(const struct testbed *testbed)
 {
@@ -215,10 +222,10 @@
 	static const char base[] =
 		"{\"version\":%u,\"routes\":["
 		"{\"name\":\"once\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"/once/\","
-		"\"route_kind\":\"unsafe\",\"timeout_ms\":1500,\"slo_ms\":200,\"priority\":2,"
+		"\"route_kind\":\"unsafe\",\"timeout_ms\":%u,\"slo_ms\":200,\"priority\":2,"
 		"\"service\":\"" TESTBED_PLAIN_SERVICE "\",\"max_attempts\":1},"
 		"{\"name\":\"safe\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"/safe/\","
-		"\"route_kind\":\"safe\",\"timeout_ms\":1500,\"slo_ms\":200,\"priority\":2,"
+		"\"route_kind\":\"safe\",\"timeout_ms\":%u,\"slo_ms\":200,\"priority\":2,"
 		"\"service\":\"" TESTBED_PLAIN_SERVICE "\",\"max_attempts\":2},"
 		"{\"name\":\"long\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"/long/\","
 		"\"route_kind\":\"streaming\",\"timeout_ms\":20000,\"slo_ms\":1800,\"priority\":1,"
@@ -238,7 +245,7 @@
 		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[%s%s]}]}";
 	g_autofree char *unused = testbed_unused_routes(testbed);
 	g_autofree char *text = g_strdup_printf(
-		base, ++testbed->config_version,
+		base, ++testbed->config_version, testbed->call_timeout_ms, testbed->call_timeout_ms,
 		route ? ",{\"name\":\"more\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"" : "",
 		route ? route : "",
 		route ? "\",\"route_kind\":\"safe\",\"timeout_ms\":1500,\"slo_ms\":200,"
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -95,6 +95,8 @@
 /** Sets how many further routes, which nobody uses, the next configurations have. A gateway needs
  * many iterations of its loop to decode a few hundred. */
 void testbed_set_unused_routes(struct testbed *testbed, uint32_t count);
+/** Sets the timeout of the routes /once/ and /safe/ in the next configurations, in ms. */
+void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
