Gateway: a stopping process names the requests that it leaves unanswered

Cause: for the request that was lost around SIGTERM the logs cannot tell a cut at the exit from an answer whose last bytes were lost, or from a SIGKILL: open requests were freed without a line, and "stopped" told only their number. Change: event 607 (warning, so never dropped by the rate limit) for each open request whose caller waits, with its phase, upstream, age and events; "stopped" has the connections with unsent and unread bytes and the time since the signal.

--- a/include/flamingolatch/http_server.h
+++ b/include/flamingolatch/http_server.h
@@ -80,6 +80,11 @@
 uint32_t http_server_open_requests(const struct http_server *srv);
 /** Returns the number of connections on which a request has begun to arrive or is not answered. */
 uint32_t http_server_busy_count(const struct http_server *srv);
+/** Returns the number of connections with response bytes that the socket has not accepted yet. */
+uint32_t http_server_unsent_count(const struct http_server *srv);
+/** Returns the number of connections with input that was not parsed yet, in the socket or read
+ * from it. Closing such a connection resets it. */
+uint32_t http_server_unread_count(const struct http_server *srv);
 
 /** @name Parts of a request; strings are valid as long as the request.
  * @{ */
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -53,6 +53,7 @@
 	X(LOG_REQUEST_COMPLETED, 604, INFO, "request-ended", "A request finished with the answer of an upstream.") \
 	X(LOG_REQUEST_FAILED, 605, WARNING, "request-failed", "A request failed after it was sent to an upstream; it may have run.") \
 	X(LOG_REQUEST_CALLER_LEFT, 606, INFO, "request-left", "The caller disconnected before the answer was complete.") \
+	X(LOG_REQUEST_UNFINISHED, 607, WARNING, "request-unfinished", "The process exits while a request is open; its caller gets no whole answer. The reason is the phase of the request.") \
 	X(LOG_STREAM_RESUMED, 610, INFO, "stream-taken-over", "A running stream is resumed at another engine.") \
 	X(LOG_STREAM_ABORTED, 611, WARNING, "stream-cut", "A running stream could not be continued and was aborted.") \
 	X(LOG_MIGRATION_FAILED, 612, WARNING, "move-failed", "A running generation could not be migrated to another engine.") \
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define HTTP_SERVER_LISTEN_BACKLOG_COUNT      1024
 #define HTTP_SERVER_TIMEOUT_CHECK_INTERVAL_MS 250
@@ -331,6 +332,32 @@
 	return count;
 }
 
+uint32_t http_server_unsent_count(const struct http_server *srv)
+{
+	uint32_t count = 0;
+
+	for (const GList *item = srv->conns.head; item; item = item->next) {
+		const struct server_conn *conn = item->data;
+
+		count += conn->sending || conn->pending->len > 0;
+	}
+	return count;
+}
+
+uint32_t http_server_unread_count(const struct http_server *srv)
+{
+	uint32_t count = 0;
+	char byte;
+
+	for (const GList *item = srv->conns.head; item; item = item->next) {
+		const struct server_conn *conn = item->data;
+
+		count += conn->sock->input->size > 0 ||
+			 recv(h2o_socket_get_fd(conn->sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+	}
+	return count;
+}
+
 uint32_t http_server_open_requests(const struct http_server *srv)
 {
 	return srv->open_requests;
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -327,6 +327,18 @@
 	return true;
 }
 
+static void gateway_log_stopped(struct gateway *gateway, uint64_t spent_ms)
+{
+	g_autofree char *open = g_strdup_printf("%u", relay_open_count(gateway->relay));
+	g_autofree char *unsent = g_strdup_printf("%u", http_server_unsent_count(gateway->callers));
+	g_autofree char *unread = g_strdup_printf("%u", http_server_unread_count(gateway->callers));
+	g_autofree char *spent = g_strdup_printf("%" G_GUINT64_FORMAT, spent_ms);
+
+	relay_log_unfinished(gateway->relay);
+	log_event(LOG_STOPPED, "open", open, "unsent_connections", unsent, "unread_connections",
+		  unread, "spent_ms", spent, NULL);
+}
+
 /* Stops the event loop once all requests are answered and the balancer has seen the failing
  * readiness probes, or when the grace period is nearly over. */
 static void gateway_check_stop(struct gateway *gateway)
@@ -334,7 +346,6 @@
 	uint64_t spent_ms = (env_now_us() - gateway->env.stop_us) / 1000;
 	uint64_t grace_ms = gateway_grace_ms(gateway);
 	uint32_t open = relay_open_count(gateway->relay);
-	char text[16];
 
 	if (spent_ms < MIN(GATEWAY_BALANCER_LAG_MS, grace_ms / 2))
 		return;
@@ -342,8 +353,7 @@
 				   open == 0 && http_server_busy_count(gateway->callers) == 0) &&
 	    spent_ms < grace_ms)
 		return;
-	snprintf(text, sizeof(text), "%u", open);
-	log_event(LOG_STOPPED, "open", text, NULL);
+	gateway_log_stopped(gateway, spent_ms);
 	uv_stop(gateway->env.loop);
 }
 
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -601,6 +601,17 @@
 	dispatch_grant_queued(relay->dispatch);
 }
 
+void relay_log_unfinished(struct relay *relay)
+{
+	for (GList *item = relay->requests.head; item; item = item->next) {
+		struct relay_request *request = item->data;
+
+		if (request->caller)
+			relay_log_end(request, LOG_REQUEST_UNFINISHED,
+				      relay_phase_name(request->phase));
+	}
+}
+
 /* queries */
 
 json_t *relay_state_json(const struct relay *relay, uint32_t max_count)
--- a/src/serve/relay.h
+++ b/src/serve/relay.h
@@ -32,6 +32,8 @@
 /** Ends the requests that were quarantined, or a part of their prompt, unless they made progress.
  */
 void relay_refuse_quarantined(struct relay *relay);
+/** Logs each open request whose caller waits, before the process exits. */
+void relay_log_unfinished(struct relay *relay);
 /** Returns the open requests, at most @p max_count of them, as a new JSON array. */
 json_t *relay_state_json(const struct relay *relay, uint32_t max_count);
 /** Returns the number of requests that are not answered in full. */
