Test: answers whose connection ends after each byte

The test bed's upstreams can reset, and send in pieces; callers can speak HTTP/1.0 and use other methods. Prefixes of a store's and of a copy's answer are decoded in test_platform. No check of other tests is changed.

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -245,6 +245,10 @@
 	g_assert_cmpuint(changes->len, ==, 1);
 	g_assert_cmpuint(g_bytes_get_size(((struct store_change *)changes->pdata[0])->config_text),
 			 ==, strlen(config_text));
+	/* An answer without length may be cut anywhere. */
+	for (size_t len = 0; len < strlen(text); len++)
+		g_assert_false(platform_decode_rows(text, len, STORE_TABLE_CONFIG, changes,
+						    &version, NULL, NULL));
 	g_assert_false(platform_decode_rows("{\"rows\":[]}", 11, STORE_TABLE_CONFIG, changes,
 					    &version, NULL, NULL));
 	g_assert_false(
@@ -402,6 +406,8 @@
 	g_assert_cmpstr(kv_copy.handle, ==, "h1");
 	g_assert_cmpuint(kv_copy.event_count, ==, 17);
 	g_free(kv_copy.handle);
+	for (size_t len = 0; len < strlen(answer); len++)
+		g_assert_false(ops->decode_kv_copy(answer, len, &kv_copy));
 	g_assert_false(ops->decode_kv_copy("{}", 2, &kv_copy));
 }
 
--- a/test/testbed/raw_caller.c
+++ b/test/testbed/raw_caller.c
@@ -18,6 +18,7 @@
 		.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1)),
 	};
 	struct raw_caller caller = { .fd = socket(AF_INET, SOCK_STREAM, 0),
+				     .max_tokens = RAW_CALLER_TOKENS,
 				     .input = g_string_new(NULL) };
 
 	inet_pton(AF_INET, ip, &target.sin_addr);
@@ -31,26 +32,34 @@
 	return send(caller->fd, text, strlen(text), MSG_NOSIGNAL) == (ssize_t)strlen(text);
 }
 
-static bool raw_caller_send_head(const struct raw_caller *caller, const char *id, const char *path,
+static bool raw_caller_send_head(const struct raw_caller *caller, const char *method,
+				 const char *version, const char *id, const char *path,
 				 const char *framing)
 {
 	g_autofree char *text = g_strdup_printf(
-		"POST %s HTTP/1.1\r\nHost: " TESTBED_HOST "\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
-		"X-Flamingolatch-Deadline-Ms: %d\r\nX-Flamingolatch-Token-Usage: 100,%d\r\n"
+		"%s %s HTTP/%s\r\nHost: " TESTBED_HOST "\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+		"X-Flamingolatch-Deadline-Ms: %d\r\nX-Flamingolatch-Token-Usage: 100,%u\r\n"
 		"Authorization: Bearer " TESTBED_KEY "\r\n%s",
-		path, id, RAW_CALLER_TIMEOUT_MS, RAW_CALLER_TOKENS, framing);
+		method, path, version, id, RAW_CALLER_TIMEOUT_MS, caller->max_tokens, framing);
 
 	return raw_caller_send_text(caller, text);
 }
 
 void raw_caller_send(struct raw_caller *caller, const char *id, const char *path)
 {
-	g_assert_true(raw_caller_send_head(caller, id, path, "Content-Length: 0\r\n\r\n"));
+	raw_caller_send_as(caller, "POST", "1.1", id, path);
+}
+
+void raw_caller_send_as(struct raw_caller *caller, const char *method, const char *version,
+			const char *id, const char *path)
+{
+	g_assert_true(raw_caller_send_head(caller, method, version, id, path,
+					   "Content-Length: 0\r\n\r\n"));
 }
 
 bool raw_caller_send_chunked(struct raw_caller *caller, const char *id, const char *path)
 {
-	return raw_caller_send_head(caller, id, path,
+	return raw_caller_send_head(caller, "POST", "1.1", id, path,
 				    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n");
 }
 
@@ -76,6 +85,7 @@
 		}
 	}
 	caller->closed |= max > 0 && !(count < 0 && errno == EAGAIN);
+	caller->reset |= count < 0 && errno == ECONNRESET;
 }
 
 uint16_t raw_caller_status(const struct raw_caller *caller)
--- a/test/testbed/raw_caller.h
+++ b/test/testbed/raw_caller.h
@@ -10,14 +10,17 @@
 
 #include "testbed.h"
 
-/** Longest output of the generations that are requested, in tokens. */
+/** Longest output of the generations that are requested, in tokens, unless the caller is changed.
+ */
 #define RAW_CALLER_TOKENS 40
 /** Deadline sent with the requests, in ms. */
 #define RAW_CALLER_TIMEOUT_MS 6000
 
 struct raw_caller {
 	int fd;
-	bool closed; /**< by the gateway */
+	uint32_t max_tokens; /**< of the generations that it requests */
+	bool closed;	     /**< by the gateway */
+	bool reset;	     /**< it was closed by a reset */
 	GString *input;
 };
 
@@ -27,6 +30,9 @@
 /** Sends a request with a body in chunks. @return false when the gateway has closed the connection
  */
 bool raw_caller_send_chunked(struct raw_caller *caller, const char *id, const char *path);
+/** Sends a request without a body. @param version of HTTP, such as "1.0" */
+void raw_caller_send_as(struct raw_caller *caller, const char *method, const char *version,
+			const char *id, const char *path);
 /** Connects and sends a request. */
 struct raw_caller raw_caller_open(const struct testbed_gateway *gateway, const char *id,
 				  const char *path);
--- a/test/testbed/raw_upstream.c
+++ b/test/testbed/raw_upstream.c
@@ -16,11 +16,15 @@
 	uv_tcp_t tcp;
 	uv_timer_t timer;
 	GString *request;
-	char *later; /* what the timer writes */
+	const char *head;   /* of the request being answered */
+	char *later;	    /* what the timer writes */
+	size_t piece_bytes; /* that the timer writes at a time; 0: all */
 	uint32_t later_ms;
 	uint32_t open_handles;
+	uint32_t request_count;
 	bool repeat;
 	bool close_when_sent;
+	bool reset_when_sent;
 };
 
 struct raw_write {
@@ -53,6 +57,28 @@
 	uv_close((uv_handle_t *)&conn->timer, raw_conn_on_closed);
 }
 
+static void raw_conn_abort_by_reset(struct raw_conn *conn)
+{
+	if (!conn->upstream)
+		return;
+	g_ptr_array_remove_fast(conn->upstream->conns, conn);
+	conn->upstream = NULL;
+	uv_tcp_close_reset(&conn->tcp, raw_conn_on_closed);
+	uv_close((uv_handle_t *)&conn->timer, raw_conn_on_closed);
+}
+
+/* Ends the connection as was asked for, when nothing is left to send. */
+static void raw_conn_end_if_sent(struct raw_conn *conn)
+{
+	if (uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) > 0 ||
+	    uv_is_active((const uv_handle_t *)&conn->timer))
+		return;
+	if (conn->reset_when_sent)
+		raw_conn_abort_by_reset(conn);
+	else if (conn->close_when_sent)
+		raw_conn_abort(conn);
+}
+
 static void raw_conn_on_written(uv_write_t *write, int status)
 {
 	struct raw_write *raw = (struct raw_write *)write;
@@ -60,15 +86,25 @@
 
 	g_free(raw->text);
 	g_free(raw);
-	if (status != 0 || (conn->close_when_sent &&
-			    uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) == 0))
+	if (status != 0)
 		raw_conn_abort(conn);
+	else if (conn->upstream)
+		raw_conn_end_if_sent(conn);
 }
 
 static void raw_conn_on_timer(uv_timer_t *timer)
 {
 	struct raw_conn *conn = timer->data;
+	size_t len = strlen(conn->later);
+
+	if (conn->piece_bytes > 0 && len > conn->piece_bytes) {
+		g_autofree char *piece = g_strndup(conn->later, conn->piece_bytes);
 
+		memmove(conn->later, conn->later + conn->piece_bytes, len - conn->piece_bytes + 1);
+		uv_timer_start(timer, raw_conn_on_timer, conn->later_ms, 0);
+		raw_conn_write(conn, piece);
+		return;
+	}
 	raw_conn_write(conn, conn->later);
 	if (conn->repeat)
 		uv_timer_start(timer, raw_conn_on_timer, conn->later_ms, 0);
@@ -106,6 +142,8 @@
 	id = at ? g_strndup(at, strcspn(at, "\r")) : g_strdup("");
 	/* Bodies are so short that they arrive with the head. */
 	g_string_truncate(conn->request, 0);
+	conn->head = head;
+	conn->request_count++;
 	conn->upstream->cb(conn->upstream->ctx, conn, id);
 }
 
@@ -180,9 +218,17 @@
 	conn->later = g_strdup(text);
 	conn->later_ms = delay_ms;
 	conn->repeat = repeat;
+	conn->piece_bytes = 0;
 	uv_timer_start(&conn->timer, raw_conn_on_timer, delay_ms, 0);
 }
 
+void raw_conn_write_pieces(struct raw_conn *conn, const char *text, size_t piece_bytes,
+			   uint32_t delay_ms)
+{
+	raw_conn_write_later(conn, text, delay_ms, false);
+	conn->piece_bytes = piece_bytes;
+}
+
 bool raw_conn_has_later(const struct raw_conn *conn)
 {
 	return uv_is_active((const uv_handle_t *)&conn->timer);
@@ -193,6 +239,11 @@
 	conn->close_when_sent = true;
 }
 
+void raw_conn_reset(struct raw_conn *conn)
+{
+	conn->reset_when_sent = true;
+}
+
 /* queries */
 
 uint64_t raw_upstream_unsent_bytes(const struct raw_upstream *upstream)
@@ -207,6 +258,16 @@
 	return bytes;
 }
 
+const char *raw_conn_request_head(const struct raw_conn *conn)
+{
+	return conn->head;
+}
+
+uint32_t raw_conn_request_count(const struct raw_conn *conn)
+{
+	return conn->request_count;
+}
+
 uint32_t raw_upstream_conn_count(const struct raw_upstream *upstream)
 {
 	return upstream->conns->len;
--- a/test/testbed/raw_upstream.h
+++ b/test/testbed/raw_upstream.h
@@ -4,8 +4,8 @@
  * without end.
  *
  * raw_upstream_create() with a callback that is called for each request head;
- * from there raw_conn_write(), raw_conn_write_later() and raw_conn_close();
- * raw_upstream_destroy() last, before the loop is closed.
+ * from there raw_conn_write(), raw_conn_write_later(), raw_conn_write_pieces(),
+ * raw_conn_close() and raw_conn_reset(); raw_upstream_destroy() last, before the loop is closed.
  */
 #ifndef FLAMINGOLATCH_TEST_RAW_UPSTREAM_H
 #define FLAMINGOLATCH_TEST_RAW_UPSTREAM_H
@@ -36,7 +36,16 @@
 void raw_conn_write_later(struct raw_conn *conn, const char *text, uint32_t delay_ms, bool repeat);
 /** Returns whether a text is still to be written by raw_conn_write_later(). */
 bool raw_conn_has_later(const struct raw_conn *conn);
+/** Writes a text in pieces, one after each delay. Replaces raw_conn_write_later(). */
+void raw_conn_write_pieces(struct raw_conn *conn, const char *text, size_t piece_bytes,
+			   uint32_t delay_ms);
 /** Closes the connection when all is sent. */
 void raw_conn_close(struct raw_conn *conn);
+/** Resets the connection when all is sent. */
+void raw_conn_reset(struct raw_conn *conn);
+/** Returns the head of the request that the callback is called for, in lower case. */
+const char *raw_conn_request_head(const struct raw_conn *conn);
+/** Returns how many requests have come on the connection. */
+uint32_t raw_conn_request_count(const struct raw_conn *conn);
 
 #endif
