HTTP client: trailers do not spoil the next answer on the connection

What callers see: a 502 for an answer that was sound, also for a call that had run and is not repeated. Cause: the name of a trailer stayed in the buffer for header names, and the first header of the next answer on the connection was appended to it. When that was the signature, the answer counted as foreign. The buffers are emptied when a message begins.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -398,6 +398,9 @@
 	struct client_conn *conn = parser->data;
 
 	g_ptr_array_set_size(conn->headers, 0);
+	/* Trailers of the previous response are left here. */
+	g_string_truncate(conn->name, 0);
+	g_string_truncate(conn->value, 0);
 	conn->in_value = false;
 	conn->mismatched = false;
 	return 0;
