HTTP client: 204, 304 and 1xx have no body, whatever length they state

What callers see: 502 for a 304 with Content-Length when the upstream closes. Cause: http_parser waits for the body of a 304 that states its length; only answers to HEAD were marked as without a body. The head decides now by the status, as by the method. For an answer that belongs to another call, the method of this one tells nothing and is not used.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -456,33 +456,42 @@
 	conn->keep_alive_ms = MIN(conn->keep_alive_ms, HTTP_CLIENT_KEEP_ALIVE_MAX_MS);
 }
 
+/* Tells whether the response ends with its head, whatever length it states. */
+static bool client_conn_has_no_body(const http_parser *parser, const struct http_call *call)
+{
+	return parser->status_code / 100 == 1 || parser->status_code == 204 ||
+	       parser->status_code == 304 || (call && call->is_head_request);
+}
+
+/* Returns what http_parser is to do: 0 to read the body, 1 to expect none. */
 static int client_conn_on_headers_complete(http_parser *parser)
 {
 	struct client_conn *conn = parser->data;
 	struct http_call *call = conn->call;
-	struct http_response_head head = { (uint16_t)parser->status_code,
-					   parser->content_length == UINT64_MAX
-						   ? -1
-						   : (int64_t)parser->content_length,
-					   !http_should_keep_alive(parser), conn->headers };
+	int no_body = client_conn_has_no_body(parser, call);
+	bool has_length = parser->content_length != UINT64_MAX;
+	struct http_response_head head = {
+		.status = (uint16_t)parser->status_code,
+		.length = has_length ? (int64_t)parser->content_length : -1,
+		.closes = !http_should_keep_alive(parser),
+		.headers = conn->headers,
+	};
 
 	client_conn_store_header(conn);
 	client_conn_parse_keep_alive(conn, &head);
-	if (head.status / 100 == 1)
-		return 0;
-	if (!call)
-		return 0;
+	if (head.status / 100 == 1 || !call)
+		return no_body;
 	if (call->ops->matches && !call->ops->matches(call->ctx, &head)) {
 		conn->mismatched = true;
 		conn->no_reuse = true;
 		conn->client->counts.mismatched++;
-		return 0;
+		return client_conn_has_no_body(parser, NULL);
 	}
 	if (head.closes)
 		conn->no_reuse = true;
 	if (call->ops->head)
 		call->ops->head(call->ctx, &head);
-	return call->is_head_request ? 1 : 0;
+	return no_body;
 }
 
 static int client_conn_on_body(http_parser *parser, const char *at, size_t len)
