HTTP client: an answer whose end cannot be found is broken

Cause: a response with a transfer coding other than chunked was read to the end of the connection, and passed on without the coding. After a 101 the rest of what had been read was dropped. Evidence: /gateway-cut/once, answer unknown-coding (Transfer-Encoding: chunk), 119 of 141 bytes, closed: a whole 200 with an empty body before, 502 after; 101 and a further answer: 502. Neither can be passed on: the coding is not known, and nobody asks for an upgrade.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -463,7 +463,15 @@
 	       parser->status_code == 304 || (call && call->is_head_request);
 }
 
-/* Returns what http_parser is to do: 0 to read the body, 1 to expect none. */
+/* Tells whether the end of the response cannot be found: its transfer coding is not known, or it
+ * switches to a protocol that was not asked for. */
+static bool client_conn_has_unknown_end(const http_parser *parser, bool has_body)
+{
+	return parser->status_code == 101 ||
+	       (has_body && parser->uses_transfer_encoding && !(parser->flags & F_CHUNKED));
+}
+
+/* Returns what http_parser is to do: 0 to read the body, 1 to expect none, -1 to stop. */
 static int client_conn_on_headers_complete(http_parser *parser)
 {
 	struct client_conn *conn = parser->data;
@@ -477,6 +485,8 @@
 		.headers = conn->headers,
 	};
 
+	if (client_conn_has_unknown_end(parser, !no_body))
+		return -1;
 	client_conn_store_header(conn);
 	client_conn_parse_keep_alive(conn, &head);
 	if (head.status / 100 == 1 || !call)
