HTTP server: a cut stream to an HTTP/1.0 caller ends by a reset

Cause: a stream to such a caller has neither a length nor chunks; when it could not be completed its connection was closed like that of a whole one. Closing with a linger of 0 s sends a reset. Only responses without length and chunks are concerned: others show by themselves that they are not whole, and what is written of them must not be lost.

--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -91,6 +91,7 @@
 	bool keep_alive;
 	bool http10;
 	bool chunked;		/* the response has chunked transfer coding */
+	bool ends_by_close;	/* the response has neither a length nor chunks */
 	bool response_started;	/* the response head is queued */
 	bool response_complete; /* the whole response is queued */
 	bool head_only;		/* HEAD request: the response has no body */
@@ -708,6 +709,14 @@
 	g_free(conn);
 }
 
+/* Has the connection reset when it is closed. */
+static void server_conn_reset_on_close(struct server_conn *conn)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 /* Closes a connection and calls on_disconnect of a request whose response is not complete. */
 static void server_conn_close(struct server_conn *conn)
 {
@@ -717,6 +726,9 @@
 		return;
 	conn->closed = true;
 	conn->req = NULL;
+	/* A proper close would mark the end of such a response. */
+	if (req && req->ends_by_close)
+		server_conn_reset_on_close(conn);
 	g_queue_unlink(&conn->srv->conns, &conn->list_node);
 	h2o_socket_close(conn->sock);
 	conn->sock = NULL;
@@ -950,6 +962,7 @@
 	if (length >= 0 && !no_body) {
 		g_string_append_printf(out, "Content-Length: %zd\r\n", length);
 	} else if (length < 0 && req->http10) {
+		req->ends_by_close = true;
 		req->keep_alive = false;
 	} else if (length < 0) {
 		req->chunked = true;
