Relay: an answer without a body is no stream that lacks its end

What callers see: HEAD on a stream route, or a 204, was answered and its connection closed; the 204 had a transfer coding. The upstream counted as one that crashed under the request, which can lead to a quarantine. Cause: the type of the answer alone made it a stream, and one that ends without an event counts as cut. Such answers are passed on like any other answer.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -81,6 +81,7 @@
 	uint16_t status;
 	int64_t length; /* of the body in bytes; -1 without Content-Length */
 	bool closes;
+	bool has_body;
 	const GPtrArray *headers;
 };
 
@@ -284,6 +285,11 @@
 	return head->closes;
 }
 
+bool http_response_has_body(const struct http_response_head *head)
+{
+	return head->has_body;
+}
+
 void http_response_each_header(const struct http_response_head *head,
 			       void (*each)(void *ctx, const char *name, const char *value),
 			       void *ctx)
@@ -482,6 +488,7 @@
 		.status = (uint16_t)parser->status_code,
 		.length = has_length ? (int64_t)parser->content_length : -1,
 		.closes = !http_should_keep_alive(parser),
+		.has_body = !no_body,
 		.headers = conn->headers,
 	};
 
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -197,7 +197,7 @@
 	}
 	http_response_each_header(head, relay_store_header, request->response_headers);
 	request->stream = request->status / 100 == 2 && request->route->kind == ROUTE_STREAM &&
-			  relay_is_event_stream(head);
+			  http_response_has_body(head) && relay_is_event_stream(head);
 	if (request->stream) {
 		request->phase = RELAY_STREAMING;
 		if (!request->events)
