Relay: a resumed stream that ends at its head is not whole

Cause: a resumed stream without an event was taken for one that had none left. That is so if a length or the last chunk says it; without both, an engine that stops after its head looks the same. A stream without length and chunks is whole only if its last attempt made an event.

--- a/include/flamingolatch/http_client.h
+++ b/include/flamingolatch/http_client.h
@@ -126,6 +126,9 @@
 bool http_response_closes_connection(const struct http_response_head *head);
 /** Returns whether a body follows, which may be empty: not after 204 and 304, nor to HEAD. */
 bool http_response_has_body(const struct http_response_head *head);
+/** Returns whether the body has neither a length nor chunks, so that only the end of the connection
+ * ends it. */
+bool http_response_is_unframed(const struct http_response_head *head);
 /** Calls @p each for all headers, names in lower case, except Content-Length and a
  * fixed list of hop-by-hop headers. Headers that Connection names are not left out. */
 void http_response_each_header(const struct http_response_head *head,
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -82,6 +82,7 @@
 	int64_t length; /* of the body in bytes; -1 without Content-Length */
 	bool closes;
 	bool has_body;
+	bool unframed;
 	const GPtrArray *headers;
 };
 
@@ -290,6 +291,11 @@
 	return head->has_body;
 }
 
+bool http_response_is_unframed(const struct http_response_head *head)
+{
+	return head->unframed;
+}
+
 void http_response_each_header(const struct http_response_head *head,
 			       void (*each)(void *ctx, const char *name, const char *value),
 			       void *ctx)
@@ -489,6 +495,7 @@
 		.length = has_length ? (int64_t)parser->content_length : -1,
 		.closes = !http_should_keep_alive(parser),
 		.has_body = !no_body,
+		.unframed = !no_body && !has_length && !(parser->flags & F_CHUNKED),
 		.headers = conn->headers,
 	};
 
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -113,6 +113,7 @@
 	request->invalid_response = false;
 	request->not_run = false;
 	request->stream = false;
+	request->unframed = false;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
 	request->migrate_checked_us = 0;
@@ -125,6 +126,16 @@
 	request->call = http_call_start(env->http_client, &req, &relay_call_ops, request);
 }
 
+/* queries */
+
+bool relay_is_stream_cut(const struct relay_request *request)
+{
+	bool may_be_over = request->event_count > 0 || request->decoded.last_event_id;
+
+	return event_stream_pending_bytes(request->events) > 0 || !may_be_over ||
+	       (request->unframed && request->attempt_event_count == 0);
+}
+
 /* helpers: responses */
 
 static bool relay_on_connected(void *ctx)
@@ -198,6 +209,7 @@
 	http_response_each_header(head, relay_store_header, request->response_headers);
 	request->stream = request->status / 100 == 2 && request->route->kind == ROUTE_STREAM &&
 			  http_response_has_body(head) && relay_is_event_stream(head);
+	request->unframed = http_response_is_unframed(head);
 	if (request->stream) {
 		request->phase = RELAY_STREAMING;
 		if (!request->events)
@@ -358,15 +370,6 @@
 	return request->status >= 500;
 }
 
-/* Tells whether a stream whose connection ended properly lacks its end: it stops inside an event,
- * or before the first. A stream without length and chunks ends like that when its engine does. One
- * that is resumed may have no event left. */
-static bool relay_is_stream_cut(const struct relay_request *request)
-{
-	return event_stream_pending_bytes(request->events) > 0 ||
-	       (request->event_count == 0 && !request->decoded.last_event_id);
-}
-
 static void relay_on_end(void *ctx, enum http_call_result result, bool sent)
 {
 	struct relay_request *request = ctx;
--- a/src/serve/relay_attempt.h
+++ b/src/serve/relay_attempt.h
@@ -16,4 +16,11 @@
 void relay_start_attempt(struct relay_request *request, struct fleet_upstream *up,
 			 const char *from_address, const char *from_handle);
 
+/**
+ * Tells whether a stream whose connection ended properly lacks its end: it stops inside an event,
+ * or before the first. A stream without length and chunks ends like that when its engine does. One
+ * that is resumed may have no event left, but only a length or the last chunk shows that.
+ */
+bool relay_is_stream_cut(const struct relay_request *request);
+
 #endif
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -107,6 +107,7 @@
 	bool invalid_response; /* malformed, not from the service of the upstream, or not a stream
 				* although one was started */
 	bool stream;	       /* the current response is a stream of events */
+	bool unframed;	       /* the current response ends with its connection */
 	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
 	bool migrate_last;     /* the latest migration call stops the generation */
 	bool not_run;	       /* the upstream states that it did not run the request */
