Relay: a stream that its engine was asked to stop is not taken for whole

What callers see: a generation that is migrated ends with the last chunk, though events are missing (ORDER). Cause: the engine closes the stream at the last copy. Without length and chunks that is also how a whole one ends, and it was completed before the copy was answered. Evidence: /gateway-cut/move-stop, case 0: three events of five, whole, before; all five after, from the other engine. The answer to the migration call decides: with a copy the generation goes on there, 404 says that it was over, and otherwise the stream is cut.

--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -114,6 +114,7 @@
 	request->not_run = false;
 	request->stream = false;
 	request->unframed = false;
+	request->closed_in_stop = false;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
 	request->migrate_checked_us = 0;
@@ -379,8 +380,10 @@
 
 	request->call = NULL;
 	/* The migration stopped the generation; relay_on_migrated() resumes it. */
-	if (request->migrate_stopping && !complete)
+	if (request->migrate_stopping && (!complete || (request->stream && request->unframed))) {
+		request->closed_in_stop = complete;
 		return;
+	}
 	fleet_upstream_record_outcome(
 		up, complete && (request->not_run || !relay_is_server_error(request)),
 		result == HTTP_CALL_OK || !sent ? result == HTTP_CALL_OK : false, now_us);
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -213,6 +213,13 @@
 	relay_start_attempt(request, target, source, handle);
 }
 
+/* Tells whether a stream that was closed while its engine was asked to stop it was over: the engine
+ * then has no such run. */
+static bool relay_was_over(const struct relay_request *request, uint16_t code)
+{
+	return request->closed_in_stop && code == 404 && !relay_is_stream_cut(request);
+}
+
 static void relay_migration_failed(struct relay_request *request, struct fleet_upstream *target,
 				   const char *handle, uint16_t code)
 {
@@ -227,7 +234,11 @@
 	if (!request->call && relay_resume_at_source(request, handle))
 		return;
 	relay_cancel_migration(request);
-	if (!request->call)
+	if (request->call)
+		return;
+	if (relay_was_over(request, code))
+		relay_finish_streamed(request);
+	else
 		request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 }
 
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -109,6 +109,7 @@
 	bool stream;	       /* the current response is a stream of events */
 	bool unframed;	       /* the current response ends with its connection */
 	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
+	bool closed_in_stop;   /* the unframed stream was closed properly while it was to stop */
 	bool migrate_last;     /* the latest migration call stops the generation */
 	bool not_run;	       /* the upstream states that it did not run the request */
 };
