Relay: a resume from a KV copy that made no event is the last one

What callers see: nothing; engines get one request again and again while each breaks off before an event, as under a request that crashes engines. Cause: resuming from a copy is not bounded by a number of attempts, and each resumed attempt names a new engine for its backup. An engine that made no event has sent nothing of its own to its backup, so there is nothing to go on from; the stream is cut.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -338,7 +338,9 @@
 			      (!request->response_started || request->events),
 		.answer_started = request->response_started,
 		.may_have_run = request->may_have_run,
-		.has_kv_copy = relay_has_backup(request),
+		/* An attempt that made no event has left no copy to go on from. */
+		.has_kv_copy = relay_has_backup(request) &&
+			       !(request->from_copy && request->attempt_event_count == 0),
 		.executions = request->attempt_count,
 		.max_executions = request->route->max_attempts,
 		.time_left = relay_time_left_ms(request) > RELAY_MIN_ATTEMPT_MS,
