Gateway: a stopping process accepts only what it can answer

What callers saw: a request on an open connection, sent some seconds after SIGTERM, was passed on and its connection closed without a whole answer when the grace period ended; so were calls that may run once (LOST). Cause: an instance that stops accepted a request if an estimate of its length fit before the exit. The class is that of an estimate used as a promise. Change: planned_stop.h decides. Once the balancer sends callers elsewhere, a request is passed on only if its own deadline ends before the exit, so that it is answered by then whatever its upstream does; before, also if it is expected to end by then. It is asked at the arrival and before each attempt. Shortly before the exit all open requests without a begun response are answered: 503 if they were never sent, 502 otherwise. Of the two figures for the lag of the balancer one is left. Why it works: no estimate decides any more whether a late request is cut.

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -26,6 +26,7 @@
 	X(METRIC_EVENTS_FOREIGN, "events_foreign_total", "Attempts ended because the engine sent other bytes than events of the stream.") \
 	X(METRIC_DEPARTURES, "upstream_departures_total", "Upstreams that said in an answer that they leave.") \
 	X(METRIC_QUIET_ASKED, "upstream_quiet_asked_total", "Answers by which an upstream asked to be left alone for a time.") \
+	X(METRIC_STOP_REFUSED, "stop_refused_total", "Requests refused because the instance stops and could not answer them for certain.") \
 	X(METRIC_QUIET_REFUSED, "upstream_quiet_refused_total", "Requests refused because all upstreams of the service asked to be left alone.") \
 	X(METRIC_TOKENS, "tokens_total", "Tokens relayed to callers.") \
 	X(METRIC_TOKENS_DROPPED, "tokens_dropped_total", "Tokens dropped because they were repeated or belonged to an older epoch.") \
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -397,7 +397,7 @@
 {
 	const struct env *env = delegation->env;
 
-	if (env->stopping)
+	if (planned_stop_has_begun(&env->stop))
 		return DELEGATE_UNHEALTHY;
 	if (store_watch_is_healthy(delegation->watch) &&
 	    age_us < env_config_age_limit_us(env, DELEGATION_MAX_AGE_FRACTION))
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -60,7 +60,7 @@
 		env_keys_fresh(env), "synced", store_watch_is_synced(store_watch), "follows_store",
 		store_watch_is_healthy(store_watch), "list_era", (json_int_t)list.era,
 		"list_version", (json_int_t)list.version, "instances", (int)env->live_instances,
-		"stopping", env->stopping, "upstreams", dump_upstreams(env), "quarantined",
-		crash_guard_json(env->crash_guard), "requests",
+		"stopping", planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
+		"quarantined", crash_guard_json(env->crash_guard), "requests",
 		relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -15,6 +15,7 @@
 #include "flamingolatch/http_client.h"
 #include "flamingolatch/log.h"
 #include "flamingolatch/metric.h"
+#include "flamingolatch/planned_stop.h"
 #include "flamingolatch/retry_budget.h"
 #include "flamingolatch/route.h"
 #include "flamingolatch/store_client.h"
@@ -44,9 +45,7 @@
 				      * immediate report to the peers of the zone */
 	uint32_t remote_load_age_ms; /**< age of the load known from the region's other zones,
 				      * taken to be our own interval of reports to them */
-	uint64_t stop_us;	     /**< when the stop signal arrived; 0 before */
-	uint64_t exit_deadline_us;   /**< when the process exits at the latest; 0 unless it stops */
-	bool stopping;
+	struct planned_stop stop;
 };
 
 /** Returns the monotonic time in us. */
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -21,10 +21,6 @@
 #define GATEWAY_REVOKE_MARGIN_MS 300
 /* The instance reports not ready when its API keys will be stale this soon. */
 #define GATEWAY_NOT_READY_MARGIN_MS 400
-/* Two readiness probes of the balancer, and the delay of its reaction. */
-#define GATEWAY_BALANCER_LAG_MS 2600
-/* The process exits this long before the end of the grace period. */
-#define GATEWAY_EXIT_MARGIN_MS 350
 /* Added to the time for which callers keep idle connections, so that callers close them first. */
 #define GATEWAY_IDLE_SLACK_MS	       1500
 #define GATEWAY_CONTROL_BODY_MAX_BYTES 4096
@@ -266,25 +262,16 @@
 	relay_refuse_quarantined(gateway->relay);
 }
 
-/* Returns how long the process may keep running after the stop signal. */
-static uint64_t gateway_grace_ms(const struct gateway *gateway)
-{
-	uint64_t grace_ms = (uint64_t)(gateway->settings->bounds.grace_s * 1000);
-
-	return grace_ms > GATEWAY_EXIT_MARGIN_MS ? grace_ms - GATEWAY_EXIT_MARGIN_MS : 0;
-}
-
 static void gateway_on_stop(uv_signal_t *signal, int number)
 {
 	struct gateway *gateway = signal->data;
 	char open[16];
 
 	(void)number;
-	if (gateway->env.stopping)
+	if (planned_stop_has_begun(&gateway->env.stop))
 		return;
-	gateway->env.stopping = true;
-	gateway->env.stop_us = env_now_us();
-	gateway->env.exit_deadline_us = gateway->env.stop_us + gateway_grace_ms(gateway) * 1000;
+	planned_stop_begin(&gateway->env.stop,
+			   (uint64_t)(gateway->settings->bounds.grace_s * 1000000), env_now_us());
 	snprintf(open, sizeof(open), "%u", relay_open_count(gateway->relay));
 	log_event(LOG_STOPPING, "open", open, NULL);
 	http_server_disable_keep_alive(gateway->callers);
@@ -327,12 +314,13 @@
 	return true;
 }
 
-static void gateway_log_stopped(struct gateway *gateway, uint64_t spent_ms)
+static void gateway_log_stopped(struct gateway *gateway, uint64_t now_us)
 {
 	g_autofree char *open = g_strdup_printf("%u", relay_open_count(gateway->relay));
 	g_autofree char *unsent = g_strdup_printf("%u", http_server_unsent_count(gateway->callers));
 	g_autofree char *unread = g_strdup_printf("%u", http_server_unread_count(gateway->callers));
-	g_autofree char *spent = g_strdup_printf("%" G_GUINT64_FORMAT, spent_ms);
+	g_autofree char *spent =
+		g_strdup_printf("%" G_GUINT64_FORMAT, (now_us - gateway->env.stop.begun_us) / 1000);
 
 	relay_log_unfinished(gateway->relay);
 	log_event(LOG_STOPPED, "open", open, "unsent_connections", unsent, "unread_connections",
@@ -343,17 +331,18 @@
  * readiness probes, or when the grace period is nearly over. */
 static void gateway_check_stop(struct gateway *gateway)
 {
-	uint64_t spent_ms = (env_now_us() - gateway->env.stop_us) / 1000;
-	uint64_t grace_ms = gateway_grace_ms(gateway);
-	uint32_t open = relay_open_count(gateway->relay);
+	uint64_t now_us = env_now_us();
 
-	if (spent_ms < MIN(GATEWAY_BALANCER_LAG_MS, grace_ms / 2))
+	if (!planned_stop_may_exit(&gateway->env.stop, now_us))
 		return;
+	if (planned_stop_must_answer(&gateway->env.stop, now_us))
+		relay_answer_open(gateway->relay);
 	if (!gateway_close_callers(gateway,
-				   open == 0 && http_server_busy_count(gateway->callers) == 0) &&
-	    spent_ms < grace_ms)
+				   relay_open_count(gateway->relay) == 0 &&
+					   http_server_busy_count(gateway->callers) == 0) &&
+	    !planned_stop_must_exit(&gateway->env.stop, now_us))
 		return;
-	gateway_log_stopped(gateway, spent_ms);
+	gateway_log_stopped(gateway, now_us);
 	uv_stop(gateway->env.loop);
 }
 
@@ -394,8 +383,7 @@
 		gateway->suppressed_logged_ms = now_ms;
 		log_report_suppressed();
 	}
-	if (gateway->env.stopping)
-		gateway_check_stop(gateway);
+	gateway_check_stop(gateway);
 }
 
 /* queries */
@@ -405,7 +393,8 @@
 	uint64_t age_us = freshness_age_us(&gateway->env.freshness, env_boot_us());
 	bool ready =
 		gateway->env.config && store_watch_is_synced(gateway->store_watch) &&
-		!gateway->env.stopping && age_us < gateway->env.freshness.max_age_us &&
+		!planned_stop_has_begun(&gateway->env.stop) &&
+		age_us < gateway->env.freshness.max_age_us &&
 		age_us + GATEWAY_NOT_READY_MARGIN_MS * 1000 < gateway->env.freshness.max_age_us;
 
 	if (ready && !gateway->was_ready)
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -22,8 +22,6 @@
 #define RELAY_STALL_CHECK_MS 100
 /* Longest time to be left alone that callers are told. */
 #define RELAY_MAX_QUIET_MS 3600000
-/* Time from the stop signal until the balancer sends callers elsewhere. */
-#define RELAY_STOP_PROPAGATION_MS 2700
 
 static void relay_on_caller_gone(void *ctx);
 static void relay_on_caller_drained(void *ctx);
@@ -96,19 +94,28 @@
 	return false;
 }
 
-/* Tells whether a request is accepted during shutdown: it is certain to finish before the process
- * exits, or it arrived before callers could have been routed elsewhere. */
-static bool relay_fits_before_exit(const struct relay_request *request)
+/* Returns how long an upstream is expected to need for the request, in ms. */
+static uint64_t relay_expected_ms(const struct relay_request *request)
+{
+	return RELAY_MAX_CALL_MS + (relay_is_generation(request)
+					    ? request->expected_output_tokens * RELAY_TOKEN_MS
+					    : 0);
+}
+
+/* Refuses a request that has not run and could be cut by the exit of the process. Returns true when
+ * it was refused. */
+static bool relay_refuse_if_stopping(struct relay_request *request)
 {
 	const struct env *env = request->relay->env;
-	uint64_t needs_ms = RELAY_MAX_CALL_MS;
 
-	if (!env->stopping ||
-	    request->arrived_us < env->stop_us + RELAY_STOP_PROPAGATION_MS * 1000ULL)
-		return true;
-	if (relay_is_generation(request))
-		needs_ms += request->decoded.max_output_tokens * RELAY_TOKEN_MS;
-	return request->arrived_us + needs_ms * 1000 < env->exit_deadline_us;
+	if (request->may_have_run ||
+	    planned_stop_accepts(&env->stop, request->deadline_us + RELAY_DEADLINE_SLACK_MS * 1000,
+				 relay_expected_ms(request) * 1000, env_now_us()))
+		return false;
+	metric_add(env->metric, METRIC_STOP_REFUSED, 1);
+	http_req_close_after_response(request->caller);
+	relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS, "stopping");
+	return true;
 }
 
 /* helpers: placement */
@@ -252,7 +259,7 @@
 	struct fleet_upstream *up;
 	uint64_t quiet_us = dispatch_quiet_us(dispatch, request->service_name);
 
-	if (relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
 	if (quiet_us && !request->may_have_run && !relay_outlasts_quiet(request, quiet_us)) {
 		relay_refuse_quiet(request, quiet_us);
@@ -300,7 +307,7 @@
 				  "unconfirmed");
 		return;
 	}
-	if (relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
 	relay_start_attempt(request, up, NULL, NULL);
 	relay_log_placed(request, up, decision);
@@ -557,11 +564,8 @@
 	request->fingerprint = relay_compute_fingerprint(request);
 	if (relay_is_generation(request))
 		relay_update_estimate(request);
-	if (!relay_fits_before_exit(request)) {
-		http_req_close_after_response(request->caller);
-		relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS, "stopping");
+	if (relay_refuse_if_stopping(request))
 		return;
-	}
 	limit_exchange_on_request(relay->env->limit_exchange, request->service_name);
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
@@ -601,6 +605,24 @@
 	dispatch_grant_queued(relay->dispatch);
 }
 
+void relay_answer_open(struct relay *relay)
+{
+	GList *next;
+
+	for (GList *item = relay->requests.head; item; item = next) {
+		struct relay_request *request = item->data;
+
+		next = item->next;
+		if (!request->caller || request->response_started)
+			continue;
+		if (request->phase == RELAY_QUEUED && !request->may_have_run)
+			relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS,
+					  "stopping");
+		else
+			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "stopping");
+	}
+}
+
 void relay_log_unfinished(struct relay *relay)
 {
 	for (GList *item = relay->requests.head; item; item = item->next) {
--- a/src/serve/relay.h
+++ b/src/serve/relay.h
@@ -32,6 +32,9 @@
 /** Ends the requests that were quarantined, or a part of their prompt, unless they made progress.
  */
 void relay_refuse_quarantined(struct relay *relay);
+/** Answers the open requests with errors, before the process exits: those that were not sent to an
+ * upstream as not run. Responses that have begun go on. */
+void relay_answer_open(struct relay *relay);
 /** Logs each open request whose caller waits, before the process exits. */
 void relay_log_unfinished(struct relay *relay);
 /** Returns the open requests, at most @p max_count of them, as a new JSON array. */
