--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -5,10 +5,13 @@
  * answered whole before the process exits.
  */
 #include "raw_caller.h"
+#include "raw_upstream.h"
 
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
 
 #define READY_TIMEOUT_MS 20000
 #define EXIT_TIMEOUT_MS	 (TESTBED_GRACE_S * 1000)
@@ -23,26 +26,35 @@
 #define CALL_TIMEOUT_MS 4000
 /* Makes a generation of RAW_CALLER_TOKENS that begins at the signal last for most of the grace
  * period, so that the process does not exit before. */
-#define PACE_MS 300
+#define PACE_MS	      300
+#define PAUSE_CALLERS 5
+/* From the signal until the process gets no processor time: before it answers what is open. */
+#define PAUSE_FROM_MS 5200
+#define PAUSE_MS      550 /* until after the time of the exit */
+/* Longer than the margin between the exit and the end of the grace period. */
+#define SIGNAL_DELAY_MS	 900
+#define REFUSAL_DELAY_MS 600
+#define RAW_HOST_NUMBER	 90
+#define RAW_PORT	 4600
 
 /* A gateway with an engine and an upstream of the plain service. */
 struct fixture {
 	struct testbed *testbed;
 	struct mock_platform *platform;
 	struct testbed_gateway *gateway;
+	struct mock_upstream *shop;
 };
 
 static void fixture_open(struct fixture *f, uint32_t work_ms, uint32_t call_timeout_ms)
 {
 	struct mock_upstream_conf conf = { .work_ms = work_ms, .pace_ms = PACE_MS };
 	struct mock_upstream *engine;
-	struct mock_upstream *shop;
 
 	*f = (struct fixture){ .testbed = testbed_create(38) };
 	f->platform = testbed_platform(f->testbed);
 	engine = testbed_upstream(f->testbed, "engine-1", true, 1);
-	shop = testbed_upstream(f->testbed, "shop-1", false, 2);
-	mock_upstream_configure(shop, &conf);
+	f->shop = testbed_upstream(f->testbed, "shop-1", false, 2);
+	mock_upstream_configure(f->shop, &conf);
 	conf.engine = true;
 	mock_upstream_configure(engine, &conf);
 	testbed_set_call_timeout(f->testbed, call_timeout_ms);
@@ -51,7 +63,7 @@
 	testbed_start(f->gateway);
 	g_assert_true(testbed_wait_ready(f->gateway, READY_TIMEOUT_MS));
 	mock_upstream_list(engine);
-	mock_upstream_list(shop);
+	mock_upstream_list(f->shop);
 	testbed_run(f->testbed, 300);
 }
 
@@ -165,6 +177,177 @@
 	fixture_close(&f);
 }
 
+/* A process that gets no processor time from before the time of the answers until after the time
+ * of the exit still answers what was open, and passes nothing on. */
+static void test_paused_at_exit(void)
+{
+	struct raw_caller open[PAUSE_CALLERS];
+	struct raw_caller late[PAUSE_CALLERS];
+	struct fixture f;
+
+	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	for (uint32_t i = 0; i < PAUSE_CALLERS; i++) {
+		open[i] = raw_caller_connect(f.gateway);
+		late[i] = raw_caller_connect(f.gateway);
+	}
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGTERM);
+	testbed_run(f.testbed, 1000);
+	for (uint32_t i = 0; i < PAUSE_CALLERS; i++) {
+		g_autofree char *id = g_strdup_printf("0be3%02x", i);
+
+		raw_caller_send(&open[i], id, "/once/x");
+	}
+	testbed_run(f.testbed, PAUSE_FROM_MS - 1000);
+	testbed_signal(f.gateway, SIGSTOP);
+	for (uint32_t i = 0; i < PAUSE_CALLERS; i++) {
+		g_autofree char *id = g_strdup_printf("1a7f%02x", i);
+
+		raw_caller_send_chunked(&late[i], id, "/once/x");
+	}
+	testbed_run(f.testbed, PAUSE_MS);
+	testbed_signal(f.gateway, SIGCONT);
+	wait_exit(&f);
+	for (uint32_t i = 0; i < PAUSE_CALLERS; i++) {
+		g_autofree char *id = g_strdup_printf("0be3%02x", i);
+		g_autofree char *late_id = g_strdup_printf("1a7f%02x", i);
+
+		raw_caller_read(&open[i], SIZE_MAX);
+		g_assert_cmpuint(raw_caller_status(&open[i]), ==, 502);
+		check_answer(&f, &open[i], id);
+		g_assert_cmpuint(mock_request_record(f.platform, late_id).arrivals, ==, 0);
+		check_answer(&f, &late[i], late_id);
+	}
+	fixture_close(&f);
+}
+
+/* A process that notices the signal late exits before it is killed. */
+static void test_signal_noticed_late(void)
+{
+	struct raw_caller caller;
+	struct fixture f;
+	gint64 begun_us;
+
+	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	caller = raw_caller_connect(f.gateway);
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGSTOP);
+	testbed_signal(f.gateway, SIGTERM);
+	begun_us = g_get_monotonic_time();
+	testbed_run(f.testbed, SIGNAL_DELAY_MS);
+	testbed_signal(f.gateway, SIGCONT);
+	testbed_run(f.testbed, 1500);
+	raw_caller_send(&caller, "1a7ed", "/once/x");
+	g_assert_true(testbed_wait_exit(f.gateway, 2 * EXIT_TIMEOUT_MS));
+	g_test_message("exited %" G_GINT64_FORMAT " ms after the signal",
+		       (g_get_monotonic_time() - begun_us) / 1000);
+	g_assert_cmpint(g_get_monotonic_time() - begun_us, <, EXIT_TIMEOUT_MS * 1000);
+	check_answer(&f, &caller, "1a7ed");
+	fixture_close(&f);
+}
+
+/* Requests behind another one on its connection, and requests that are not complete at the exit. */
+static void test_unread_at_exit(void)
+{
+	static const char head[] =
+		"POST /once/x HTTP/1.1\r\nHost: " TESTBED_HOST
+		"\r\nX-Flamingolatch-Attempt-Id: %s\r\nX-Flamingolatch-Deadline-Ms: 6000\r\n"
+		"Authorization: Bearer " TESTBED_KEY "\r\n%s";
+	static const char *const parts[] = { "", "Content-Length: 100\r\n\r\nabc",
+					     "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+					     "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n" };
+	struct raw_caller callers[G_N_ELEMENTS(parts)];
+	struct raw_caller pipelined;
+	struct fixture f;
+
+	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	pipelined = raw_caller_connect(f.gateway);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(parts); i++)
+		callers[i] = raw_caller_connect(f.gateway);
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGTERM);
+	testbed_run(f.testbed, 1000);
+	raw_caller_send(&pipelined, "b1", "/once/x");
+	raw_caller_send(&pipelined, "b2", "/once/x");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		g_autofree char *id = g_strdup_printf("a0%u", i);
+		g_autofree char *text = g_strdup_printf(head, id, parts[i]);
+
+		g_assert_cmpint(send(callers[i].fd, text, strlen(text), MSG_NOSIGNAL), ==,
+				strlen(text));
+	}
+	wait_exit(&f);
+	raw_caller_read(&pipelined, SIZE_MAX);
+	g_assert_cmpuint(raw_caller_status(&pipelined), ==, 502);
+	g_assert_cmpuint(mock_request_record(f.platform, "b2").arrivals, ==, 0);
+	check_answer(&f, &pipelined, "b1");
+	for (uint32_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		g_autofree char *id = g_strdup_printf("a0%u", i);
+
+		raw_caller_read(&callers[i], SIZE_MAX);
+		g_test_message("%u: %s", i, callers[i].input->str);
+		g_assert_cmpuint(mock_request_record(f.platform, id).arrivals, ==, 0);
+		/* 408 also says that the request did not run. */
+		g_assert_true(callers[i].input->len == 0 || raw_caller_status(&callers[i]) == 100 ||
+			      raw_caller_status(&callers[i]) == 408);
+		raw_caller_close(&callers[i]);
+	}
+	fixture_close(&f);
+}
+
+/* Refuses the first attempt late, and leaves the next ones unanswered. */
+static void refuse_late(void *ctx, struct raw_conn *conn, const char *id)
+{
+	uint32_t *arrivals = ctx;
+	g_autofree char *refusal =
+		g_strdup_printf("HTTP/1.1 503 Busy\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+				"X-Flamingolatch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+				id);
+
+	if ((*arrivals)++ == 0)
+		raw_conn_write_later(conn, refusal, REFUSAL_DELAY_MS, false);
+}
+
+/* An upstream refuses a request that it got in time; the next attempt would come too late. */
+static void test_late_retry(void)
+{
+	struct raw_upstream *upstreams[2];
+	struct raw_caller caller;
+	uint32_t arrivals = 0;
+	struct fixture f;
+
+	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	mock_upstream_unlist(f.shop);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(upstreams); i++) {
+		g_autofree char *ip = testbed_ip(f.testbed, RAW_HOST_NUMBER + i);
+		g_autofree char *id = g_strdup_printf("raw-%u", i);
+		g_autofree char *entry = g_strdup_printf(
+			"{\"service\":\"" TESTBED_PLAIN_SERVICE "\",\"address\":\"%s:%d\","
+			"\"zone\":\"z1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,"
+			"\"seq_no\":1,\"born\":1}",
+			ip, RAW_PORT);
+
+		upstreams[i] = raw_upstream_create(testbed_loop(f.testbed), ip, RAW_PORT,
+						   refuse_late, &arrivals);
+		mock_store_put(f.platform, "servers", id, entry);
+	}
+	testbed_run(f.testbed, 500);
+	caller = raw_caller_connect(f.gateway);
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGTERM);
+	testbed_run(f.testbed, BALANCER_LAG_MS - 2 * REFUSAL_DELAY_MS / 3);
+	raw_caller_send(&caller, "4e74", "/once/x");
+	wait_exit(&f);
+	raw_caller_read(&caller, SIZE_MAX);
+	g_test_message("%u arrivals: %s", arrivals, caller.input->str);
+	g_assert_cmpuint(arrivals, ==, 1);
+	g_assert_cmpuint(raw_caller_status(&caller), ==, 503);
+	raw_caller_close(&caller);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		raw_upstream_destroy(upstreams[i]);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -172,5 +355,9 @@
 	g_test_add_func("/gateway-stop/late-resumable-generation", test_late_resumable_generation);
 	g_test_add_func("/gateway-stop/late-call", test_late_call);
 	g_test_add_func("/gateway-stop/unanswered-at-exit", test_unanswered_at_exit);
+	g_test_add_func("/gateway-stop/paused-at-exit", test_paused_at_exit);
+	g_test_add_func("/gateway-stop/signal-noticed-late", test_signal_noticed_late);
+	g_test_add_func("/gateway-stop/unread-at-exit", test_unread_at_exit);
+	g_test_add_func("/gateway-stop/late-retry", test_late_retry);
 	return g_test_run();
 }
