Test: a signal that is noticed late (fails)

What callers would see: with the signal noticed 600 ms late a generation sent 3.15 s after it is accepted, begins and is cut, and the process exits 6.26 to 6.28 s after the signal with a grace period of 6 s: it would have been killed. Cause: the stop is counted from the time at which the signal is handled.

--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -32,7 +32,9 @@
 #define PAUSE_FROM_MS 5200
 #define PAUSE_MS      550 /* until after the time of the exit */
 /* Longer than the margin between the exit and the end of the grace period. */
-#define SIGNAL_DELAY_MS	 900
+#define SIGNAL_DELAY_MS 600
+/* From the signal, within the balancer's lag from when it was noticed. */
+#define NOTICED_CALL_MS	 3150
 #define REFUSAL_DELAY_MS 600
 #define RAW_HOST_NUMBER	 90
 #define RAW_PORT	 4600
@@ -221,28 +223,35 @@
 	fixture_close(&f);
 }
 
-/* A process that notices the signal late exits before it is killed. */
+/* A process that notices the signal late, as on a crowded machine: it passes nothing on later than
+ * the balancer's lag after the signal that may outlast it, and exits before it is killed. */
 static void test_signal_noticed_late(void)
 {
 	struct raw_caller caller;
 	struct fixture f;
-	gint64 begun_us;
+	uint64_t spent_ms;
+	gint64 signal_us;
+	uint32_t arrivals;
 
-	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	fixture_open(&f, LATE_WORK_MS, CALL_TIMEOUT_MS);
 	caller = raw_caller_connect(f.gateway);
 	testbed_run(f.testbed, 100);
 	testbed_signal(f.gateway, SIGSTOP);
 	testbed_signal(f.gateway, SIGTERM);
-	begun_us = g_get_monotonic_time();
+	signal_us = g_get_monotonic_time();
 	testbed_run(f.testbed, SIGNAL_DELAY_MS);
 	testbed_signal(f.gateway, SIGCONT);
-	testbed_run(f.testbed, 1500);
-	raw_caller_send(&caller, "1a7ed", "/once/x");
+	testbed_run(f.testbed, NOTICED_CALL_MS - SIGNAL_DELAY_MS);
+	raw_caller_send_chunked(&caller, "1a7ed", "/long/x");
 	g_assert_true(testbed_wait_exit(f.gateway, 2 * EXIT_TIMEOUT_MS));
-	g_test_message("exited %" G_GINT64_FORMAT " ms after the signal",
-		       (g_get_monotonic_time() - begun_us) / 1000);
-	g_assert_cmpint(g_get_monotonic_time() - begun_us, <, EXIT_TIMEOUT_MS * 1000);
-	check_answer(&f, &caller, "1a7ed");
+	spent_ms = (uint64_t)(g_get_monotonic_time() - signal_us) / 1000;
+	arrivals = mock_request_record(f.platform, "1a7ed").arrivals;
+	raw_caller_read(&caller, SIZE_MAX);
+	g_test_message("%u arrivals; exited %" G_GUINT64_FORMAT " ms after the signal; %s",
+		       arrivals, spent_ms, caller.input->str);
+	raw_caller_close(&caller);
+	g_assert_cmpuint(arrivals, ==, 0);
+	g_assert_cmpuint(spent_ms, <, EXIT_TIMEOUT_MS);
 	fixture_close(&f);
 }
 
