Test: the process is kept open by a generation while the late one arrives

Cause: without it the process was idle and had exited before the late request, so the test of a signal that is noticed late proved less than it said.

--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -228,6 +228,7 @@
 static void test_signal_noticed_late(void)
 {
 	struct raw_caller caller;
+	struct raw_caller early;
 	struct fixture f;
 	uint64_t spent_ms;
 	gint64 signal_us;
@@ -235,6 +236,8 @@
 
 	fixture_open(&f, LATE_WORK_MS, CALL_TIMEOUT_MS);
 	caller = raw_caller_connect(f.gateway);
+	/* Keeps the process from an early exit. */
+	early = raw_caller_open(f.gateway, "ea42", "/long/x");
 	testbed_run(f.testbed, 100);
 	testbed_signal(f.gateway, SIGSTOP);
 	testbed_signal(f.gateway, SIGTERM);
@@ -250,6 +253,7 @@
 	g_test_message("%u arrivals; exited %" G_GUINT64_FORMAT " ms after the signal; %s",
 		       arrivals, spent_ms, caller.input->str);
 	raw_caller_close(&caller);
+	raw_caller_close(&early);
 	g_assert_cmpuint(arrivals, ==, 0);
 	g_assert_cmpuint(spent_ms, <, EXIT_TIMEOUT_MS);
 	fixture_close(&f);
