--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -361,6 +361,54 @@
 	fixture_close(&f);
 }
 
+/* An instance that has no configuration yet, and SIGINT instead of SIGTERM. */
+static void test_before_configuration(void)
+{
+	struct testbed *testbed = testbed_create(39);
+	struct testbed_gateway *gateway = testbed_gateway(testbed, "gw-1", NULL);
+	struct raw_caller callers[2];
+
+	testbed_start(gateway);
+	testbed_run(testbed, 1500);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(callers); i++)
+		callers[i] = raw_caller_connect(gateway);
+	testbed_signal(gateway, SIGINT);
+	testbed_run(testbed, 1000);
+	raw_caller_send(&callers[0], "c0f0", "/once/x");
+	testbed_run(testbed, 300);
+	raw_caller_read(&callers[0], SIZE_MAX);
+	g_assert_cmpuint(raw_caller_status(&callers[0]), ==, 503);
+	g_assert_true(raw_caller_is_whole(&callers[0]));
+	g_assert_true(testbed_wait_exit(gateway, EXIT_TIMEOUT_MS));
+	for (uint32_t i = 0; i < G_N_ELEMENTS(callers); i++)
+		raw_caller_close(&callers[i]);
+	testbed_destroy(testbed);
+}
+
+/* A call that may run once and whose caller has left does not keep others from an answer. */
+static void test_caller_left(void)
+{
+	struct raw_caller left;
+	struct raw_caller caller;
+	struct fixture f;
+
+	fixture_open(&f, ENDLESS_WORK_MS, RAW_CALLER_TIMEOUT_MS);
+	left = raw_caller_connect(f.gateway);
+	caller = raw_caller_connect(f.gateway);
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGTERM);
+	testbed_run(f.testbed, 1000);
+	raw_caller_send(&left, "1ef7", "/once/x");
+	raw_caller_send(&caller, "0be4", "/once/x");
+	testbed_run(f.testbed, 200);
+	raw_caller_close(&left);
+	wait_exit(&f);
+	raw_caller_read(&caller, SIZE_MAX);
+	g_assert_cmpuint(raw_caller_status(&caller), ==, 502);
+	check_answer(&f, &caller, "0be4");
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -372,5 +420,7 @@
 	g_test_add_func("/gateway-stop/signal-noticed-late", test_signal_noticed_late);
 	g_test_add_func("/gateway-stop/unread-at-exit", test_unread_at_exit);
 	g_test_add_func("/gateway-stop/late-retry", test_late_retry);
+	g_test_add_func("/gateway-stop/before-configuration", test_before_configuration);
+	g_test_add_func("/gateway-stop/caller-left", test_caller_left);
 	return g_test_run();
 }
