Gateway: a stop counts from when the signal may have come

What callers would see: an instance that gets no processor time when SIGTERM comes takes requests that it cuts later, and is killed before it has exited. Cause: every limit of the stop was counted from the time at which the signal was handled. Change: the stop begins at the tick before the last one. An instance that is not delayed loses 40 ms of grace.

--- a/include/flamingolatch/planned_stop.h
+++ b/include/flamingolatch/planned_stop.h
@@ -33,8 +33,9 @@
 };
 
 /** Begins the stop. Does nothing when it has begun.
- * @param grace_us time until the process is killed */
-void planned_stop_begin(struct planned_stop *stop, uint64_t grace_us, uint64_t now_us);
+ * @param grace_us time from the signal until the process is killed
+ * @param signal_us when the signal came at the earliest */
+void planned_stop_begin(struct planned_stop *stop, uint64_t grace_us, uint64_t signal_us);
 /** Tells whether the instance stops. */
 bool planned_stop_has_begun(const struct planned_stop *stop);
 /**
--- a/src/core/planned_stop.c
+++ b/src/core/planned_stop.c
@@ -10,7 +10,7 @@
 	return a < b ? a : b;
 }
 
-void planned_stop_begin(struct planned_stop *stop, uint64_t grace_us, uint64_t now_us)
+void planned_stop_begin(struct planned_stop *stop, uint64_t grace_us, uint64_t signal_us)
 {
 	uint64_t run_us;
 
@@ -18,8 +18,8 @@
 		return;
 	run_us =
 		grace_us > PLANNED_STOP_EXIT_MARGIN_US ? grace_us - PLANNED_STOP_EXIT_MARGIN_US : 0;
-	stop->begun_us = now_us;
-	stop->exit_us = now_us + run_us;
+	stop->begun_us = signal_us;
+	stop->exit_us = signal_us + run_us;
 	stop->answer_us = stop->exit_us - planned_stop_min(PLANNED_STOP_FLUSH_US, run_us / 2);
 }
 
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -45,9 +45,11 @@
 	uv_signal_t terminate;
 	uv_signal_t interrupt;
 	uv_signal_t reload;
-	bool was_idle;		       /* at the last tick of a stop: no request was open */
-	bool was_ready;		       /* at the last readiness probe */
-	bool keys_were_fresh;	       /* at the last tick */
+	bool was_idle;	      /* at the last tick of a stop: no request was open */
+	bool was_ready;	      /* at the last readiness probe */
+	bool keys_were_fresh; /* at the last tick */
+	uint64_t last_tick_us;
+	uint64_t previous_tick_us;     /* of the tick before the last */
 	uint64_t suppressed_logged_ms; /* when the count of suppressed log lines was last logged */
 };
 
@@ -118,6 +120,8 @@
 	gateway->terminate.data = gateway;
 	gateway->interrupt.data = gateway;
 	gateway->reload.data = gateway;
+	gateway->last_tick_us = env_now_us();
+	gateway->previous_tick_us = gateway->last_tick_us;
 	uv_timer_start(&gateway->tick, gateway_on_tick, GATEWAY_TICK_MS, GATEWAY_TICK_MS);
 	uv_prepare_start(&gateway->prepare, gateway_on_prepare);
 	uv_signal_start(&gateway->terminate, gateway_on_stop, SIGTERM);
@@ -270,8 +274,11 @@
 	(void)number;
 	if (planned_stop_has_begun(&gateway->env.stop))
 		return;
+	/* A process that gets no processor time handles the signal long after it came. The loop
+	 * may run one tick in between, so it came after the tick before the last. */
 	planned_stop_begin(&gateway->env.stop,
-			   (uint64_t)(gateway->settings->bounds.grace_s * 1000000), env_now_us());
+			   (uint64_t)(gateway->settings->bounds.grace_s * 1000000),
+			   gateway->previous_tick_us);
 	snprintf(open, sizeof(open), "%u", relay_open_count(gateway->relay));
 	log_event(LOG_STOPPING, "open", open, NULL);
 	http_server_disable_keep_alive(gateway->callers);
@@ -384,6 +391,8 @@
 		log_report_suppressed();
 	}
 	gateway_check_stop(gateway);
+	gateway->previous_tick_us = gateway->last_tick_us;
+	gateway->last_tick_us = env_now_us();
 }
 
 /* queries */
