Stop: margins in proportion to a short grace period

Cause: with a grace period below 2.1 s the process exited before its last sixth, and four changed limits went unnoticed by test_planned_stop (found in review). Change: the margin before SIGKILL is at most a twelfth of the grace period; the test states when the process answers and exits for grace periods of 0.5 to 60 s.

--- a/src/core/planned_stop.c
+++ b/src/core/planned_stop.c
@@ -1,7 +1,9 @@
 #include "flamingolatch/planned_stop.h"
 
-/* The process exits this long before it would be killed. */
-#define PLANNED_STOP_EXIT_MARGIN_US 350000ULL
+/* The process exits this long before it would be killed, at most; in a short grace period this
+ * share of it. */
+#define PLANNED_STOP_EXIT_MARGIN_US    350000ULL
+#define PLANNED_STOP_EXIT_MARGIN_SHARE 12
 /* Time for the answers of planned_stop_must_answer() to reach their callers. */
 #define PLANNED_STOP_FLUSH_US 250000ULL
 
@@ -16,8 +18,8 @@
 
 	if (planned_stop_has_begun(stop))
 		return;
-	run_us =
-		grace_us > PLANNED_STOP_EXIT_MARGIN_US ? grace_us - PLANNED_STOP_EXIT_MARGIN_US : 0;
+	run_us = grace_us - planned_stop_min(PLANNED_STOP_EXIT_MARGIN_US,
+					     grace_us / PLANNED_STOP_EXIT_MARGIN_SHARE);
 	stop->begun_us = signal_us;
 	stop->exit_us = signal_us + run_us;
 	stop->answer_us = stop->exit_us - planned_stop_min(PLANNED_STOP_FLUSH_US, run_us / 2);
--- a/test/test_planned_stop.c
+++ b/test/test_planned_stop.c
@@ -96,11 +96,33 @@
 	g_assert_true(planned_stop_accepts(&stop, late_us + 3 * S, 2 * S, late_us));
 }
 
+/* Whatever the grace period: what is open is answered and the process exits in its last sixth, with
+ * time for the answers to be sent before the exit, and time to exit before it is killed. */
+static void test_margins(void)
+{
+	for (uint64_t grace_ms = 500; grace_ms <= 60000; grace_ms += 100) {
+		struct planned_stop stop = { 0 };
+		uint64_t killed_us = STOP_US + grace_ms * MS;
+
+		planned_stop_begin(&stop, grace_ms * MS, STOP_US);
+		g_assert_cmpuint(stop.exit_us, >=, killed_us - grace_ms * MS / 6);
+		g_assert_cmpuint(killed_us - stop.exit_us, >=, MIN(300 * MS, grace_ms * MS / 15));
+		g_assert_cmpuint(stop.exit_us - stop.answer_us, >=,
+				 MIN(200 * MS, grace_ms * MS / 15));
+		g_assert_true(planned_stop_may_exit(&stop, stop.answer_us));
+	}
+}
+
 /* A grace period that is shorter than the lag of the balancer, or none at all. */
 static void test_short_grace(void)
 {
 	struct planned_stop stop = { 0 };
 
+	planned_stop_begin(&stop, 3 * S, STOP_US);
+	g_assert_false(planned_stop_may_exit(&stop, STOP_US + 1 * S));
+	g_assert_true(planned_stop_may_exit(&stop, STOP_US + 2 * S));
+	g_assert_false(planned_stop_accepts(&stop, STOP_US + 9 * S, 100 * MS, STOP_US + 2 * S));
+	stop = (struct planned_stop){ 0 };
 	planned_stop_begin(&stop, 1 * S, STOP_US);
 	g_assert_false(planned_stop_accepts(&stop, STOP_US + 2 * S, 100 * MS, STOP_US + 500 * MS));
 	g_assert_true(planned_stop_must_exit(&stop, STOP_US + 1 * S));
@@ -115,6 +137,7 @@
 	g_test_add_func("/planned-stop/late-requests", test_late_requests);
 	g_test_add_func("/planned-stop/phases", test_phases);
 	g_test_add_func("/planned-stop/estimates", test_estimates);
+	g_test_add_func("/planned-stop/margins", test_margins);
 	g_test_add_func("/planned-stop/short-grace", test_short_grace);
 	return g_test_run();
 }
