Log: lines about the process itself are kept in a burst

Found in review. Change: the four lines at start and stop are not counted against the rate; the process reports dropped lines once more before it exits.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -6,7 +6,8 @@
  * Call log_init() first; log_event() then writes each event as a line with one
  * JSON object to standard output, through GLib's structured logging. Logging
  * never blocks: lines are dropped and counted while standard output is a full
- * pipe, when they are longer than PIPE_BUF, and, for level info, above
+ * pipe, when they are longer than PIPE_BUF, and, for lines of level info that are
+ * not about the process itself (G_LOG_LEVEL_MESSAGE), above
  * LOG_INFO_LINES_MAX_PER_S. Call log_report_suppressed() regularly to log how
  * many were dropped. docs/EVENTS.md lists the same rows; test_catalogue compares
  * them. Operators' tools read the numbers and names, so these must not change,
@@ -20,10 +21,10 @@
 
 // clang-format off
 #define LOG_EVENTS(X) \
-	X(LOG_LISTENING, 100, INFO, "listening", "A port accepts connections.") \
-	X(LOG_READY, 101, INFO, "ready", "The instance has a configuration and accepts requests.") \
-	X(LOG_STOPPING, 102, INFO, "stopping", "A planned shutdown started.") \
-	X(LOG_STOPPED, 103, INFO, "stopped", "All requests have finished; the process exits.") \
+	X(LOG_LISTENING, 100, MESSAGE, "listening", "A port accepts connections.") \
+	X(LOG_READY, 101, MESSAGE, "ready", "The instance has a configuration and accepts requests.") \
+	X(LOG_STOPPING, 102, MESSAGE, "stopping", "A planned shutdown started.") \
+	X(LOG_STOPPED, 103, MESSAGE, "stopped", "All requests have finished; the process exits.") \
 	X(LOG_START_FAILED, 104, ERROR, "start-failed", "The process could not start.") \
 	X(LOG_DRAIN_DEADLINE, 105, WARNING, "drain-deadline", "Requests are still open after the drain deadline; the process keeps waiting for them.") \
 	X(LOG_CONFIG_APPLIED, 200, INFO, "config-applied", "A newer configuration revision is in force.") \
--- a/src/io/log.c
+++ b/src/io/log.c
@@ -111,7 +111,7 @@
 	return write(STDOUT_FILENO, line, len) == (ssize_t)len;
 }
 
-/* Returns whether a line may be written: warnings and errors always, others within the rate. */
+/* Returns whether a line may be written: lines of level info within the rate, others always. */
 static bool log_within_rate(GLogLevelFlags level)
 {
 	int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
@@ -120,7 +120,7 @@
 		log_rate.second = second;
 		log_rate.info_lines = 0;
 	}
-	if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING))
+	if (!(level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
 		return true;
 	return log_rate.info_lines++ < LOG_INFO_LINES_MAX_PER_S;
 }
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -330,6 +330,7 @@
 		g_strdup_printf("%" G_GUINT64_FORMAT, (now_us - gateway->env.stop.begun_us) / 1000);
 
 	relay_log_unfinished(gateway->relay);
+	log_report_suppressed();
 	log_event(LOG_STOPPED, "open", open, "unsent_connections", unsent, "unread_connections",
 		  unread, "spent_ms", spent, NULL);
 }
