Relay: queued generations that can no longer be accepted are refused at once

Cause: a generation that waited in the queue when the balancer's lag ended was refused at its grant or at the end of its wait, although nothing could change; requests that are refused together at the exit were invited back together. Change: the timers refuse it; refusals at the exit have the spread Retry-After. Measured: the stop tests pass; with the default wait of 300 ms no test reaches the new line in the program, the decision is that of planned_stop.h.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -517,6 +517,8 @@
 		relay_cancel_attempt(request);
 		request->attempt_count++;
 		relay_on_attempt_end(request, ATTEMPT_SILENT);
+	} else if (request->phase == RELAY_QUEUED && relay_refuse_if_stopping(request)) {
+		return;
 	} else if (request->phase == RELAY_QUEUED && now_us >= request->queue_deadline_us) {
 		if (request->may_have_run)
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "waited");
@@ -616,7 +618,7 @@
 		if (!request->caller || request->response_started)
 			continue;
 		if (request->phase == RELAY_QUEUED && !request->may_have_run)
-			relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS,
+			relay_reply_error(request, ERR_NOT_READY, relay_retry_after_ms(request),
 					  "stopping");
 		else
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "stopping");
