--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -36,8 +36,12 @@
 /* From the signal, within the balancer's lag from when it was noticed. */
 #define NOTICED_CALL_MS	 3150
 #define REFUSAL_DELAY_MS 600
-#define RAW_HOST_NUMBER	 90
-#define RAW_PORT	 4600
+/* Of 34,403 tokens that an engine has memory for. */
+#define LARGE_PROMPT_TOKENS 30000
+/* From the signal, shortly before the end of the balancer's lag. */
+#define QUEUED_SENT_MS	2550
+#define RAW_HOST_NUMBER 90
+#define RAW_PORT	4600
 
 /* A gateway with an engine and an upstream of the plain service. */
 struct fixture {
@@ -361,6 +365,40 @@
 	fixture_close(&f);
 }
 
+/* A generation that still waits for an engine when callers are sent elsewhere is refused. */
+static void test_queued(void)
+{
+	const struct testbed_request large = { .path = "/long/",
+					       .key = TESTBED_KEY,
+					       .output_tokens = RAW_CALLER_TOKENS,
+					       .prompt_tokens = LARGE_PROMPT_TOKENS,
+					       .wait_ms = RAW_CALLER_TIMEOUT_MS };
+	struct testbed_answer running = { 0 };
+	struct testbed_answer queued = { 0 };
+	g_autofree char *log = NULL;
+	struct fixture f;
+
+	fixture_open(&f, LATE_WORK_MS, CALL_TIMEOUT_MS);
+	testbed_begin(f.gateway, &large, &running);
+	testbed_run(f.testbed, 100);
+	testbed_signal(f.gateway, SIGTERM);
+	testbed_run(f.testbed, QUEUED_SENT_MS);
+	testbed_begin(f.gateway, &large, &queued);
+	g_assert_true(testbed_wait(f.testbed, &queued, 1000));
+	log = testbed_log_lines(f.gateway, queued.id);
+	g_test_message("%s", log);
+	g_assert_cmpuint(queued.status, ==, 503);
+	g_assert_nonnull(strstr(log, "\"request-queued\""));
+	g_assert_nonnull(strstr(log, "\"stopping\""));
+	g_assert_cmpuint(mock_request_record(f.platform, queued.id).arrivals, ==, 0);
+	g_assert_true(testbed_wait(f.testbed, &running, EXIT_TIMEOUT_MS));
+	g_assert_true(testbed_is_complete(&running, RAW_CALLER_TOKENS));
+	wait_exit(&f);
+	testbed_answer_clear(&running);
+	testbed_answer_clear(&queued);
+	fixture_close(&f);
+}
+
 /* An instance that has no configuration yet, and SIGINT instead of SIGTERM. */
 static void test_before_configuration(void)
 {
@@ -420,6 +458,7 @@
 	g_test_add_func("/gateway-stop/signal-noticed-late", test_signal_noticed_late);
 	g_test_add_func("/gateway-stop/unread-at-exit", test_unread_at_exit);
 	g_test_add_func("/gateway-stop/late-retry", test_late_retry);
+	g_test_add_func("/gateway-stop/queued", test_queued);
 	g_test_add_func("/gateway-stop/before-configuration", test_before_configuration);
 	g_test_add_func("/gateway-stop/caller-left", test_caller_left);
 	return g_test_run();
