Relay: a late copy of an answer about a KV copy is not the next answer

What callers saw: a generation could go on from a KV copy that was not made yet, while its engine still ran it, or a move counted as refused that was not (MIXED, TWICE). Cause: answers to /kv-move carry no id, fetch had no way to match one, and the connection went back to the pool: what was late on it answered the next call. Why it works: the connection of such a call is closed after the answer, and an answer that names another request is skipped. All other connections in the pool have answered with the id only, so the first answer without one is the call's.

--- a/include/flamingolatch/fetch.h
+++ b/include/flamingolatch/fetch.h
@@ -39,6 +39,13 @@
 /** Sets a callback for the head of the response, with the context of the request. */
 void fetch_set_head_cb(struct fetch *fetch,
 		       void (*cb)(void *ctx, const struct http_response_head *head));
+/** Sets a callback that tells whether a response answers the request, with the context of the
+ * request; see struct http_call_ops. */
+void fetch_set_match_cb(struct fetch *fetch,
+			bool (*cb)(void *ctx, const struct http_response_head *head));
+/** Closes the connection after the response instead of reusing it. To be called from the callback
+ * for the head. */
+void fetch_disable_reuse(struct fetch *fetch);
 /** Cancels the request and closes its connection; the callback does not run. */
 void fetch_cancel(struct fetch *fetch);
 
--- a/src/io/fetch.c
+++ b/src/io/fetch.c
@@ -11,6 +11,7 @@
 	const char *header_name; /* to be kept; NULL: none */
 	char *header;
 	void (*on_head)(void *ctx, const struct http_response_head *head); /* may be NULL */
+	bool (*matches)(void *ctx, const struct http_response_head *head); /* may be NULL */
 	GString *body;
 };
 
@@ -18,11 +19,13 @@
 static void fetch_on_head(void *ctx, const struct http_response_head *head);
 static void fetch_on_data(void *ctx, const char *buf, size_t len);
 static void fetch_on_end(void *ctx, enum http_call_result result, bool sent);
+static bool fetch_matches(void *ctx, const struct http_response_head *head);
 
 static const struct http_call_ops fetch_ops = { .connected = fetch_on_connected,
 						.head = fetch_on_head,
 						.data = fetch_on_data,
-						.end = fetch_on_end };
+						.end = fetch_on_end,
+						.matches = fetch_matches };
 
 /* lifetime */
 
@@ -59,6 +62,17 @@
 	fetch->on_head = cb;
 }
 
+void fetch_set_match_cb(struct fetch *fetch,
+			bool (*cb)(void *ctx, const struct http_response_head *head))
+{
+	fetch->matches = cb;
+}
+
+void fetch_disable_reuse(struct fetch *fetch)
+{
+	http_call_disable_reuse(fetch->call);
+}
+
 void fetch_cancel(struct fetch *fetch)
 {
 	http_call_cancel(fetch->call);
@@ -74,6 +88,13 @@
 	return !fetch->may_send || fetch->may_send(fetch->ctx);
 }
 
+static bool fetch_matches(void *ctx, const struct http_response_head *head)
+{
+	const struct fetch *fetch = ctx;
+
+	return !fetch->matches || fetch->matches(fetch->ctx, head);
+}
+
 static void fetch_on_head(void *ctx, const struct http_response_head *head)
 {
 	struct fetch *fetch = ctx;
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -21,6 +21,7 @@
 
 static void relay_on_migrated(void *ctx, const struct fetch_response *answer);
 static void relay_on_migrate_head(void *ctx, const struct http_response_head *head);
+static bool relay_owns_migrate_answer(void *ctx, const struct http_response_head *head);
 
 /* commands */
 
@@ -68,6 +69,7 @@
 		fetch_start(env->http_client, &req, RELAY_MIGRATE_RESPONSE_MAX_BYTES, NULL,
 			    relay_on_migrated, request);
 	fetch_set_head_cb(request->migrate_call, relay_on_migrate_head);
+	fetch_set_match_cb(request->migrate_call, relay_owns_migrate_answer);
 	free(body);
 }
 
@@ -231,9 +233,20 @@
 		request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 }
 
+static bool relay_owns_migrate_answer(void *ctx, const struct http_response_head *head)
+{
+	const struct relay_request *request = ctx;
+
+	return request->relay->env->protocol->owns(head, request->decoded.id);
+}
+
 static void relay_on_migrate_head(void *ctx, const struct http_response_head *head)
 {
-	relay_note_upstream(ctx, head);
+	struct relay_request *request = ctx;
+
+	/* A late copy of it could not be told from the answer to the next call. */
+	fetch_disable_reuse(request->migrate_call);
+	relay_note_upstream(request, head);
 }
 
 static void relay_on_migrated(void *ctx, const struct fetch_response *answer)
--- /dev/null
+++ b/test/test_gateway_migration.c
@@ -0,0 +1,408 @@
+/**
+ * @file test_gateway_migration.c
+ * The gateway program against engines whose answers to calls about KV copies come
+ * twice, late or after the attempt that they belong to, or say that the engine
+ * leaves.
+ */
+#include "raw_upstream.h"
+#include "testbed.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define READY_TIMEOUT_MS 20000
+#define ENGINE_PORT	 8700
+#define ENGINE_HOST	 120
+#define ENGINE_COUNT	 3
+#define STEP_MS		 20 /* between two events of a generation */
+#define OUTPUT_TOKENS	 4000
+#define OUTPUT_EVENTS	 (OUTPUT_TOKENS / 4)
+#define TIMEOUT_MS	 18000
+#define START_MS	 400 /* from a request to its first events */
+#define LIST_MS		 300 /* until an instance knows the entry of an engine */
+
+#define CHUNKED_STREAM                                                                             \
+	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"                                    \
+	"X-Flamingolatch-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"              \
+	"Transfer-Encoding: chunked\r\n\r\n"
+
+/* What an engine does. */
+struct script {
+	const char *first_copy;	 /* status of its answer to the first call for a copy */
+	uint32_t copy_delay_ms;	 /* until the second copy of that answer; 0: at once */
+	const char *headers;	 /* of its answers to calls about copies; NULL: none */
+	uint32_t call_copy_ms;	 /* until the second copy of an answer to a short request */
+	uint32_t copy_answer_ms; /* until it answers a call for a copy */
+	bool answers_copies_twice;
+};
+
+struct engine {
+	struct fixture *fixture;
+	struct raw_upstream *raw;
+	char *id;
+	char *ip;
+	const char *zone;
+	struct script script;
+	uint64_t stream;  /* number of the connection with its generation; 0: none */
+	char *request;	  /* id of the generation */
+	uint32_t event;	  /* last event sent */
+	char *call_copy;  /* answer to a short request, for a second copy */
+	char *taken_over; /* KV copy from which it went on */
+	uint32_t copy_calls;
+	uint32_t releases;
+	uint32_t generations;
+	uint32_t short_calls;
+};
+
+struct fixture {
+	struct testbed *testbed;
+	struct mock_platform *platform;
+	struct testbed_gateway *gateway;
+	struct engine engines[ENGINE_COUNT];
+};
+
+static const struct testbed_request generation = {
+	.path = "/long/", .key = TESTBED_KEY, .output_tokens = OUTPUT_TOKENS, .wait_ms = TIMEOUT_MS
+};
+static const struct testbed_request short_call = {
+	.path = "/quick/", .key = TESTBED_KEY, .output_tokens = 4, .wait_ms = 2000
+};
+
+/* engines */
+
+/* Writes the entry of an engine. @param state NULL removes it */
+static void engine_list(struct engine *engine, const char *state)
+{
+	g_autofree char *entry =
+		g_strdup_printf("{\"service\":\"" TESTBED_ENGINE_SERVICE
+				"\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"slots\":48,"
+				"\"state\":\"%s\",\"cold_left_ms\":0,\"seq_no\":1,\"born\":1}",
+				engine->ip, ENGINE_PORT, engine->zone, state ? state : "");
+
+	mock_store_put(engine->fixture->platform, "servers", engine->id, state ? entry : NULL);
+}
+
+static struct raw_conn *engine_stream(const struct engine *engine)
+{
+	return raw_upstream_find_conn(engine->raw, engine->stream);
+}
+
+/* Sends the next event of the generation, and with the last one its end. */
+static void engine_write_event(struct engine *engine)
+{
+	struct raw_conn *conn = engine_stream(engine);
+	g_autofree char *event = NULL;
+	g_autofree char *chunk = NULL;
+
+	if (!conn)
+		return;
+	event = mock_event(engine->request, ++engine->event, OUTPUT_EVENTS);
+	chunk = g_strdup_printf("%zx\r\n%s\r\n%s", strlen(event), event,
+				engine->event == OUTPUT_EVENTS ? "0\r\n\r\n" : "");
+	raw_conn_write(conn, chunk);
+	if (engine->event == OUTPUT_EVENTS)
+		engine->stream = 0;
+}
+
+static void engine_start_stream(struct engine *engine, struct raw_conn *conn, const char *id,
+				uint32_t last_event)
+{
+	g_autofree char *head = g_strdup_printf(CHUNKED_STREAM, id);
+
+	engine->stream = raw_conn_number(conn);
+	g_free(engine->request);
+	engine->request = g_strdup(id);
+	engine->event = last_event;
+	raw_conn_write(conn, head);
+	engine_write_event(engine);
+}
+
+/* Closes the stream of the generation without its end. */
+static void engine_stop_stream(struct engine *engine)
+{
+	struct raw_conn *conn = engine_stream(engine);
+
+	if (!conn)
+		return;
+	raw_conn_close(conn);
+	engine_write_event(engine);
+	engine->stream = 0;
+}
+
+static char *engine_copy_answer(const struct engine *engine, const char *status, const char *handle)
+{
+	g_autofree char *body = g_str_has_prefix(status, "200")
+					? g_strdup_printf("{\"kv_handle\":\"%s\",\"created\":%u}",
+							  handle, engine->event)
+					: g_strdup("");
+
+	return g_strdup_printf("HTTP/1.1 %s\r\nContent-Type: application/json\r\n%s"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       status, engine->script.headers ? engine->script.headers : "",
+			       strlen(body), body);
+}
+
+/* Answers a call for a copy. On a connection on which another answer is still to come, that one
+ * comes first. */
+static void engine_on_copy_call(struct engine *engine, struct raw_conn *conn)
+{
+	const struct script *script = &engine->script;
+	bool first = ++engine->copy_calls == 1;
+	bool last = strstr(raw_conn_request(conn), "\"last\":true") != NULL;
+	g_autofree char *answer = engine_copy_answer(
+		engine, first && script->first_copy ? script->first_copy : "200 OK",
+		first ? "first" : "later");
+
+	if (last)
+		engine_stop_stream(engine);
+	if (raw_conn_has_later(conn)) {
+		if (!engine->call_copy)
+			return;
+		raw_conn_write(conn, engine->call_copy);
+		raw_conn_write_later(conn, answer, 5 * STEP_MS, false);
+		return;
+	}
+	if (!first || !script->answers_copies_twice) {
+		raw_conn_write_later(conn, answer, script->copy_answer_ms, false);
+		return;
+	}
+	raw_conn_write(conn, answer);
+	if (script->copy_delay_ms == 0)
+		raw_conn_write(conn, answer);
+	else
+		raw_conn_write_later(conn, answer, script->copy_delay_ms, false);
+}
+
+static void engine_on_short_call(struct engine *engine, struct raw_conn *conn, const char *id)
+{
+	char *answer =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
+				"X-Flamingolatch-Replica-Signature: s\r\nContent-Length: 4\r\n"
+				"\r\ndone",
+				id);
+
+	engine->short_calls++;
+	raw_conn_write(conn, answer);
+	if (engine->script.call_copy_ms) {
+		raw_conn_write_later(conn, answer, engine->script.call_copy_ms, false);
+		g_free(engine->call_copy);
+		engine->call_copy = g_strdup(answer);
+	}
+	g_free(answer);
+}
+
+/* Returns the value of a header of a request as a new string, or NULL. */
+static char *request_header(const char *request, const char *name)
+{
+	g_autofree char *line = g_strdup_printf("\r\n%s: ", name);
+	const char *at = strstr(request, line);
+
+	return at ? g_strndup(at + strlen(line), strcspn(at + strlen(line), "\r")) : NULL;
+}
+
+static void engine_on_request(void *ctx, struct raw_conn *conn, const char *id)
+{
+	struct engine *engine = ctx;
+	const char *request = raw_conn_request(conn);
+	g_autofree char *from = request_header(request, "Kv-From");
+	g_autofree char *after = request_header(request, "Last-Event-Id");
+	g_autofree char *answer = NULL;
+
+	if (g_str_has_prefix(request, "POST /kv-move ")) {
+		engine_on_copy_call(engine, conn);
+	} else if (g_str_has_prefix(request, "DELETE /kv-handle/")) {
+		engine->releases++;
+		answer = engine_copy_answer(engine, "204 No Content", "");
+		raw_conn_write(conn, answer);
+	} else if (strstr(request, " /quick/")) {
+		engine_on_short_call(engine, conn, id);
+	} else {
+		engine->generations += !from;
+		if (from) {
+			g_free(engine->taken_over);
+			engine->taken_over = g_strdup(from);
+		}
+		engine_start_stream(engine, conn, id,
+				    after ? (uint32_t)strtoul(after, NULL, 10) : 0);
+	}
+}
+
+/* fixture */
+
+/* Starts a gateway in zone z1 and engines in other zones than the first, or all in z1. */
+static void fixture_open(struct fixture *f, bool one_zone)
+{
+	*f = (struct fixture){ 0 };
+	f->testbed = testbed_create(7);
+	f->platform = testbed_platform(f->testbed);
+	testbed_configure(f->testbed, NULL, NULL);
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		struct engine *engine = &f->engines[i];
+
+		engine->fixture = f;
+		engine->id = g_strdup_printf("engine-%u", i);
+		engine->ip = testbed_ip(f->testbed, ENGINE_HOST + i);
+		engine->zone = i && !one_zone ? "z2" : "z1";
+		engine->raw = raw_upstream_create(testbed_loop(f->testbed), engine->ip, ENGINE_PORT,
+						  engine_on_request, engine);
+		engine_list(engine, "ready");
+	}
+	f->gateway = testbed_gateway(f->testbed, "gw-1", NULL);
+	testbed_start(f->gateway);
+	g_assert_true(testbed_wait_ready(f->gateway, READY_TIMEOUT_MS));
+}
+
+static void fixture_close(struct fixture *f)
+{
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		struct engine *engine = &f->engines[i];
+
+		raw_upstream_destroy(engine->raw);
+		g_free(engine->id);
+		g_free(engine->ip);
+		g_free(engine->request);
+		g_free(engine->call_copy);
+		g_free(engine->taken_over);
+	}
+	testbed_destroy(f->testbed);
+}
+
+/* Runs the event loop while the engines send events. */
+static void fixture_run(struct fixture *f, uint32_t ms)
+{
+	for (uint32_t spent_ms = 0; spent_ms < ms; spent_ms += STEP_MS) {
+		testbed_run(f->testbed, STEP_MS);
+		for (uint32_t i = 0; i < ENGINE_COUNT; i++)
+			engine_write_event(&f->engines[i]);
+	}
+}
+
+/* Returns the engine that went on with the generation, or NULL. */
+static struct engine *find_taken_over(struct fixture *f)
+{
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		if (f->engines[i].taken_over)
+			return &f->engines[i];
+	}
+	return NULL;
+}
+
+/* Runs the event loop until an engine goes on with the generation. */
+static void wait_taken_over(struct fixture *f)
+{
+	for (uint32_t ms = 0; ms < TIMEOUT_MS / 2 && !find_taken_over(f); ms += STEP_MS)
+		fixture_run(f, STEP_MS);
+	g_assert_nonnull(find_taken_over(f));
+}
+
+/* Starts a generation. Returns the engine that has it, which follows the script from now on. */
+static struct engine *start_generation(struct fixture *f, const struct script *script,
+				       struct testbed_answer *answer)
+{
+	testbed_begin(f->gateway, &generation, answer);
+	fixture_run(f, START_MS);
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		if (!f->engines[i].generations)
+			continue;
+		f->engines[i].script = *script;
+		return &f->engines[i];
+	}
+	g_assert_not_reached();
+}
+
+/* Sends the rest of all generations, and checks that the caller has the whole of its own. */
+static void check_complete(struct fixture *f, struct testbed_answer *answer)
+{
+	uint32_t generations = 0;
+
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		while (engine_stream(&f->engines[i]))
+			engine_write_event(&f->engines[i]);
+		generations += f->engines[i].generations;
+	}
+	g_assert_true(testbed_wait(f->testbed, answer, TIMEOUT_MS));
+	g_assert_true(testbed_is_complete(answer, OUTPUT_TOKENS));
+	g_assert_cmpuint(generations, ==, 1);
+	testbed_answer_clear(answer);
+}
+
+static uint32_t count_log_lines(const struct fixture *f, const char *text)
+{
+	g_autofree char *lines = testbed_log_lines(f->gateway, text);
+	uint32_t count = 0;
+
+	for (const char *at = lines; (at = strchr(at, '\n')); at++)
+		count++;
+	return count;
+}
+
+/* scenarios */
+
+/* A second copy of an engine's answer to a call for a KV copy is not taken for the answer to the
+ * next call: neither a success, before the engine has stopped and under a handle that is not the
+ * one of the last call, nor a refusal. */
+static void test_late_copy(void)
+{
+	static const char *const statuses[] = { "200 OK", "503 No Room" };
+	static const uint32_t delays_ms[] = { 0, 1, 50, 2000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses) * G_N_ELEMENTS(delays_ms); i++) {
+		struct script script = { .first_copy = statuses[i / G_N_ELEMENTS(delays_ms)],
+					 .copy_delay_ms = delays_ms[i % G_N_ELEMENTS(delays_ms)],
+					 .answers_copies_twice = true,
+					 .copy_answer_ms = 10 * STEP_MS };
+		bool refused = !g_str_has_prefix(script.first_copy, "200");
+		struct testbed_answer answer;
+		struct engine *source;
+		struct engine *target;
+		g_autofree char *expected = NULL;
+		struct fixture f;
+
+		fixture_open(&f, false);
+		source = start_generation(&f, &script, &answer);
+		engine_list(source, "draining");
+		wait_taken_over(&f);
+		target = find_taken_over(&f);
+		g_test_message("%s, again after %u ms: %u calls, taken over from %s, %u refusals",
+			       script.first_copy, script.copy_delay_ms, source->copy_calls,
+			       target->taken_over, count_log_lines(&f, "move-failed"));
+		expected = g_strdup_printf("%s:%d/later", source->ip, ENGINE_PORT);
+		g_assert_cmpstr(target->taken_over, ==, expected);
+		g_assert_cmpuint(count_log_lines(&f, "move-failed"), ==, refused);
+		check_complete(&f, &answer);
+		fixture_close(&f);
+	}
+}
+
+/* A second copy of the answer to a request that arrives where the answer to a call for a KV copy is
+ * expected is not taken for it. */
+static void test_late_answer_before_copy(void)
+{
+	struct script script = { .call_copy_ms = 3000, .copy_answer_ms = STEP_MS };
+	struct testbed_answer call;
+	struct testbed_answer answer;
+	struct engine *source;
+	struct fixture f;
+
+	fixture_open(&f, false);
+	source = start_generation(&f, &script, &answer);
+	testbed_begin(f.gateway, &short_call, &call);
+	fixture_run(&f, START_MS);
+	g_assert_true(call.ended);
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpuint(source->short_calls, ==, 1);
+	testbed_answer_clear(&call);
+	engine_list(source, "draining");
+	wait_taken_over(&f);
+	g_assert_cmpuint(count_log_lines(&f, "move-failed"), ==, 0);
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/gateway-migration/late-copy", test_late_copy);
+	g_test_add_func("/gateway-migration/late-answer-before-copy", test_late_answer_before_copy);
+	return g_test_run();
+}
--- a/test/testbed/raw_upstream.c
+++ b/test/testbed/raw_upstream.c
@@ -9,12 +9,14 @@
 	raw_upstream_cb cb;
 	void *ctx;
 	GPtrArray *conns;
+	uint64_t accepted;
 };
 
 struct raw_conn {
 	struct raw_upstream *upstream; /* NULL once it is closing */
 	uv_tcp_t tcp;
 	uv_timer_t timer;
+	uint64_t number;
 	GString *request;
 	char *later; /* what the timer writes */
 	uint32_t later_ms;
@@ -105,8 +107,8 @@
 		at += strlen(RAW_ID_HEADER);
 	id = at ? g_strndup(at, strcspn(at, "\r")) : g_strdup("");
 	/* Bodies are so short that they arrive with the head. */
-	g_string_truncate(conn->request, 0);
 	conn->upstream->cb(conn->upstream->ctx, conn, id);
+	g_string_truncate(conn->request, 0);
 }
 
 static void raw_upstream_on_connection(uv_stream_t *listener, int status)
@@ -116,6 +118,7 @@
 
 	g_assert_cmpint(status, ==, 0);
 	conn->upstream = upstream;
+	conn->number = ++upstream->accepted;
 	conn->request = g_string_new(NULL);
 	conn->open_handles = 2;
 	uv_tcp_init(listener->loop, &conn->tcp);
@@ -207,6 +210,27 @@
 	return bytes;
 }
 
+const char *raw_conn_request(const struct raw_conn *conn)
+{
+	return conn->request->str;
+}
+
+uint64_t raw_conn_number(const struct raw_conn *conn)
+{
+	return conn->number;
+}
+
+struct raw_conn *raw_upstream_find_conn(const struct raw_upstream *upstream, uint64_t number)
+{
+	for (guint i = 0; i < upstream->conns->len; i++) {
+		struct raw_conn *conn = upstream->conns->pdata[i];
+
+		if (conn->number == number)
+			return conn;
+	}
+	return NULL;
+}
+
 uint32_t raw_upstream_conn_count(const struct raw_upstream *upstream)
 {
 	return upstream->conns->len;
--- a/test/testbed/raw_upstream.h
+++ b/test/testbed/raw_upstream.h
@@ -29,7 +29,13 @@
 uint64_t raw_upstream_unsent_bytes(const struct raw_upstream *upstream);
 /** Returns the number of open connections. */
 uint32_t raw_upstream_conn_count(const struct raw_upstream *upstream);
+/** Returns an open connection by its number, or NULL. */
+struct raw_conn *raw_upstream_find_conn(const struct raw_upstream *upstream, uint64_t number);
 
+/** Returns the head and the body of the request; valid in the callback of the request. */
+const char *raw_conn_request(const struct raw_conn *conn);
+/** Returns the number of the connection: the first that the upstream accepted is 1. */
+uint64_t raw_conn_number(const struct raw_conn *conn);
 void raw_conn_write(struct raw_conn *conn, const char *text);
 /** Writes a text after a delay, and again after each further delay if @p repeat is set. Replaces an
  * earlier call for the connection. */
