Relay: an engine's word that it leaves counts also in the answer to a release

What callers saw: requests still went to an engine that had said, in the answer to the release of a KV copy, that it leaves (DRAIN). Cause: that answer was thrown away with its headers, and a release knew the address of its engine only. Evidence (/gateway-migration/release-departure): before, no upstream-departure and 4 of 4 later calls at the engine; after, 0 of 4. Why it works: a release holds its engine, notes what the head says as for other answers, and skips an answer that names another request. It uses the engine's pooled connections and closes its own after the answer. Open releases are cancelled with the relay, as they refer to it now. Checked against the code: answers that are discarded, or whose caller has left, are read already (/gateway-raw/departure-caller-left passes; it fails with the word read only while the caller is there). late-release-answer fails with the connection kept (2 arrivals of one call) and passes.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -52,6 +52,7 @@
 		return;
 	while (relay->requests.head)
 		relay_request_free(relay->requests.head->data);
+	relay_cancel_releases(relay);
 	g_hash_table_destroy(relay->length_estimates);
 	g_free(relay);
 }
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -117,8 +117,8 @@
 			       request->decoded.prompt_tokens + request->expected_output_tokens);
 	relay_update_used(request);
 	request->relay->env->placed_generation = true;
-	g_free(request->kv_copy_source);
-	request->kv_copy_source = g_strdup(fleet_upstream_address(request->attempt.up));
+	g_clear_pointer(&request->kv_copy_source, fleet_upstream_unref);
+	request->kv_copy_source = fleet_upstream_ref(request->attempt.up);
 	relay_send_migrate(request, false);
 }
 
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -22,6 +22,18 @@
 static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "sent", "holding",
 								  "streaming" };
 
+/* An open call that releases a KV copy; the request may have ended. */
+struct relay_release {
+	struct relay *relay;
+	GList link;
+	struct fetch *call;
+	struct fleet_upstream *up; /* with a reference */
+	char *request_id;
+};
+
+static void relay_note_answer(const struct env *env, struct fleet_upstream *up,
+			      const char *request_id, const struct http_response_head *head);
+
 /* lifetime */
 
 static void relay_unref_upstream(gpointer data)
@@ -57,11 +69,35 @@
 	dispatch_load_remove(&request->attempt);
 }
 
-/* The response to a release does not matter: an unreleased copy expires at the engine. */
+static void relay_release_free(struct relay_release *release)
+{
+	g_queue_unlink(&release->relay->releases, &release->link);
+	fleet_upstream_unref(release->up);
+	g_free(release->request_id);
+	g_free(release);
+}
+
+static bool relay_owns_release_answer(void *ctx, const struct http_response_head *head)
+{
+	const struct relay_release *release = ctx;
+
+	return release->relay->env->protocol->owns(head, release->request_id);
+}
+
+static void relay_on_release_head(void *ctx, const struct http_response_head *head)
+{
+	struct relay_release *release = ctx;
+
+	/* A late copy of it could not be told from the answer to the next call. */
+	fetch_disable_reuse(release->call);
+	relay_note_answer(release->relay->env, release->up, release->request_id, head);
+}
+
+/* Whether the copy was released does not matter: an unreleased copy expires at the engine. */
 static void relay_on_copy_released(void *ctx, const struct fetch_response *answer)
 {
-	(void)ctx;
 	(void)answer;
+	relay_release_free(ctx);
 }
 
 /* Releases a KV copy that will not be used; it would occupy its engine's memory for seconds. */
@@ -69,21 +105,40 @@
 {
 	struct env *env = request->relay->env;
 	g_autofree char *path = NULL;
-	struct http_call_request req = { .address = request->kv_copy_source,
-					 .scope = "copies",
-					 .method = "DELETE",
+	struct http_call_request req = { .method = "DELETE",
 					 .timeout_ms = RELAY_RELEASE_TIMEOUT_MS };
+	struct relay_release *release;
 
 	dispatch_load_remove(&request->kv_copy);
 	if (!request->kv_copy_handle)
 		return;
 	path = env->protocol->encode_kv_copy_path(request->kv_copy_handle);
 	req.path = path;
-	fetch_start(env->http_client, &req, RELAY_RELEASE_RESPONSE_MAX_BYTES, NULL,
-		    relay_on_copy_released, NULL);
+	req.address = fleet_upstream_address(request->kv_copy_source);
+	req.scope = fleet_upstream_scope(request->kv_copy_source);
+	release = g_new0(struct relay_release, 1);
+	release->relay = request->relay;
+	release->up = fleet_upstream_ref(request->kv_copy_source);
+	release->request_id = g_strdup(request->decoded.id);
+	release->link.data = release;
+	g_queue_push_tail_link(&request->relay->releases, &release->link);
+	release->call = fetch_start(env->http_client, &req, RELAY_RELEASE_RESPONSE_MAX_BYTES, NULL,
+				    relay_on_copy_released, release);
+	fetch_set_head_cb(release->call, relay_on_release_head);
+	fetch_set_match_cb(release->call, relay_owns_release_answer);
 	g_clear_pointer(&request->kv_copy_handle, g_free);
 }
 
+void relay_cancel_releases(struct relay *relay)
+{
+	struct relay_release *release;
+
+	while ((release = g_queue_peek_head(&relay->releases))) {
+		fetch_cancel(release->call);
+		relay_release_free(release);
+	}
+}
+
 void relay_forget_copy(struct relay_request *request)
 {
 	dispatch_load_remove(&request->kv_copy);
@@ -122,7 +177,8 @@
 	protocol_request_clear(&request->decoded);
 	route_config_unref(request->config);
 	g_free(request->kv_copy_handle);
-	g_free(request->kv_copy_source);
+	if (request->kv_copy_source)
+		fleet_upstream_unref(request->kv_copy_source);
 	g_free(request->attempt_upstream_id);
 	g_free(request->last_event_id);
 	g_free(request);
@@ -177,11 +233,10 @@
 }
 
 /* Records that the upstream asks to be left alone for a time, or that it did not. */
-static void relay_note_quiet(const struct relay_request *request,
-			     const struct http_response_head *head)
+static void relay_note_quiet(const struct env *env, struct fleet_upstream *up,
+			     const char *request_id, const struct http_response_head *head)
 {
-	const struct env *env = request->relay->env;
-	struct upstream_quiet *quiet = fleet_upstream_quiet(request->attempt.up);
+	struct upstream_quiet *quiet = fleet_upstream_quiet(up);
 	uint64_t now_us = env_now_us();
 	uint64_t quiet_us = 0;
 	g_autofree char *quiet_ms = NULL;
@@ -191,17 +246,16 @@
 		upstream_quiet_ask(quiet, quiet_us, now_us);
 		metric_add(env->metric, METRIC_QUIET_ASKED, 1);
 		quiet_ms = g_strdup_printf("%" G_GUINT64_FORMAT, quiet_us / 1000);
-		log_event(LOG_UPSTREAM_QUIET, "upstream", fleet_upstream_id(request->attempt.up),
-			  "request", relay_request_id(request), "quiet_ms", quiet_ms, NULL);
+		log_event(LOG_UPSTREAM_QUIET, "upstream", fleet_upstream_id(up), "request",
+			  request_id, "quiet_ms", quiet_ms, NULL);
 		break;
 	case PROTOCOL_QUIET_INVALID:
 		if (quiet->invalid_logged_us &&
 		    now_us < quiet->invalid_logged_us + RELAY_QUIET_LOG_INTERVAL_US)
 			break;
 		quiet->invalid_logged_us = now_us;
-		log_event(LOG_UPSTREAM_QUIET_INVALID, "upstream",
-			  fleet_upstream_id(request->attempt.up), "request",
-			  relay_request_id(request), NULL);
+		log_event(LOG_UPSTREAM_QUIET_INVALID, "upstream", fleet_upstream_id(up), "request",
+			  request_id, NULL);
 		break;
 	default:
 		upstream_quiet_record_answer(quiet, now_us);
@@ -209,24 +263,28 @@
 	}
 }
 
-void relay_note_upstream(struct relay_request *request, const struct http_response_head *head)
+/* Records what an answer says of the upstream that sent it. */
+static void relay_note_answer(const struct env *env, struct fleet_upstream *up,
+			      const char *request_id, const struct http_response_head *head)
 {
-	const struct env *env = request->relay->env;
-	struct fleet_upstream *up = request->attempt.up;
-
-	if (!up)
-		return;
-	relay_note_quiet(request, head);
+	relay_note_quiet(env, up, request_id, head);
 	if (!env->protocol->decode_leaving(head))
 		return;
 	if (fleet_upstream_state(up) <= FLEET_UPSTREAM_LAPSED) {
 		metric_add(env->metric, METRIC_DEPARTURES, 1);
 		log_event(LOG_UPSTREAM_DEPARTURE, "upstream", fleet_upstream_id(up), "request",
-			  relay_request_id(request), NULL);
+			  request_id, NULL);
 	}
 	fleet_upstream_record_departure(up, env_now_us());
 }
 
+void relay_note_upstream(struct relay_request *request, const struct http_response_head *head)
+{
+	if (request->attempt.up)
+		relay_note_answer(request->relay->env, request->attempt.up,
+				  relay_request_id(request), head);
+}
+
 void relay_log_end(struct relay_request *request, enum log_event_id event, const char *reason)
 {
 	g_autofree char *age = g_strdup_printf("%" G_GUINT64_FORMAT, relay_age_ms(request));
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -44,6 +44,7 @@
 	struct env *env;
 	struct dispatch *dispatch;
 	GQueue requests; /* struct relay_request */
+	GQueue releases; /* open calls that release KV copies, struct relay_release */
 	/** Decides what follows an attempt that ended without completing the request; may free
 	 * the request. */
 	void (*on_attempt_end)(struct relay_request *request, enum attempt_outcome outcome);
@@ -73,9 +74,9 @@
 	struct fleet_upstream
 		*migrate_target;      /* target of the migration, with a reference; or NULL */
 	struct dispatch_load kv_copy; /* on the engine to which the KV cache is copied */
-	char *kv_copy_handle;	  /* of the latest KV copy by a migration, if it is still unused */
-	char *kv_copy_source;	  /* address of the engine that made the copy */
-	GPtrArray *tried;	  /* upstreams that had the request, with references */
+	char *kv_copy_handle; /* of the latest KV copy by a migration, if it is still unused */
+	struct fleet_upstream *kv_copy_source; /* that made the copy, with a reference */
+	GPtrArray *tried;		       /* upstreams that had the request, with references */
 	GPtrArray *migrate_tried; /* engines that did not accept a copy, with references */
 	struct event_stream *events;
 	GString *response_body;	   /* the part that is not passed on yet */
@@ -129,6 +130,8 @@
 /** Drops the record of a migration's KV copy that was consumed or no longer exists; sends nothing
  * to the engine. */
 void relay_forget_copy(struct relay_request *request);
+/** Cancels the open calls that release KV copies. */
+void relay_cancel_releases(struct relay *relay);
 /** Cancels the open migration, if any, and releases its KV copy at the engine that made it. */
 void relay_cancel_migration(struct relay_request *request);
 /** Updates the expected output length, and with it the KV cache counted on the engines. */
--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -34,6 +34,7 @@
 	uint32_t call_copy_ms;	 /* until the second copy of an answer to a short request */
 	uint32_t copy_answer_ms; /* until it answers a call for a copy */
 	bool answers_copies_twice;
+	const char *release; /* status of its answers to releases */
 };
 
 struct engine {
@@ -182,7 +183,9 @@
 				id);
 
 	engine->short_calls++;
-	raw_conn_write(conn, answer);
+	/* Another answer that is still to come on the connection comes first. */
+	if (!raw_conn_has_later(conn))
+		raw_conn_write(conn, answer);
 	if (engine->script.call_copy_ms) {
 		raw_conn_write_later(conn, answer, engine->script.call_copy_ms, false);
 		g_free(engine->call_copy);
@@ -212,8 +215,10 @@
 		engine_on_copy_call(engine, conn);
 	} else if (g_str_has_prefix(request, "DELETE /kv-handle/")) {
 		engine->releases++;
-		answer = engine_copy_answer(engine, "204 No Content", "");
+		answer = engine_copy_answer(engine, engine->script.release, "");
 		raw_conn_write(conn, answer);
+		if (engine->script.answers_copies_twice)
+			raw_conn_write_later(conn, answer, engine->script.copy_delay_ms, false);
 	} else if (strstr(request, " /quick/")) {
 		engine_on_short_call(engine, conn, id);
 	} else {
@@ -399,10 +404,90 @@
 	fixture_close(&f);
 }
 
+/* Makes the entry of an engine lapse, so that its generation is copied. */
+static void lapse_until_copied(struct fixture *f, struct engine *engine)
+{
+	mock_store_set_mode(f->platform, MOCK_STORE_RESET);
+	engine_list(engine, NULL);
+	fixture_run(f, 3 * START_MS);
+	mock_store_set_mode(f->platform, MOCK_STORE_HEALTHY);
+	for (uint32_t ms = 0; ms < 3000 && count_log_lines(f, "move-copied") == 0; ms += STEP_MS)
+		fixture_run(f, STEP_MS);
+	g_assert_cmpuint(count_log_lines(f, "move-copied"), >, 0);
+}
+
+/* An engine that says in the answer to the release of a KV copy that it leaves gets no further
+ * requests, though it is listed as ready. */
+static void test_release_departure(void)
+{
+	struct script script = { .copy_answer_ms = STEP_MS, .release = "204 No Content" };
+	struct testbed_answer answer;
+	struct testbed_answer calls[4];
+	struct engine *source;
+	struct fixture f;
+
+	fixture_open(&f, false);
+	source = start_generation(&f, &script, &answer);
+	lapse_until_copied(&f, source);
+	source->script.headers = "Server-Leaving: 1\r\n";
+	engine_list(source, "ready");
+	fixture_run(&f, START_MS + LIST_MS);
+	g_assert_cmpuint(source->releases, ==, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		testbed_begin(f.gateway, &short_call, &calls[i]);
+		fixture_run(&f, START_MS);
+		g_assert_cmpuint(calls[i].status, ==, 200);
+		testbed_answer_clear(&calls[i]);
+	}
+	g_test_message("%u calls after the release", source->short_calls);
+	g_assert_cmpuint(count_log_lines(&f, "upstream-departure"), ==, 1);
+	g_assert_cmpuint(source->short_calls, ==, 0);
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
+/* A second copy of the refusal of a release is not taken for the refusal of a request that follows
+ * on the connection, which would then run twice. */
+static void test_late_release_answer(void)
+{
+	struct script script = { .copy_answer_ms = STEP_MS,
+				 .release = "503 Busy",
+				 .headers = "X-Flamingolatch-Not-Executed: 1\r\n",
+				 .answers_copies_twice = false,
+				 .copy_delay_ms = 10 * STEP_MS };
+	struct testbed_answer answer;
+	struct testbed_answer call;
+	struct engine *source;
+	uint32_t short_calls = 0;
+	struct fixture f;
+
+	fixture_open(&f, false);
+	source = start_generation(&f, &script, &answer);
+	lapse_until_copied(&f, source);
+	source->script.answers_copies_twice = true;
+	engine_list(source, "ready");
+	for (uint32_t ms = 0; ms < START_MS + LIST_MS && source->releases == 0; ms += STEP_MS)
+		fixture_run(&f, STEP_MS);
+	g_assert_cmpuint(source->releases, ==, 1);
+	fixture_run(&f, 2 * STEP_MS);
+	testbed_begin(f.gateway, &short_call, &call);
+	fixture_run(&f, START_MS);
+	g_assert_cmpuint(call.status, ==, 200);
+	testbed_answer_clear(&call);
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++)
+		short_calls += f.engines[i].short_calls;
+	g_assert_cmpuint(source->short_calls, ==, 1);
+	g_assert_cmpuint(short_calls, ==, 1);
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway-migration/late-copy", test_late_copy);
 	g_test_add_func("/gateway-migration/late-answer-before-copy", test_late_answer_before_copy);
+	g_test_add_func("/gateway-migration/release-departure", test_release_departure);
+	g_test_add_func("/gateway-migration/late-release-answer", test_late_release_answer);
 	return g_test_run();
 }
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -512,6 +512,51 @@
 	}
 }
 
+#define LATE_DEPARTURE_MS 300 /* until the answer; its caller leaves before */
+
+static void answer_departure_late(void *ctx, struct raw_conn *conn, const char *id)
+{
+	struct departure *departure = ctx;
+	g_auto(GStrv) parts = g_strsplit(departure->answer, "%ID%", 0);
+	g_autofree char *text = g_strjoinv(id, parts);
+
+	departure->arrivals++;
+	raw_conn_write_later(conn, text, LATE_DEPARTURE_MS, false);
+}
+
+/* What an upstream says of itself counts also in an answer whose caller has left: a call that may
+ * run only once is read to its end. */
+static void test_departure_caller_left(void)
+{
+	struct departure departure = {
+		.answer = "HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %ID%\r\n"
+			  "Server-Leaving: 1\r\nX-Flamingolatch-Replica-Signature: s\r\n"
+			  "Content-Length: 4\r\n\r\ndone"
+	};
+	struct testbed_answer first;
+	struct testbed_call *call;
+	struct fixture f;
+
+	fixture_open(&f);
+	add_raw(&f, TESTBED_PLAIN_SERVICE, answer_departure_late, &departure);
+	call = testbed_begin(f.gateway, &once, &first);
+	testbed_run(f.testbed, LATE_DEPARTURE_MS / 3);
+	g_assert_cmpuint(departure.arrivals, ==, 1);
+	testbed_disconnect(call);
+	testbed_answer_clear(&first);
+	testbed_run(f.testbed, LATE_DEPARTURE_MS);
+	mock_upstream_list(f.shop);
+	testbed_run(f.testbed, DEPARTURE_WAIT_MS);
+	for (uint32_t i = 0; i < 4; i++) {
+		struct testbed_answer answer = testbed_call(f.gateway, &once);
+
+		g_assert_cmpuint(answer.status, ==, 200);
+		testbed_answer_clear(&answer);
+	}
+	g_assert_cmpuint(departure.arrivals, ==, 1);
+	fixture_close(&f);
+}
+
 #define OWN_ANSWER(status, headers)                                                                \
 	"HTTP/1.1 " status "\r\nX-Flamingolatch-Attempt-Id: %ID%\r\n" headers                      \
 	"Content-Length: 4\r\n\r\ndone"
@@ -1097,6 +1142,7 @@
 	g_test_add_func("/gateway-raw/garbage-in-stream", test_garbage_in_stream);
 	g_test_add_func("/gateway-raw/late-refusal", test_late_refusal);
 	g_test_add_func("/gateway-raw/departure", test_departure);
+	g_test_add_func("/gateway-raw/departure-caller-left", test_departure_caller_left);
 	g_test_add_func("/gateway-raw/quiet", test_quiet);
 	g_test_add_func("/gateway-raw/second-copy", test_second_copy);
 	g_test_add_func("/gateway-raw/trickle", test_trickle);
