Relay: a copy call ends with its attempt when the backup takes over

Cause: the call stayed open, and its answer was taken for one of the engine of the current attempt. Why it works: going on from the backup cancels the open migration first.

--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -36,6 +36,8 @@
 		  fleet_upstream_id(up), "reason", reason, "last_event",
 		  request->last_event_id ? request->last_event_id : "", "age_ms", age, NULL);
 	metric_add(request->relay->env->metric, METRIC_RESUMES, 1);
+	/* A copy that is being made is of the attempt that ends. */
+	relay_cancel_migration(request);
 	relay_cancel_attempt(request);
 	dispatch_load_remove(&request->backup);
 	request->may_have_run = true;
--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -34,6 +34,7 @@
 	uint32_t call_copy_ms;	 /* until the second copy of an answer to a short request */
 	uint32_t copy_answer_ms; /* until it answers a call for a copy */
 	bool answers_copies_twice;
+	bool breaks_at_copy; /* the stream breaks with the first call for a copy */
 	const char *release; /* status of its answers to releases */
 };
 
@@ -154,7 +155,7 @@
 		engine, first && script->first_copy ? script->first_copy : "200 OK",
 		first ? "first" : "later");
 
-	if (last)
+	if (last || (first && script->breaks_at_copy))
 		engine_stop_stream(engine);
 	if (raw_conn_has_later(conn)) {
 		if (!engine->call_copy)
@@ -482,6 +483,36 @@
 	fixture_close(&f);
 }
 
+/* When the stream breaks while the engine makes a KV copy, and the generation goes on elsewhere,
+ * the answer to that call does not count for the other engine: it is not asked for a copy, and what
+ * the answer says of its sender is not held against it. */
+static void test_ended_attempt(void)
+{
+	struct script script = { .copy_answer_ms = 20 * STEP_MS,
+				 .breaks_at_copy = true,
+				 .headers = "Server-Leaving: 1\r\n" };
+	struct testbed_answer answer;
+	struct engine *source;
+	struct engine *target;
+	struct fixture f;
+
+	fixture_open(&f, true);
+	source = start_generation(&f, &script, &answer);
+	/* Until the engine that keeps the backup may be taken to have one. */
+	fixture_run(&f, 2 * START_MS);
+	engine_list(source, "draining");
+	wait_taken_over(&f);
+	target = find_taken_over(&f);
+	fixture_run(&f, 30 * STEP_MS);
+	g_test_message("%s went on and got %u calls for copies; %u departures", target->id,
+		       target->copy_calls, count_log_lines(&f, "upstream-departure"));
+	g_assert_true(target != source);
+	g_assert_cmpuint(target->copy_calls, ==, 0);
+	g_assert_cmpuint(count_log_lines(&f, "upstream-departure"), ==, 0);
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -489,5 +520,6 @@
 	g_test_add_func("/gateway-migration/late-answer-before-copy", test_late_answer_before_copy);
 	g_test_add_func("/gateway-migration/release-departure", test_release_departure);
 	g_test_add_func("/gateway-migration/late-release-answer", test_late_release_answer);
+	g_test_add_func("/gateway-migration/ended-attempt", test_ended_attempt);
 	return g_test_run();
 }
