--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -21,6 +21,7 @@
 
 static void relay_on_migrated(void *ctx, const struct fetch_response *answer);
 static void relay_on_migrate_head(void *ctx, const struct http_response_head *head);
+static bool relay_owns_migrate_answer(void *ctx, const struct http_response_head *head);
 
 /* commands */
 
@@ -35,6 +36,8 @@
 		  fleet_upstream_id(up), "reason", reason, "last_event",
 		  request->last_event_id ? request->last_event_id : "", "age_ms", age, NULL);
 	metric_add(request->relay->env->metric, METRIC_RESUMES, 1);
+	/* A copy that is being made is of the attempt that ends. */
+	relay_cancel_migration(request);
 	relay_cancel_attempt(request);
 	dispatch_load_remove(&request->backup);
 	request->may_have_run = true;
@@ -68,6 +71,7 @@
 		fetch_start(env->http_client, &req, RELAY_MIGRATE_RESPONSE_MAX_BYTES, NULL,
 			    relay_on_migrated, request);
 	fetch_set_head_cb(request->migrate_call, relay_on_migrate_head);
+	fetch_set_match_cb(request->migrate_call, relay_owns_migrate_answer);
 	free(body);
 }
 
@@ -115,8 +119,8 @@
 			       request->decoded.prompt_tokens + request->expected_output_tokens);
 	relay_update_used(request);
 	request->relay->env->placed_generation = true;
-	g_free(request->kv_copy_source);
-	request->kv_copy_source = g_strdup(fleet_upstream_address(request->attempt.up));
+	g_clear_pointer(&request->kv_copy_source, fleet_upstream_unref);
+	request->kv_copy_source = fleet_upstream_ref(request->attempt.up);
 	relay_send_migrate(request, false);
 }
 
@@ -231,9 +235,20 @@
 		request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 }
 
+static bool relay_owns_migrate_answer(void *ctx, const struct http_response_head *head)
+{
+	const struct relay_request *request = ctx;
+
+	return request->relay->env->protocol->owns(head, request->decoded.id);
+}
+
 static void relay_on_migrate_head(void *ctx, const struct http_response_head *head)
 {
-	relay_note_upstream(ctx, head);
+	struct relay_request *request = ctx;
+
+	/* A late copy of it could not be told from the answer to the next call. */
+	fetch_disable_reuse(request->migrate_call);
+	relay_note_upstream(request, head);
 }
 
 static void relay_on_migrated(void *ctx, const struct fetch_response *answer)
