Testbed: upstreams with a limited number of slots, requests in pieces

An upstream works on as many requests at once as it has slots; the others wait, and count as executed when their work begins. The record of a request says whether an upstream broke off and when one last worked on it. raw_caller sends text as it is given. Without slots nothing changes for the other tests.

--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -71,11 +71,12 @@
 	char *address;
 	char *listed_address; /* address in the entry of the instance list */
 	GPtrArray *jobs;
-	GArray *arrivals_ms; /* guint64 */
-	GArray *arrivals;    /* struct mock_arrival */
-	uint64_t started_ms; /* wall clock */
-	uint64_t leaving_ms; /* when it began to leave; 0 before */
-	uint64_t crashed_ms; /* when it crashed; 0 before */
+	GArray *arrivals_ms;	/* guint64 */
+	GArray *arrivals;	/* struct mock_arrival */
+	uint64_t started_ms;	/* wall clock */
+	uint64_t leaving_ms;	/* when it began to leave; 0 before */
+	uint64_t crashed_ms;	/* when it crashed; 0 before */
+	uint32_t working_count; /* jobs that do not wait for a slot */
 };
 
 /* A request that an upstream executes. */
@@ -92,9 +93,14 @@
 	bool abort_midway;
 	bool garbles;
 	bool crashes_upstream;
+	bool resumed; /* from a KV copy: no new execution */
+	bool working; /* otherwise it waits for a slot */
 	bool closing;
 };
 
+static struct mock_request_record *mock_find_or_add_record(struct mock_platform *platform,
+							   const char *id);
+static void mock_upstream_begin_waiting(struct mock_upstream *upstream);
 static void mock_store_on_request(void *ctx, struct http_req *req);
 static void mock_upstream_on_request(void *ctx, struct http_req *req);
 static void mock_store_answer_rows(struct mock_platform *platform, struct http_req *req,
@@ -174,13 +180,24 @@
 
 static void mock_job_free(struct mock_job *job)
 {
+	struct mock_upstream *upstream = job->upstream;
+
 	if (job->closing)
 		return;
 	job->closing = true;
 	if (job->req)
 		http_req_set_callbacks(job->req, NULL, NULL, NULL);
-	g_ptr_array_remove_fast(job->upstream->jobs, job);
+	g_ptr_array_remove(upstream->jobs, job);
+	if (job->working) {
+		struct mock_request_record *record =
+			mock_find_or_add_record(upstream->platform, job->id);
+
+		upstream->working_count--;
+		record->working--;
+		record->worked_ms = uv_now(upstream->platform->loop);
+	}
 	uv_close((uv_handle_t *)&job->timer, mock_job_on_closed);
+	mock_upstream_begin_waiting(upstream);
 }
 
 static void mock_arrival_clear(gpointer data)
@@ -644,14 +661,15 @@
 
 void mock_upstream_crash(struct mock_upstream *upstream)
 {
+	upstream->crashed_ms = uv_now(upstream->platform->loop);
 	while (upstream->jobs->len) {
 		struct mock_job *job = upstream->jobs->pdata[0];
 
+		mock_find_or_add_record(upstream->platform, job->id)->broke_off = true;
 		mock_job_free(job);
 	}
 	http_server_destroy(upstream->srv);
 	upstream->srv = NULL;
-	upstream->crashed_ms = uv_now(upstream->platform->loop);
 }
 
 const GArray *mock_upstream_arrivals(const struct mock_upstream *upstream)
@@ -747,6 +765,7 @@
 		http_req_stream_begin(req, 200, "text/event-stream");
 	}
 	if (job->abort_midway && job->next_event > job->total_events / 2) {
+		mock_find_or_add_record(upstream->platform, job->id)->broke_off = true;
 		mock_job_free(job);
 		http_req_stream_write(req, event, strlen(event) / 2);
 		http_req_stream_abort(req);
@@ -803,6 +822,7 @@
 	}
 	body = g_strdup_printf("%s %s", job->id, http_req_target(req));
 	if (mock_upstream_chance(upstream, upstream->conf.lose_percent)) {
+		mock_find_or_add_record(upstream->platform, job->id)->broke_off = true;
 		mock_job_free(job);
 		http_req_stream_abort(req);
 		return;
@@ -918,6 +938,28 @@
 	return false;
 }
 
+/* Begins to work on requests that wait, as long as there are slots. */
+static void mock_upstream_begin_waiting(struct mock_upstream *upstream)
+{
+	for (guint i = 0;
+	     i < upstream->jobs->len && !upstream->crashed_ms &&
+	     (upstream->conf.slots == 0 || upstream->working_count < upstream->conf.slots);
+	     i++) {
+		struct mock_job *job = upstream->jobs->pdata[i];
+		struct mock_request_record *record;
+
+		if (job->working)
+			continue;
+		record = mock_find_or_add_record(upstream->platform, job->id);
+		job->working = true;
+		upstream->working_count++;
+		record->working++;
+		if (!job->resumed)
+			record->executions++;
+		uv_timer_start(&job->timer, mock_job_on_timer, upstream->conf.work_ms, 0);
+	}
+}
+
 static void mock_upstream_start_job(struct mock_upstream *upstream, struct http_req *req,
 				    const char *id, uint32_t first)
 {
@@ -941,9 +983,10 @@
 				g_strcmp0(upstream->conf.crash_target, http_req_target(req)) == 0;
 	uv_timer_init(upstream->platform->loop, &job->timer);
 	job->timer.data = job;
-	uv_timer_start(&job->timer, mock_job_on_timer, upstream->conf.work_ms, 0);
+	job->resumed = http_req_header(req, "kv-from") != NULL;
 	g_ptr_array_add(upstream->jobs, job);
 	http_req_set_callbacks(req, mock_job_on_gone, NULL, job);
+	mock_upstream_begin_waiting(upstream);
 }
 
 static void mock_upstream_record_arrival(struct mock_upstream *upstream, struct http_req *req,
@@ -1004,8 +1047,6 @@
 		mock_upstream_refuse(upstream, req, id, 503);
 		return;
 	}
-	if (!http_req_header(req, "kv-from"))
-		record->executions++;
 	g_free(record->service);
 	record->service = g_strdup(upstream->service);
 	mock_upstream_start_job(upstream, req, id, first);
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -35,11 +35,12 @@
 	const char *address; /**< IP to bind */
 	uint16_t port;	     /**< 0 selects a free one */
 	bool engine;
-	uint32_t work_ms;      /**< time until the answer, or until the first event of a stream */
-	uint32_t pace_ms;      /**< between events */
-	uint32_t fail_percent; /**< answers 500 after execution */
-	uint32_t shed_percent; /**< answers 503 without execution */
-	uint32_t lose_percent; /**< executes the request and closes the connection */
+	uint32_t work_ms; /**< time until the answer, or until the first event of a stream */
+	uint32_t pace_ms; /**< between events */
+	uint32_t slots; /**< requests that it works on at once; others wait in turn; 0: no limit */
+	uint32_t fail_percent;	  /**< answers 500 after execution */
+	uint32_t shed_percent;	  /**< answers 503 without execution */
+	uint32_t lose_percent;	  /**< executes the request and closes the connection */
 	uint32_t foreign_percent; /**< answers with the id of another request */
 	uint32_t cut_percent;	  /**< closes the connection in the middle of a stream */
 	uint32_t garble_percent;  /**< sends the head of another answer in the middle of a stream */
@@ -73,6 +74,9 @@
 	uint64_t arrived_ms; /**< when it last reached an upstream */
 	uint64_t leaving_ms; /**< how long that upstream had been leaving then; 0: it was not */
 	bool key_forwarded;  /**< an attempt carried the caller's key */
+	bool broke_off;	     /**< an upstream closed the connection or crashed before the end */
+	uint32_t working;    /**< upstreams that work on it now */
+	uint64_t worked_ms;  /**< when an upstream last ceased to work on it; 0: none did */
 };
 
 /** Starts a platform without rows and upstreams. @param port 0 selects a free one */
--- a/test/testbed/raw_caller.c
+++ b/test/testbed/raw_caller.c
@@ -25,8 +25,7 @@
 	return caller;
 }
 
-/* Returns false when the gateway has closed the connection. */
-static bool raw_caller_send_text(const struct raw_caller *caller, const char *text)
+bool raw_caller_send_text(const struct raw_caller *caller, const char *text)
 {
 	return send(caller->fd, text, strlen(text), MSG_NOSIGNAL) == (ssize_t)strlen(text);
 }
--- a/test/testbed/raw_caller.h
+++ b/test/testbed/raw_caller.h
@@ -27,6 +27,8 @@
 /** Sends a request with a body in chunks. @return false when the gateway has closed the connection
  */
 bool raw_caller_send_chunked(struct raw_caller *caller, const char *id, const char *path);
+/** Sends a piece of a request. @return false when the gateway has closed the connection */
+bool raw_caller_send_text(const struct raw_caller *caller, const char *text);
 /** Connects and sends a request. */
 struct raw_caller raw_caller_open(const struct testbed_gateway *gateway, const char *id,
 				  const char *path);
