Soak: planned stops with callers that go on, slow and crowded upstreams

Its callers avoid an instance that stops (one request in ten or fewer chooses it) and pool few connections, so that hardly any request arrived late; a stream of its engines lasts 0.1 s (/quick/) or 1.2 s (/long/), a call 5 ms, and no upstream has a queue, so that all of them ended before the exit; and streams were not checked in mixed seeds. Stops overlap; SIGTERM again, SIGHUP, configurations and faults of the store come in the grace period; the instance starts again at once. Upstreams take up to 4 s and have 2 to 16 slots. The check is that of stop_callers.h; it is stricter than the users' rule in one point: a request without the beginning of an answer is not excused at the exit.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -9,12 +9,17 @@
  *      [--shops N] [--callers N] [--program FILE] [--only FAULT]
  *      [--until-violation] [--verbose]
  *
+ * "--only late-stop" has planned stops only, in series and overlapping, of instances
+ * whose callers go on until the process is gone (stop_callers.h), with replicas that
+ * take seconds and have queues.
+ *
  * A seed determines the random choices of faults and requests. The timing of the
  * processes is not controlled, so a run with the same seed can differ. Prints a
  * line for each violated guarantee and a summary of each seed. The exit code is 0
  * without a violation, 1 with violations, and 2 for wrong options.
  */
 #include "proxy.h"
+#include "stop_callers.h"
 #include "testbed.h"
 
 #include <glib.h>
@@ -63,6 +68,14 @@
 /* A shop names a limit for a while. */
 #define SOAK_FAULT_LIMIT     "replica-limit"
 #define SOAK_LIMIT_WINDOW_MS 4000
+/* Planned stops with callers that go on, and with slow and crowded replicas. */
+#define SOAK_FAULT_LATE_STOP "late-stop"
+#define SOAK_STOP_LEAD_MS    1500 /* longest time from the callers' connects to the signal */
+#define SOAK_STOP_GAP_MS     5000 /* longest time between two stops */
+#define SOAK_SLOW_WORK_MS    4000
+#define SOAK_CALL_TIMEOUT_MS 1500 /* of calls, as testbed_create() sets it */
+#define SOAK_SLOW_TIMEOUT_MS 4000 /* of calls beside slow replicas */
+#define SOAK_ENGINE_WORK_MS  30
 #define SOAK_LONG_TOKENS     600
 #define SOAK_QUICK_TOKENS    40
 
@@ -83,16 +96,19 @@
 
 struct instance {
 	struct testbed_gateway *gateway;
-	struct proxy *store_proxy;   /* between the instance and the store */
-	uint64_t disturbed_until_ms; /* end of the last fault; in the future while one lasts */
-	uint64_t restart_at_ms;	     /* 0 while the process runs */
-	uint64_t sigcont_at_ms;	     /* 0 unless stopped by SIGSTOP */
-	uint64_t heal_at_ms;	     /* when the store proxy forwards again; 0 while it does */
-	uint64_t sigterm_sent_ms;    /* 0 unless it is shutting down after SIGTERM */
-	uint64_t harmed_ms;	     /* last SIGKILL, SIGSTOP, SIGCONT or start */
-	GArray *harms_ms;	     /* guint64: all of them */
-	bool exit_expected;	     /* after SIGKILL or SIGTERM, until it is restarted */
-	bool available;		     /* no fault was active on it at the last poll */
+	struct proxy *store_proxy;    /* between the instance and the store */
+	uint64_t disturbed_until_ms;  /* end of the last fault; in the future while one lasts */
+	uint64_t restart_at_ms;	      /* 0 while the process runs */
+	uint64_t sigcont_at_ms;	      /* 0 unless stopped by SIGSTOP */
+	uint64_t heal_at_ms;	      /* when the store proxy forwards again; 0 while it does */
+	uint64_t sigterm_sent_ms;     /* 0 unless it is shutting down after SIGTERM */
+	uint64_t harmed_ms;	      /* last SIGKILL, SIGSTOP, SIGCONT or start */
+	GArray *harms_ms;	      /* guint64: all of them */
+	uint64_t stop_at_ms;	      /* when SIGTERM is sent; 0: not planned */
+	uint64_t beside_at_ms;	      /* when something else happens in the grace period */
+	struct stop_callers *callers; /* from before the signal on; NULL once all have ended */
+	bool exit_expected;	      /* after SIGKILL or SIGTERM, until it is restarted */
+	bool available;		      /* no fault was active on it at the last poll */
 };
 
 struct replica {
@@ -103,6 +119,7 @@
 	char *ip;
 	bool engine;	      /* otherwise a plain replica */
 	uint64_t heal_at_ms;  /* when the current fault ends; 0 without one */
+	uint64_t healed_ms;   /* when the last one ended */
 	uint64_t crash_at_ms; /* end of its shutdown or of the time without a list entry; else 0 */
 	/* After a crash, when a new replica is added; UINT64_MAX once it was. 0 while it runs. */
 	uint64_t replace_at_ms;
@@ -160,6 +177,7 @@
 	GArray *crashes_ms;		/* guint64: engines that crashed under it */
 	uint64_t crash_request_from_ms; /* the same of the request */
 	GArray *request_crashes_ms;	/* guint64: shops that crashed under it */
+	GPtrArray *stops;		/* callers of all planned stops */
 	struct replica *limited;	/* names a limit, or did; NULL before */
 	double limit_per_s;
 	uint64_t limit_from_ms; /* 0: never */
@@ -243,10 +261,15 @@
 						     .zone = number % 2 ? "z2" : "z1",
 						     .address = replica->ip,
 						     .engine = engine,
-						     .work_ms = engine ? 30 : 5,
+						     .work_ms = engine ? SOAK_ENGINE_WORK_MS : 5,
 						     .pace_ms = 8,
 						     .crash_part = SOAK_CRASH_PART,
 						     .crash_target = SOAK_CRASH_TARGET };
+	if (g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0) {
+		replica->conf.work_ms += random_below(soak, SOAK_SLOW_WORK_MS);
+		replica->conf.pace_ms <<= random_below(soak, 5);
+		replica->conf.slots = 2U << random_below(soak, 4);
+	}
 	replica->stand_in = mock_upstream_create(soak->mock_platform, &replica->conf);
 	replica->proxy = proxy_create(testbed_loop(soak->testbed), replica->ip,
 				      mock_upstream_address(replica->stand_in));
@@ -382,6 +405,7 @@
 		} else if (replica->heal_at_ms && now >= replica->heal_at_ms &&
 			   !replica->replace_at_ms) {
 			replica->heal_at_ms = 0;
+			replica->healed_ms = now;
 			proxy_set_mode(replica->proxy, PROXY_PASS, 0);
 			mock_upstream_configure(replica->stand_in, &replica->conf);
 		}
@@ -422,7 +446,7 @@
 static bool is_at_fault(const struct instance *instance)
 {
 	return instance->restart_at_ms || instance->sigcont_at_ms || instance->heal_at_ms ||
-	       instance->sigterm_sent_ms;
+	       instance->sigterm_sent_ms || instance->stop_at_ms;
 }
 
 static void kill_instance(struct soak *soak, struct instance *instance)
@@ -446,6 +470,98 @@
 		kill_instance(soak, instance);
 }
 
+static void stop_instance(struct soak *soak, struct instance *instance)
+{
+	uint64_t now = now_ms();
+
+	record_fault(soak, SOAK_FAULT_STOP);
+	instance->exit_expected = true;
+	testbed_signal(instance->gateway, SIGTERM);
+	instance->sigterm_sent_ms = now;
+	instance->disturbed_until_ms = now + TESTBED_GRACE_S * 1000 + 1000;
+}
+
+static void report_stop_violation(void *ctx, const char *text)
+{
+	violation(ctx, "%s", text);
+}
+
+/* Tells whether a fault was injected at a replica or its link since a time. */
+static bool is_replica_faulty(void *ctx, const char *id, uint64_t since_ms)
+{
+	const struct soak *soak = ctx;
+
+	for (guint i = 0; i < soak->replicas->len; i++) {
+		const struct replica *replica = soak->replicas->pdata[i];
+
+		if (strcmp(replica->id, id) == 0)
+			return replica->heal_at_ms || replica->replace_at_ms ||
+			       replica->healed_ms >= since_ms;
+	}
+	return false;
+}
+
+/* Plans the stop of an instance; callers connect to it at once. */
+static void plan_stop(struct soak *soak, struct instance *instance)
+{
+	bool is_slow = g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0;
+	const struct stop_callers_conf conf = { .gateway = instance->gateway,
+						.rand = soak->rand,
+						.number = soak->stops->len,
+						.call_timeout_ms = is_slow ? SOAK_SLOW_TIMEOUT_MS
+									   : SOAK_CALL_TIMEOUT_MS,
+						.violation = report_stop_violation,
+						.is_faulty = is_replica_faulty,
+						.ctx = soak };
+
+	if (instance->callers || !testbed_is_ready(instance->gateway))
+		return;
+	record_fault(soak, SOAK_FAULT_LATE_STOP);
+	instance->stop_at_ms = now_ms() + 100 + random_below(soak, SOAK_STOP_LEAD_MS);
+	instance->beside_at_ms = instance->stop_at_ms + random_below(soak, TESTBED_GRACE_S * 1000);
+	instance->callers = stop_callers_open(&conf, instance->stop_at_ms);
+	g_ptr_array_add(soak->stops, instance->callers);
+}
+
+static void inject_store_fault(struct soak *soak);
+
+/* Does something in the grace period of an instance that is stopped. */
+static void inject_beside_stop(struct soak *soak, struct instance *instance)
+{
+	uint32_t kind = random_below(soak, 5);
+
+	instance->beside_at_ms = now_ms() + random_below(soak, TESTBED_GRACE_S * 1000);
+	if (kind == 0) {
+		record_fault(soak, "stop-again");
+		testbed_signal(instance->gateway, SIGTERM);
+	} else if (kind == 1) {
+		record_fault(soak, "stop-reload");
+		testbed_signal(instance->gateway, SIGHUP);
+	} else if (kind == 2) {
+		record_fault(soak, "stop-config");
+		testbed_set_unused_routes(soak->testbed, random_below(soak, SOAK_UNUSED_ROUTES));
+		publish_config(soak);
+		testbed_set_unused_routes(soak->testbed, 0);
+	} else if (kind == 3) {
+		inject_store_fault(soak);
+	}
+}
+
+static void update_stop(struct soak *soak, struct instance *instance)
+{
+	uint64_t now = now_ms();
+
+	if (instance->stop_at_ms && now >= instance->stop_at_ms) {
+		instance->stop_at_ms = 0;
+		stop_instance(soak, instance);
+		stop_callers_signalled(instance->callers);
+	}
+	if (instance->callers && instance->sigterm_sent_ms && now >= instance->beside_at_ms)
+		inject_beside_stop(soak, instance);
+	if (instance->callers && !stop_callers_update(instance->callers))
+		instance->callers = NULL;
+}
+
 static void inject_instance_fault(struct soak *soak)
 {
 	struct instance *instance =
@@ -455,6 +571,10 @@
 
 	if (is_at_fault(instance))
 		return;
+	if (g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0) {
+		plan_stop(soak, instance);
+		return;
+	}
 	switch (g_strcmp0(soak->options.only, SOAK_FAULT_STOP) == 0 ? 2 : random_below(soak, 6)) {
 	case 0:
 		kill_instance(soak, instance);
@@ -467,11 +587,10 @@
 		instance->disturbed_until_ms = instance->sigcont_at_ms;
 		break;
 	case 2:
-		record_fault(soak, SOAK_FAULT_STOP);
-		instance->exit_expected = true;
-		testbed_signal(instance->gateway, SIGTERM);
-		instance->sigterm_sent_ms = now;
-		instance->disturbed_until_ms = now + TESTBED_GRACE_S * 1000 + 1000;
+		if (!soak->options.only && random_below(soak, 2))
+			plan_stop(soak, instance);
+		else
+			stop_instance(soak, instance);
 		break;
 	case 3:
 		record_fault(soak, "instance-reload");
@@ -515,9 +634,10 @@
 		proxy_set_mode(instance->store_proxy, PROXY_PASS, 0);
 		instance->heal_at_ms = 0;
 	}
+	update_stop(soak, instance);
 	if (instance->sigterm_sent_ms && testbed_has_exited(instance->gateway)) {
 		instance->sigterm_sent_ms = 0;
-		instance->restart_at_ms = now + 100;
+		instance->restart_at_ms = now + random_below(soak, 200);
 	} else if (instance->sigterm_sent_ms &&
 		   now > instance->sigterm_sent_ms + TESTBED_GRACE_S * 1000 + 500) {
 		violation(soak, "%s did not exit within its grace period", instance->gateway->name);
@@ -843,7 +963,8 @@
 		inject_unseen_key_change(soak);
 	else if (g_strcmp0(soak->options.only, SOAK_FAULT_RESTORED) == 0)
 		inject_single_restoration(soak);
-	else if (g_strcmp0(soak->options.only, SOAK_FAULT_STOP) == 0)
+	else if (g_strcmp0(soak->options.only, SOAK_FAULT_STOP) == 0 ||
+		 g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0)
 		inject_instance_fault(soak);
 	else if (soak->options.only)
 		inject_replica_fault(soak, find_replica_fault(soak->options.only));
@@ -862,6 +983,8 @@
 						  : 600 + random_below(soak, 1500));
 	if (g_strcmp0(soak->options.only, SOAK_FAULT_RESTORED) == 0)
 		soak->next_fault_at_ms = soak->store_heal_at_ms + 2 * SOAK_UNDISTURBED_MS;
+	if (g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0)
+		soak->next_fault_at_ms = now_ms() + random_below(soak, SOAK_STOP_GAP_MS);
 }
 
 static void soak_update(struct soak *soak)
@@ -1038,6 +1161,7 @@
 	soak->replicas = g_ptr_array_new();
 	soak->requests = g_ptr_array_new_with_free_func(request_free);
 	soak->faults = g_hash_table_new(g_str_hash, g_str_equal);
+	soak->stops = g_ptr_array_new_with_free_func((GDestroyNotify)stop_callers_free);
 	soak->crashes_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	soak->request_crashes_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	for (uint32_t i = 0; i < SOAK_KEY_COUNT; i++) {
@@ -1045,6 +1169,8 @@
 		soak->keys[i].granted = true;
 		soak->keys[i].changed_ms = now_ms();
 	}
+	if (g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0)
+		testbed_set_call_timeout(soak->testbed, SOAK_SLOW_TIMEOUT_MS);
 	publish_config(soak);
 	for (gint i = 0; i < soak->options.engines + soak->options.shops; i++)
 		replica_add(soak, i < soak->options.engines);
@@ -1081,6 +1207,11 @@
 		if (replica->replace_at_ms && replica->replace_at_ms != UINT64_MAX)
 			replica->replace_at_ms = 1;
 		replica->heal_at_ms = replica->heal_at_ms ? 1 : 0;
+		/* slow and crowded ones are as fast as others again */
+		replica->conf.work_ms = MIN(replica->conf.work_ms, SOAK_ENGINE_WORK_MS);
+		replica->conf.slots = 0;
+		if (!replica->replace_at_ms && !replica->heal_at_ms)
+			mock_upstream_configure(replica->stand_in, &replica->conf);
 	}
 	for (guint i = 0; i < soak->instances->len; i++) {
 		struct instance *instance = soak->instances->pdata[i];
@@ -1147,6 +1278,7 @@
 	g_ptr_array_free(soak->instances, TRUE);
 	g_ptr_array_free(soak->requests, TRUE);
 	g_hash_table_destroy(soak->faults);
+	g_ptr_array_free(soak->stops, TRUE);
 	g_array_free(soak->crashes_ms, TRUE);
 	g_array_free(soak->request_crashes_ms, TRUE);
 	for (uint32_t i = 0; i < SOAK_KEY_COUNT; i++)
@@ -1165,6 +1297,7 @@
 {
 	struct soak soak = { .options = *options };
 	uint64_t end;
+	uint32_t late_requests = 0;
 	GHashTableIter iter;
 	gpointer name;
 	gpointer count;
@@ -1185,6 +1318,10 @@
 	soak_check_recovery(&soak);
 	for (uint32_t i = 0; update_requests(&soak) && i < 5000; i++)
 		testbed_run(soak.testbed, 10);
+	for (guint i = 0; i < soak.stops->len; i++) {
+		stop_callers_check_refused(soak.stops->pdata[i]);
+		late_requests += stop_callers_count(soak.stops->pdata[i]);
+	}
 	/* A refused request must not run after its refusal either. /safe/ and /quick/ may be
 	 * retried. */
 	for (guint i = 0; i < soak.requests->len; i++) {
@@ -1205,9 +1342,9 @@
 		violation(&soak, "%" G_GUINT64_FORMAT " answers to callers were not valid HTTP",
 			  testbed_malformed_count(soak.testbed));
 	printf("seed %d: %u requests: %u succeeded, %u refused, %u failed, %u truncated; "
-	       "%u violations; faults:",
+	       "%u more after SIGTERM; %u violations; faults:",
 	       options->seed, soak.completed, soak.succeeded, soak.refused, soak.failed,
-	       soak.truncated, soak.violations);
+	       soak.truncated, late_requests, soak.violations);
 	g_hash_table_iter_init(&iter, soak.faults);
 	while (g_hash_table_iter_next(&iter, &name, &count))
 		printf(" %s %u", (const char *)name, GPOINTER_TO_UINT(count));
@@ -1261,7 +1398,8 @@
 	}
 	if (options.only && strcmp(options.only, SOAK_FAULT_KEYS_UNSEEN) != 0 &&
 	    strcmp(options.only, SOAK_FAULT_RESTORED) != 0 &&
-	    strcmp(options.only, SOAK_FAULT_STOP) != 0 && !is_single_fault(options.only) &&
+	    strcmp(options.only, SOAK_FAULT_STOP) != 0 &&
+	    strcmp(options.only, SOAK_FAULT_LATE_STOP) != 0 && !is_single_fault(options.only) &&
 	    find_replica_fault(options.only) == REPLICA_FAULT_COUNT) {
 		fprintf(stderr, "unknown fault: %s\n", options.only);
 		return 2;
@@ -1274,5 +1412,6 @@
 		if (options.until_violation && violations)
 			break;
 	}
+	g_free(options.only);
 	return violations ? 1 : 0;
 }
