Relay: calls wait for upstreams that ask to be left alone for a short time

Callers of a plain service got 503 at once whenever all its upstreams had asked to be left alone, even for a few hundred ms of the seconds they had; after the end they got "no-upstream" while the first request tried.

Cause: only generations were queued. A call that found no upstream was refused.

Change: call_queue.h forecasts, from the ends of the times, the growing number of open requests and the duration of earlier answers, when each call would be answered. Who is in time waits, by priority; the others are refused at once, and so are those that wait when the forecast gets worse (an upstream asks again, urgent calls arrive, the process is about to exit). A call that its upstream turned away with a time may wait for the same one, within the retry budget. Until an upstream has answered seven requests, calls that waited take this instance's share of its slots at most, then the slots that are free.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -48,7 +48,7 @@
 	X(LOG_MEMBER_DEAD, 502, WARNING, "member-dead", "Another instance is considered dead or has left.") \
 	X(LOG_BUS_INVALID_MESSAGE, 510, WARNING, "bus-bad-frame", "A message from a peer could not be decoded.") \
 	X(LOG_REQUEST_PLACED, 600, INFO, "request-placed", "A request was sent to an upstream.") \
-	X(LOG_REQUEST_QUEUED, 601, INFO, "request-queued", "No engine has room; the generation is queued.") \
+	X(LOG_REQUEST_QUEUED, 601, INFO, "request-queued", "No engine has room, or the upstreams of a call asked to be left alone; the request is queued.") \
 	X(LOG_REQUEST_REFUSED, 602, INFO, "request-refused", "A request was refused; nothing ran.") \
 	X(LOG_ATTEMPT_FAILED, 603, INFO, "request-repeated", "An attempt failed; the field action says whether the request is retried.") \
 	X(LOG_REQUEST_COMPLETED, 604, INFO, "request-ended", "A request finished with the answer of an upstream.") \
--- a/include/flamingolatch/upstream_quiet.h
+++ b/include/flamingolatch/upstream_quiet.h
@@ -24,12 +24,18 @@
 	uint64_t until_us;	    /**< the latest end that was asked for; 0: none */
 	uint32_t window;	    /**< requests that may be open after the end; 0: no limit */
 	uint64_t invalid_logged_us; /**< when an unreadable wish was last logged; 0: never */
+	uint64_t answer_us;	    /**< how long its answers take, smoothed; 0: not known */
 };
 
 /** Records that the upstream asked for a time; of several the one that ends last holds. */
 void upstream_quiet_ask(struct upstream_quiet *quiet, uint64_t duration_us, uint64_t now_us);
 /** Records an answer that does not ask for quiet. */
 void upstream_quiet_record_answer(struct upstream_quiet *quiet, uint64_t now_us);
+/** Records how long an answer took that does not ask for quiet. */
+void upstream_quiet_record_duration(struct upstream_quiet *quiet, uint64_t duration_us);
+/** Returns the number of requests that may be open after a number of answers.
+ * @param window the number before them; 0, also as the result: no limit */
+uint32_t upstream_quiet_grown_window(uint32_t window, uint32_t answers);
 /** Returns whether a request may be sent now. @param open requests of this instance there */
 bool upstream_quiet_allows(const struct upstream_quiet *quiet, uint32_t open, uint64_t now_us);
 /** Returns the time until the upstream may be asked again, in us; 0 when it may. */
--- a/src/core/upstream_quiet.c
+++ b/src/core/upstream_quiet.c
@@ -2,6 +2,8 @@
 
 /* More open requests than an upstream has from one instance. */
 #define UPSTREAM_QUIET_WINDOW_MAX 64
+/* Weight of the newest duration is one in this many. */
+#define UPSTREAM_QUIET_SMOOTHING 4
 
 void upstream_quiet_ask(struct upstream_quiet *quiet, uint64_t duration_us, uint64_t now_us)
 {
@@ -15,7 +17,24 @@
 	/* An answer to a request from before says nothing of the time after. */
 	if (quiet->window == 0 || now_us < quiet->until_us)
 		return;
-	quiet->window = quiet->window < UPSTREAM_QUIET_WINDOW_MAX ? quiet->window * 2 : 0;
+	quiet->window = upstream_quiet_grown_window(quiet->window, 1);
+}
+
+void upstream_quiet_record_duration(struct upstream_quiet *quiet, uint64_t duration_us)
+{
+	if (quiet->answer_us == 0)
+		quiet->answer_us = duration_us;
+	else
+		quiet->answer_us =
+			(quiet->answer_us * (UPSTREAM_QUIET_SMOOTHING - 1) + duration_us) /
+			UPSTREAM_QUIET_SMOOTHING;
+}
+
+uint32_t upstream_quiet_grown_window(uint32_t window, uint32_t answers)
+{
+	while (window > 0 && answers-- > 0)
+		window = window < UPSTREAM_QUIET_WINDOW_MAX ? window * 2 : 0;
+	return window;
 }
 
 bool upstream_quiet_allows(const struct upstream_quiet *quiet, uint32_t open, uint64_t now_us)
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -1,5 +1,7 @@
 #include "dispatch.h"
 
+#include "flamingolatch/call_queue.h"
+
 /* An upstream that has open requests of this instance and is silent for longer is suspect: ten
  * times the duration of a call, and twice the prefill of a long prompt on an idle engine. */
 #define DISPATCH_PLAIN_SILENT_US  (250ULL * 1000)
@@ -9,14 +11,21 @@
 /* Share of an engine's KV cache up to which it accepts a backup, copies included. */
 #define DISPATCH_MAX_BACKUP_FILL 0.8
 
+/* Requests that an upstream of a plain service works on at once when it does not say. */
+#define DISPATCH_PLAIN_SLOTS 6
+
 struct dispatch {
 	struct env *env;
-	GQueue queue;  /* struct dispatch_queued, the next to be granted first */
-	bool granting; /* dispatch_grant_queued() is running */
+	GQueue queue;	     /* struct dispatch_queued, the next to be granted first */
+	GHashTable *calls;   /* name of a plain service to its struct call_queue */
+	uint32_t call_count; /* queued calls of all services */
+	bool granting;	     /* dispatch_grant_queued() is running */
 };
 
 struct dispatch_queued {
 	struct dispatch_need need;
+	struct call_queue *calls; /* NULL for a generation */
+	struct call_queue_item *item;
 	uint32_t priority;
 	dispatch_granted_cb granted;
 	void *ctx;
@@ -24,20 +33,55 @@
 
 /* lifetime */
 
+static void dispatch_destroy_call_queue(gpointer data)
+{
+	call_queue_destroy(data);
+}
+
 struct dispatch *dispatch_create(struct env *env)
 {
 	struct dispatch *dispatch = g_new0(struct dispatch, 1);
 
 	dispatch->env = env;
 	g_queue_init(&dispatch->queue);
+	dispatch->calls =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, dispatch_destroy_call_queue);
 	return dispatch;
 }
 
 void dispatch_destroy(struct dispatch *dispatch)
 {
+	g_hash_table_destroy(dispatch->calls);
 	g_free(dispatch);
 }
 
+/* helpers */
+
+/* Tells whether an upstream may be sent a request as far as its state goes; it may be full, over
+ * the limit that it names, or have asked to be left alone. */
+static bool dispatch_is_eligible(const struct fleet_upstream *up, const struct dispatch_need *need,
+				 uint64_t now_us)
+{
+	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
+	    fleet_upstream_suspended(up, now_us))
+		return false;
+	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
+}
+
+static struct call_queue_upstream dispatch_call_view(const struct dispatch *dispatch,
+						     struct fleet_upstream *up)
+{
+	uint32_t slots = fleet_upstream_slots(up) ? fleet_upstream_slots(up) : DISPATCH_PLAIN_SLOTS;
+
+	return (struct call_queue_upstream){
+		.quiet = fleet_upstream_quiet(up),
+		.slots = slots,
+		.share = MAX(slots / MAX(dispatch->env->live_instances, 1), 1),
+		.open = fleet_upstream_own_load(up)->open,
+		.peer_open = fleet_upstream_peer_load(up).open,
+	};
+}
+
 /* commands */
 
 void dispatch_load_add(struct dispatch_load *load, struct fleet_upstream *up, uint64_t kv_tokens,
@@ -103,6 +147,42 @@
 	fleet_upstream_unref(up);
 }
 
+static void dispatch_count_queued(const struct dispatch *dispatch)
+{
+	metric_set(dispatch->env->metric, METRIC_QUEUED_REQUESTS,
+		   dispatch->queue.length + dispatch->call_count);
+}
+
+/* Returns when a queued call is answered at the latest: before the process exits. */
+static uint64_t dispatch_call_limit_us(const struct dispatch *dispatch)
+{
+	const struct planned_stop *stop = &dispatch->env->stop;
+
+	return planned_stop_has_begun(stop) ? stop->answer_us : UINT64_MAX;
+}
+
+/* Returns the upstreams that may be sent a call, now or after the time for which they asked to be
+ * left alone, as an array of struct call_queue_upstream. */
+static GArray *dispatch_call_upstreams(const struct dispatch *dispatch,
+				       const struct dispatch_need *need)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct call_queue_upstream));
+	uint64_t now_us = env_now_us();
+
+	for (guint i = 0; i < ups->len; i++) {
+		struct fleet_upstream *up = ups->pdata[i];
+		struct call_queue_upstream view = dispatch_call_view(dispatch, up);
+
+		/* When the limit that it names allows more is not known here. */
+		if (dispatch_is_eligible(up, need, now_us) &&
+		    (upstream_quiet_left_us(view.quiet, now_us) > 0 ||
+		     upstream_limit_allows(fleet_upstream_limit(up), now_us)))
+			g_array_append_val(out, view);
+	}
+	return out;
+}
+
 struct dispatch_queued *dispatch_enqueue(struct dispatch *dispatch,
 					 const struct dispatch_need *need, uint32_t priority,
 					 dispatch_granted_cb granted, void *ctx)
@@ -118,19 +198,97 @@
 	while (before && ((struct dispatch_queued *)before->data)->priority > priority)
 		before = before->prev;
 	g_queue_insert_after(&dispatch->queue, before, queued);
-	metric_set(dispatch->env->metric, METRIC_QUEUED_REQUESTS, dispatch->queue.length);
+	dispatch_count_queued(dispatch);
+	return queued;
+}
+
+struct dispatch_queued *dispatch_enqueue_call(struct dispatch *dispatch,
+					      const struct dispatch_need *need, uint32_t priority,
+					      uint64_t deadline_us, dispatch_granted_cb granted,
+					      void *ctx)
+{
+	struct call_queue *calls = g_hash_table_lookup(dispatch->calls, need->service);
+	struct dispatch_queued *queued = g_new0(struct dispatch_queued, 1);
+
+	if (!calls) {
+		calls = call_queue_create();
+		g_hash_table_insert(dispatch->calls, g_strdup(need->service), calls);
+	}
+	queued->need = *need;
+	queued->need.queued = true;
+	queued->priority = priority;
+	queued->granted = granted;
+	queued->ctx = ctx;
+	queued->calls = calls;
+	queued->item = call_queue_add(calls, priority, deadline_us, queued);
+	dispatch->call_count++;
+	dispatch_count_queued(dispatch);
 	return queued;
 }
 
 void dispatch_dequeue(struct dispatch *dispatch, struct dispatch_queued *queued)
 {
-	g_queue_remove(&dispatch->queue, queued);
-	metric_set(dispatch->env->metric, METRIC_QUEUED_REQUESTS, dispatch->queue.length);
+	if (queued->calls) {
+		call_queue_remove(queued->calls, queued->item);
+		dispatch->call_count--;
+	} else {
+		g_queue_remove(&dispatch->queue, queued);
+	}
+	dispatch_count_queued(dispatch);
 	g_free(queued);
 }
 
+/* Takes a call from its queue and tells its owner. @param up NULL refuses it */
+static void dispatch_end_wait(struct dispatch *dispatch, struct dispatch_queued *queued,
+			      struct fleet_upstream *up, const struct dispatch_decision *decision)
+{
+	dispatch_granted_cb granted = queued->granted;
+	void *ctx = queued->ctx;
+
+	dispatch_dequeue(dispatch, queued);
+	granted(ctx, up, decision);
+}
+
+/* Refuses the queued calls of a service that would be late, and sends those that its upstreams take
+ * now. */
+static void dispatch_grant_calls(struct dispatch *dispatch, const struct call_queue *calls)
+{
+	struct dispatch_decision decision = { 0 };
+	struct dispatch_queued *queued;
+
+	while ((queued = call_queue_first(calls))) {
+		struct dispatch_need need = { .service = queued->need.service };
+		g_autoptr(GArray) ups = dispatch_call_upstreams(dispatch, &need);
+
+		queued = call_queue_find_late(calls, (const struct call_queue_upstream *)ups->data,
+					      ups->len, dispatch_call_limit_us(dispatch),
+					      env_now_us());
+		if (!queued)
+			break;
+		dispatch_end_wait(dispatch, queued, NULL, &decision);
+	}
+	queued = call_queue_first(calls);
+	while (queued) {
+		struct fleet_upstream *up =
+			dispatch_select_plain(dispatch, &queued->need, &decision);
+
+		if (up) {
+			dispatch_end_wait(dispatch, queued, up, &decision);
+			queued = call_queue_first(calls);
+		} else if (queued->need.excluded && queued->need.excluded->len > 0) {
+			/* Others may go where this one was turned away. */
+			queued = call_queue_next(queued->item);
+		} else {
+			break;
+		}
+	}
+}
+
 void dispatch_grant_queued(struct dispatch *dispatch)
 {
+	GHashTableIter services;
+	gpointer calls;
+
 	/* Guards against reentry: granting an engine may finish a request. */
 	if (dispatch->granting)
 		return;
@@ -149,7 +307,12 @@
 		queued->granted(queued->ctx, up, &decision);
 		g_free(queued);
 	}
-	metric_set(dispatch->env->metric, METRIC_QUEUED_REQUESTS, dispatch->queue.length);
+	if (dispatch->call_count > 0) {
+		g_hash_table_iter_init(&services, dispatch->calls);
+		while (g_hash_table_iter_next(&services, NULL, &calls))
+			dispatch_grant_calls(dispatch, calls);
+	}
+	dispatch_count_queued(dispatch);
 	dispatch->granting = false;
 }
 
@@ -160,6 +323,41 @@
 	return dispatch->queue.length;
 }
 
+uint32_t dispatch_queued_calls(const struct dispatch *dispatch, const char *service)
+{
+	const struct call_queue *calls = g_hash_table_lookup(dispatch->calls, service);
+
+	return calls ? call_queue_length(calls) : 0;
+}
+
+bool dispatch_call_fits(struct dispatch *dispatch, const struct dispatch_need *need,
+			uint32_t priority, uint64_t deadline_us)
+{
+	g_autoptr(GArray) ups = dispatch_call_upstreams(dispatch, need);
+	const struct call_queue *calls = g_hash_table_lookup(dispatch->calls, need->service);
+	uint64_t answer_us =
+		call_queue_answer_us(calls, (const struct call_queue_upstream *)ups->data, ups->len,
+				     priority, env_now_us());
+
+	return dispatch_queued_calls(dispatch, need->service) <
+		       dispatch->env->settings->load.wait_limit &&
+	       answer_us <= MIN(deadline_us, dispatch_call_limit_us(dispatch));
+}
+
+bool dispatch_is_held_back(struct dispatch *dispatch, const struct dispatch_need *need)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
+	uint64_t now_us = env_now_us();
+
+	for (guint i = 0; i < ups->len; i++) {
+		if (dispatch_is_eligible(ups->pdata[i], need, now_us) &&
+		    !upstream_quiet_allows(fleet_upstream_quiet(ups->pdata[i]),
+					   fleet_upstream_own_load(ups->pdata[i])->open, now_us))
+			return true;
+	}
+	return false;
+}
+
 /* Tells whether an upstream may have failed without notice: it has been silent for too long, or,
  * for a request that may run only once, has not answered since earlier failures. */
 static bool dispatch_is_suspect(const struct fleet_upstream *up, const struct dispatch_need *need,
@@ -175,14 +373,11 @@
 static bool dispatch_is_usable(const struct fleet_upstream *up, const struct dispatch_need *need,
 			       uint64_t now_us)
 {
-	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
-	    fleet_upstream_suspended(up, now_us) ||
-	    !upstream_limit_allows(fleet_upstream_limit((struct fleet_upstream *)up), now_us) ||
-	    !upstream_quiet_allows(fleet_upstream_quiet((struct fleet_upstream *)up),
-				   fleet_upstream_own_load((struct fleet_upstream *)up)->open,
-				   now_us))
-		return false;
-	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
+	return dispatch_is_eligible(up, need, now_us) &&
+	       upstream_limit_allows(fleet_upstream_limit((struct fleet_upstream *)up), now_us) &&
+	       upstream_quiet_allows(fleet_upstream_quiet((struct fleet_upstream *)up),
+				     fleet_upstream_own_load((struct fleet_upstream *)up)->open,
+				     now_us);
 }
 
 /* Tells whether the load of an engine is known. One that appeared just now looks empty to the zones
@@ -248,6 +443,16 @@
 	return decision->late_ms ? NULL : ups->pdata[best];
 }
 
+/* Tells whether an upstream may get a call, or one more of those that waited. */
+static bool dispatch_takes_call(const struct dispatch *dispatch, struct fleet_upstream *up,
+				const struct dispatch_need *need, uint64_t now_us)
+{
+	struct call_queue_upstream view = dispatch_call_view(dispatch, up);
+
+	return dispatch_is_usable(up, need, now_us) &&
+	       (!need->queued || call_queue_allows(&view, now_us));
+}
+
 struct fleet_upstream *dispatch_select_plain(struct dispatch *dispatch,
 					     const struct dispatch_need *need,
 					     struct dispatch_decision *decision)
@@ -271,14 +476,14 @@
 			.connected = http_client_has_idle(dispatch->env->http_client,
 							  fleet_upstream_address(up),
 							  fleet_upstream_scope(up)),
-			.usable = dispatch_is_usable(up, need, now_us) &&
+			.usable = dispatch_takes_call(dispatch, ups->pdata[i], need, now_us) &&
 				  !dispatch_is_suspect(up, need, now_us),
 		};
 	}
 	best = placement_select_upstream(views, ups->len, g_rand_int(dispatch->env->rand));
 	/* A suspect upstream is better than none. */
 	for (guint i = 0; best == PLACEMENT_NONE && i < ups->len; i++)
-		views[i].usable = dispatch_is_usable(ups->pdata[i], need, now_us);
+		views[i].usable = dispatch_takes_call(dispatch, ups->pdata[i], need, now_us);
 	if (best == PLACEMENT_NONE)
 		best = placement_select_upstream(views, ups->len, g_rand_int(dispatch->env->rand));
 	decision->candidates = ups->len;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -1,11 +1,12 @@
 /**
  * @file dispatch.h
  * Selects upstreams for requests, accounts for the load that they cause, and
- * queues generations.
+ * queues generations, and calls while their upstreams are left alone.
  *
  * The placement rules are those of placement.h; this module applies them to the
  * fleet. A generation for which no engine has room is queued by
- * dispatch_enqueue() until dispatch_grant_queued() finds an engine for it.
+ * dispatch_enqueue() until dispatch_grant_queued() finds an engine for it. A call
+ * waits by the rules of call_queue.h, see dispatch_enqueue_call().
  * Order of calls: dispatch_create(); dispatch_select_engine() or
  * dispatch_select_plain(), dispatch_load_add() when the request is sent,
  * dispatch_load_remove() when the attempt ended; dispatch_destroy() last.
@@ -18,7 +19,7 @@
 #include "flamingolatch/placement.h"
 
 struct dispatch;
-/** A generation in the queue. */
+/** A request in a queue. */
 struct dispatch_queued;
 
 /** Load of one request on an upstream. */
@@ -36,6 +37,7 @@
 	const struct route_engine *engine; /**< NULL for a plain service */
 	struct placement_request place;
 	bool run_once; /**< may run only once: avoids upstreams that might lose it, if possible */
+	bool queued;   /**< a call that waited, see call_queue_allows() */
 	const GPtrArray *excluded; /**< upstreams not to be selected; may be NULL */
 	const struct fleet_upstream
 		*avoid; /**< one more upstream not to be selected; may be NULL */
@@ -53,7 +55,8 @@
 	uint32_t late_ms;
 };
 
-/** Called when a queued generation gets an engine. */
+/** Called when a queued request gets an upstream. @param up NULL when a call can no longer be
+ * answered in its time and is refused; @p decision is then all zeros */
 typedef void (*dispatch_granted_cb)(void *ctx, struct fleet_upstream *up,
 				    const struct dispatch_decision *decision);
 
@@ -109,12 +112,30 @@
 struct dispatch_queued *dispatch_enqueue(struct dispatch *dispatch,
 					 const struct dispatch_need *need, uint32_t priority,
 					 dispatch_granted_cb granted, void *ctx);
-/** Removes a generation from the queue and frees the entry; not to be called once it was
- * granted. */
+/**
+ * Queues a call to a plain service whose upstreams are left alone. Call dispatch_call_fits()
+ * before.
+ * @param deadline_us when it is to be answered at the latest; the other parameters and the result
+ *        as in dispatch_enqueue()
+ */
+struct dispatch_queued *dispatch_enqueue_call(struct dispatch *dispatch,
+					      const struct dispatch_need *need, uint32_t priority,
+					      uint64_t deadline_us, dispatch_granted_cb granted,
+					      void *ctx);
+/** Removes a request from its queue and frees the entry; not to be called once it was granted. */
 void dispatch_dequeue(struct dispatch *dispatch, struct dispatch_queued *queued);
-/** Grants engines to queued generations, in order, until no engine has room for the next one. */
+/** Grants engines to queued generations, in order, until no engine has room for the next one, and
+ * upstreams to queued calls; refuses the calls that would be late. */
 void dispatch_grant_queued(struct dispatch *dispatch);
 /** Returns the number of queued generations. */
 uint32_t dispatch_queue_length(const struct dispatch *dispatch);
+/** Returns the number of queued calls of a service. */
+uint32_t dispatch_queued_calls(const struct dispatch *dispatch, const char *service);
+/** Tells whether a call that is queued now is expected to be answered in time, and there is room
+ * for it in the queue. */
+bool dispatch_call_fits(struct dispatch *dispatch, const struct dispatch_need *need,
+			uint32_t priority, uint64_t deadline_us);
+/** Tells whether an upstream of a service is left alone, or tried again after it was. */
+bool dispatch_is_held_back(struct dispatch *dispatch, const struct dispatch_need *need);
 
 #endif
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -227,13 +227,11 @@
 			  "upstream-limit");
 }
 
-/* Tells whether a request can wait in the queue until the first upstream may be asked again. Calls
- * of plain services are not queued. */
+/* Tells whether a generation can wait in the queue until the first upstream may be asked again. */
 static bool relay_outlasts_quiet(const struct relay_request *request, uint64_t quiet_us)
 {
-	return relay_is_generation(request) &&
-	       relay_age_ms(request) * 1000 + quiet_us <
-		       request->relay->env->settings->load.wait_ms * 1000;
+	return relay_age_ms(request) * 1000 + quiet_us <
+	       request->relay->env->settings->load.wait_ms * 1000;
 }
 
 /* Refuses a request whose upstreams have all asked to be left alone. The callers are invited back
@@ -251,6 +249,36 @@
 		"upstreams-quiet");
 }
 
+/* Tells whether a call has to wait for upstreams that are left alone, or behind calls that do. */
+static bool relay_waits_for_quiet(const struct relay_request *request,
+				  const struct dispatch_need *need)
+{
+	struct dispatch *dispatch = request->relay->dispatch;
+
+	return !relay_is_generation(request) && !request->may_have_run &&
+	       (dispatch_queued_calls(dispatch, request->service_name) ||
+		dispatch_is_held_back(dispatch, need));
+}
+
+/* Queues a call until its upstreams take it, or refuses it when it would be answered too late. */
+static void relay_enqueue_call(struct relay_request *request, const struct dispatch_need *need)
+{
+	struct dispatch *dispatch = request->relay->dispatch;
+	g_autofree char *ahead =
+		g_strdup_printf("%u", dispatch_queued_calls(dispatch, request->service_name));
+
+	if (!dispatch_call_fits(dispatch, need, relay_priority(request), request->deadline_us)) {
+		relay_refuse_quiet(request, dispatch_quiet_us(dispatch, request->service_name));
+		return;
+	}
+	request->phase = RELAY_QUEUED;
+	request->queue_deadline_us = request->deadline_us;
+	log_event(LOG_REQUEST_QUEUED, "request", relay_request_id(request), "route",
+		  relay_route_name(request), "ahead", ahead, NULL);
+	request->queued = dispatch_enqueue_call(dispatch, need, relay_priority(request),
+						request->deadline_us, relay_on_granted, request);
+}
+
 static void relay_place(struct relay_request *request)
 {
 	struct dispatch *dispatch = request->relay->dispatch;
@@ -261,7 +289,8 @@
 
 	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
-	if (quiet_us && !request->may_have_run && !relay_outlasts_quiet(request, quiet_us)) {
+	if (quiet_us && relay_is_generation(request) && !request->may_have_run &&
+	    !relay_outlasts_quiet(request, quiet_us)) {
 		relay_refuse_quiet(request, quiet_us);
 		return;
 	}
@@ -275,7 +304,15 @@
 			return;
 		}
 	} else {
-		up = dispatch_select_plain(dispatch, &need, &decision);
+		/* Queued calls go first. */
+		up = dispatch_queued_calls(dispatch, request->service_name) &&
+				     !request->may_have_run
+			     ? NULL
+			     : dispatch_select_plain(dispatch, &need, &decision);
+		if (!up && relay_waits_for_quiet(request, &need)) {
+			relay_enqueue_call(request, &need);
+			return;
+		}
 	}
 	if (!up) {
 		if (request->may_have_run)
@@ -299,6 +336,11 @@
 	struct relay_request *request = ctx;
 
 	request->queued = NULL;
+	if (!up) {
+		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch,
+							      request->service_name));
+		return;
+	}
 	metric_observe(request->relay->env->metric, METRIC_QUEUE_US,
 		       env_now_us() - request->arrived_us);
 	/* The key may have been revoked while the request was queued. */
@@ -401,6 +443,8 @@
 {
 	struct env *env = request->relay->env;
 	struct dispatch_need need = relay_dispatch_need(request);
+	struct fleet_upstream *up = request->attempt.up;
+	bool ran = outcome != ATTEMPT_NOT_SENT && outcome != ATTEMPT_NOT_RUN;
 	struct attempt_summary summary;
 	struct dispatch_decision decision;
 	enum attempt_action action;
@@ -411,10 +455,19 @@
 		relay_request_free(request);
 		return;
 	}
+	/* After the time for which it asked to be left alone, the upstream may have the call. */
+	if (!ran && up && !relay_is_generation(request) &&
+	    upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0)
+		g_ptr_array_remove(request->tried, up);
 	available =
 		relay_is_generation(request)
 			? dispatch_has_upstream(request->relay->dispatch, request->service_name)
 			: dispatch_select_plain(request->relay->dispatch, &need, &decision) != NULL;
+	/* A call that did not run may wait for its next attempt. */
+	if (!available && !ran)
+		available = relay_waits_for_quiet(request, &need) &&
+			    dispatch_call_fits(request->relay->dispatch, &need,
+					       relay_priority(request), request->deadline_us);
 	summary = relay_summarize(request, outcome, available);
 	action = attempt_decide(&summary);
 	if (action == ATTEMPT_ACTION_RETRY && outcome != ATTEMPT_NOT_SENT) {
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -117,7 +117,8 @@
 	request->attempt_event_count = 0;
 	request->migrate_checked_us = 0;
 	g_ptr_array_set_size(request->migrate_tried, 0);
-	request->last_progress_us = env_now_us();
+	request->sent_us = env_now_us();
+	request->last_progress_us = request->sent_us;
 	g_string_truncate(request->response_body, 0);
 	g_string_truncate(request->response_headers, 0);
 	if (request->events)
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -205,6 +205,7 @@
 		break;
 	default:
 		upstream_quiet_record_answer(quiet, now_us);
+		upstream_quiet_record_duration(quiet, now_us - request->sent_us);
 		break;
 	}
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -23,7 +23,7 @@
 
 /** Progress of a request. */
 enum relay_phase {
-	RELAY_QUEUED,	 /* waits for an engine */
+	RELAY_QUEUED,	 /* waits for an engine, or for upstreams that are left alone */
 	RELAY_SENT,	 /* sent; no response head yet */
 	RELAY_BUFFERING, /* the response is collected, to be passed on whole */
 	RELAY_STREAMING, /* the response is passed on as it arrives */
@@ -85,6 +85,7 @@
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint64_t queue_deadline_us;   /* end of the queue timeout, at most deadline_us */
+	uint64_t sent_us;	      /* when the current attempt was started */
 	uint64_t last_progress_us;    /* when the upstream of the current attempt last sent data */
 	uint64_t first_event_us;      /* of the current attempt; 0 before */
 	uint64_t migrate_sent_us;     /* when the latest migration call was sent */
