Test: a quiet upstream beside a planned stop, a reload, a lost store and its restart

That an upstream which asks to be left alone gets nothing until the end was shown for an undisturbed instance only.

--- a/src/core/upstream_quiet.c
+++ b/src/core/upstream_quiet.c
@@ -7,6 +7,10 @@
 
 void upstream_quiet_ask(struct upstream_quiet *quiet, uint64_t duration_us, uint64_t now_us)
 {
+#if defined(FL_FAULT_IGNORE_QUIET)
+	/* Deliberate defect, which the tests have to detect: nothing is left alone. */
+	return;
+#endif
 	if (now_us + duration_us > quiet->until_us)
 		quiet->until_us = now_us + duration_us;
 	quiet->window = 1;
--- a/test/test_gateway_quiet.c
+++ b/test/test_gateway_quiet.c
@@ -188,10 +188,164 @@
 	fixture_close(&f);
 }
 
+/* What happens at an instance while an upstream is left alone. */
+typedef void (*beside_cb)(const struct fixture *f);
+
+/* Calls that come before and after something else happens wait and are served; nothing reaches the
+ * upstream before the end, and a caller with less time is refused at once. */
+static void check_beside(const struct fixture *f, beside_cb happen)
+{
+	struct testbed_answer answers[CALLERS + 1];
+	struct testbed_answer refused;
+
+	begin_rest(f, REST_MS, &answers[CALLERS]);
+	for (uint32_t i = 0; i < CALLERS / 2; i++)
+		testbed_begin(f->gateway, &patient, &answers[i]);
+	testbed_run(f->testbed, 20);
+	happen(f);
+	testbed_run(f->testbed, 100);
+	for (uint32_t i = CALLERS / 2; i < CALLERS; i++)
+		testbed_begin(f->gateway, &patient, &answers[i]);
+	refused = testbed_call(f->gateway, &hasty);
+	check_refused(f, &refused, REST_MS / 2);
+	for (uint32_t i = 0; i <= CALLERS; i++)
+		check_served(f, &answers[i]);
+	check_arrivals(f);
+	g_assert_cmpuint(mock_upstream_arrivals(f->shop)->len, ==, CALLERS + 2);
+}
+
+static void stop(const struct fixture *f)
+{
+	testbed_signal(f->gateway, SIGTERM);
+}
+
+static void test_planned_stop(void)
+{
+	struct fixture f;
+
+	fixture_open(&f);
+	check_beside(&f, stop);
+	g_assert_true(testbed_wait_exit(f.gateway, TESTBED_GRACE_S * 1000));
+	fixture_close(&f);
+}
+
+/* The upstream asks for longer than the grace period lasts: callers who wait are refused before the
+ * exit, and nothing is sent. */
+static void test_stop_during_long_rest(void)
+{
+	const struct testbed_request very_patient = { .path = "/once/",
+						      .key = TESTBED_KEY,
+						      .wait_ms = 4 * TESTBED_GRACE_S * 1000 };
+	struct testbed_answer answers[CALLERS];
+	struct testbed_answer first;
+	struct fixture f;
+
+	fixture_open(&f);
+	testbed_set_call_timeout(f.testbed, very_patient.wait_ms);
+	testbed_configure(f.testbed, NULL, NULL);
+	testbed_run(f.testbed, 1000);
+	begin_rest(&f, 2 * TESTBED_GRACE_S * 1000, &first);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		testbed_begin(f.gateway, &very_patient, &answers[i]);
+	testbed_run(f.testbed, 200);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		g_assert_false(answers[i].ended);
+	stop(&f);
+	g_assert_true(testbed_wait_exit(f.gateway, TESTBED_GRACE_S * 1000));
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		g_assert_true(testbed_wait(f.testbed, &answers[i], 100));
+		g_test_message("%s: status %u after %" G_GUINT64_FORMAT " ms", answers[i].id,
+			       answers[i].status, answers[i].ended_ms - answers[i].sent_ms);
+		g_assert_cmpuint(answers[i].status, ==, 503);
+		testbed_answer_clear(&answers[i]);
+	}
+	g_assert_true(testbed_wait(f.testbed, &first, 100));
+	g_assert_cmpuint(first.status, ==, 503);
+	testbed_answer_clear(&first);
+	g_assert_cmpuint(mock_upstream_arrivals(f.shop)->len, ==, 1);
+	fixture_close(&f);
+}
+
+/* The settings are read again, and a new configuration arrives. */
+static void reload(const struct fixture *f)
+{
+	testbed_signal(f->gateway, SIGHUP);
+	testbed_configure(f->testbed, NULL, "/more/");
+}
+
+static void test_reload(void)
+{
+	struct fixture f;
+
+	fixture_open(&f);
+	check_beside(&f, reload);
+	fixture_close(&f);
+}
+
+static void cut_off(const struct fixture *f)
+{
+	mock_store_set_mode(f->platform, MOCK_STORE_SILENT);
+}
+
+static void test_cut_off(void)
+{
+	struct fixture f;
+
+	fixture_open(&f);
+	check_beside(&f, cut_off);
+	fixture_close(&f);
+}
+
+/* The list has another start of the upstream. */
+static void restart(const struct fixture *f)
+{
+	g_auto(GStrv) parts =
+		g_strsplit(mock_store_text(f->platform, "servers", "shop-1"), "\"born\":", 2);
+	g_autofree char *entry = g_strdup_printf("%s\"born\":1%s", parts[0], parts[1]);
+
+	g_assert_cmpuint(g_strv_length(parts), ==, 2);
+	mock_store_put(f->platform, "servers", "shop-1", entry);
+}
+
+/* A new start of the upstream ends the time: calls that wait are sent, and new ones, too. */
+static void test_restart(void)
+{
+	struct testbed_answer answers[CALLERS];
+	struct testbed_answer answer;
+	struct fixture f;
+	uint64_t began_ms;
+	uint64_t end_ms;
+
+	fixture_open(&f);
+	began_ms = uv_hrtime() / 1000000;
+	end_ms = began_ms + CALL_TIMEOUT_MS / 2;
+	begin_rest(&f, CALL_TIMEOUT_MS / 2, &answer);
+	for (uint32_t i = 0; i < CALLERS; i++)
+		testbed_begin(f.gateway, &patient, &answers[i]);
+	testbed_run(f.testbed, 200);
+	g_assert_cmpuint(mock_upstream_arrivals(f.shop)->len, ==, 1);
+	restart(&f);
+	check_served(&f, &answer);
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		g_assert_true(testbed_wait(f.testbed, &answers[i], CALL_TIMEOUT_MS));
+		g_assert_cmpuint(answers[i].ended_ms, <, end_ms);
+		check_served(&f, &answers[i]);
+	}
+	answer = testbed_call(f.gateway, &hasty);
+	check_served(&f, &answer);
+	g_assert_cmpuint(mock_upstream_arrivals(f.shop)->len, ==, CALLERS + 3);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/gateway-quiet/calls-wait", test_calls_wait);
 	g_test_add_func("/gateway-quiet/rests-again", test_rests_again);
+	g_test_add_func("/gateway-quiet/planned-stop", test_planned_stop);
+	g_test_add_func("/gateway-quiet/stop-during-long-rest", test_stop_during_long_rest);
+	g_test_add_func("/gateway-quiet/reload", test_reload);
+	g_test_add_func("/gateway-quiet/cut-off", test_cut_off);
+	g_test_add_func("/gateway-quiet/restart", test_restart);
 	return g_test_run();
 }
