Migration: an engine that asks to be left alone is not called for copies

A generation could also be resumed at a backup, or at a target whose copy was on its way, that had asked meanwhile.

Cause: placement heeded the wish, calls to the engine that runs a generation and to one that was chosen before did not.

Change: no copy is asked for while the engine or the target is quiet; one that was made is kept and continued after the end. A generation is not resumed at a quiet backup, target or source. Releases of memory and cancels go as before. The duration of answers is recorded for calls only, which is all it is used for.

Not covered by a test: a backup that is quiet, and an engine that asks while a copy is on its way.

--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -84,7 +84,10 @@
 	need.distance_from = request->attempt.up;
 	if (request->kv_copy.up &&
 	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY) {
-		/* The copy was made while the entry of the generation's engine was lapsed. */
+		/* The copy was made while the entry of the generation's engine was lapsed, or is
+		 * continued after a time in which an engine wanted to be left alone. */
+		if (relay_is_quiet(request->kv_copy.up))
+			return;
 		request->migrate_target = fleet_upstream_ref(request->kv_copy.up);
 		relay_send_migrate(request, false);
 		return;
@@ -151,6 +154,9 @@
 		return false;
 	if (now_us - request->migrate_checked_us <= RELAY_MIGRATE_INTERVAL_US)
 		return false;
+	/* A copy is a call to the engine, and can wait. */
+	if (request->service->engine.can_migrate && relay_is_quiet(request->attempt.up))
+		return false;
 	if (fleet_upstream_state(request->attempt.up) == FLEET_UPSTREAM_LEAVING)
 		return true;
 	return !request->kv_copy.up && fleet_upstream_may_shut_down(request->attempt.up);
@@ -184,7 +190,7 @@
 	struct fleet_upstream *up = request->attempt.up;
 	g_autofree char *source = NULL;
 
-	if (!handle || !request->caller || request->call)
+	if (!handle || !request->caller || request->call || relay_is_quiet(up))
 		return false;
 	source = g_strdup(fleet_upstream_address(up));
 	fleet_upstream_ref(up);
@@ -221,8 +227,9 @@
 						(env_now_us() - request->migrate_sent_us) / 1000);
 
 	log_event(LOG_MIGRATION_FAILED, "request", relay_request_id(request), "upstream",
-		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason", "refused",
-		  "status", status, "move_ms", took, NULL);
+		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason",
+		  relay_is_quiet(target) ? "target-quiet" : "refused", "status", status, "move_ms",
+		  took, NULL);
 	g_ptr_array_add(request->migrate_tried, fleet_upstream_ref(target));
 	if (!request->call && relay_resume_at_source(request, handle))
 		return;
@@ -261,18 +268,20 @@
 		log_event(LOG_MIGRATION_COPIED, "request", relay_request_id(request), "upstream",
 			  relay_upstream_id(request), "to", fleet_upstream_id(target), "move_ms",
 			  took, NULL);
-		if (fleet_upstream_state(request->attempt.up) != FLEET_UPSTREAM_LAPSED) {
+		if (fleet_upstream_state(request->attempt.up) != FLEET_UPSTREAM_LAPSED &&
+		    !relay_is_quiet(request->attempt.up) && !relay_is_quiet(target)) {
 			relay_send_migrate(request, relay_may_stop_source(request));
 			return;
 		}
-		/* The copy is kept until the entry is back, or the engine counts as leaving. */
+		/* The copy is kept until the entry is back, or the engine counts as leaving, or may
+		 * be called again. */
 		request->migrate_target = NULL;
 		fleet_upstream_unref(target);
 		return;
 	}
 	request->migrate_target = NULL;
 	request->migrate_stopping = false;
-	if (done && request->caller)
+	if (done && request->caller && !relay_is_quiet(target))
 		relay_migration_done(request, target, handle);
 	else
 		relay_migration_failed(request, target, handle, answer->status);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -205,7 +205,9 @@
 		break;
 	default:
 		upstream_quiet_record_answer(quiet, now_us);
-		upstream_quiet_record_duration(quiet, now_us - request->sent_us);
+		/* A stream's head says nothing of when its engine takes the next request. */
+		if (!relay_is_generation(request))
+			upstream_quiet_record_duration(quiet, now_us - request->sent_us);
 		break;
 	}
 }
@@ -442,8 +444,14 @@
 	return RELAY_MIN_RETRY_AFTER_MS + spread + 20 * MIN(queue_length, 100);
 }
 
+bool relay_is_quiet(struct fleet_upstream *up)
+{
+	return upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0;
+}
+
 bool relay_has_backup(const struct relay_request *request)
 {
 	return request->backup.up &&
-	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED;
+	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED &&
+	       !relay_is_quiet(request->backup.up);
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -184,6 +184,8 @@
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
+/** Tells whether an upstream asked to be left alone for a time that has not ended. */
+bool relay_is_quiet(struct fleet_upstream *up);
 /** Tells whether the generation can be resumed from its backup now. */
 bool relay_has_backup(const struct relay_request *request);
 /** @} */
--- a/test/test_gateway_quiet.c
+++ b/test/test_gateway_quiet.c
@@ -19,12 +19,17 @@
 #define CALLERS		 10
 #define SLACK_MS	 20 /* for the clocks of the two processes */
 
-/* A gateway and an upstream of the plain service. */
+#define TOKENS	       1000
+#define EVENT_MS       16 /* between events of four tokens: a generation lasts 4 s */
+#define ENGINE_REST_MS 1200
+
+/* A gateway, an upstream of the plain service and engines that are not listed. */
 struct fixture {
 	struct testbed *testbed;
 	struct mock_platform *platform;
 	struct testbed_gateway *gateway;
 	struct mock_upstream *shop;
+	struct mock_upstream *engines[2];
 };
 
 static const struct testbed_request patient = { .path = "/once/",
@@ -39,6 +44,8 @@
 	*f = (struct fixture){ .testbed = testbed_create(35) };
 	f->platform = testbed_platform(f->testbed);
 	f->shop = testbed_upstream(f->testbed, "shop-1", false, 2);
+	f->engines[0] = testbed_upstream(f->testbed, "engine-1", true, 3);
+	f->engines[1] = testbed_upstream(f->testbed, "engine-2", true, 4);
 	testbed_set_call_timeout(f->testbed, CALL_TIMEOUT_MS);
 	testbed_configure(f->testbed, NULL, NULL);
 	f->gateway = testbed_gateway(f->testbed, "gw-1", NULL);
@@ -80,10 +87,11 @@
 	return g_array_index(arrivals, struct mock_arrival, before).quiet_until_ms;
 }
 
-/* Checks that the upstream got nothing between a refusal that asked for a time and its end. */
-static void check_arrivals(const struct fixture *f)
+/* Checks that an upstream got nothing between a refusal that asked for a time and its end.
+ * @return the end */
+static uint64_t check_arrivals(const struct mock_upstream *upstream)
 {
-	const GArray *arrivals = mock_upstream_arrivals(f->shop);
+	const GArray *arrivals = mock_upstream_arrivals(upstream);
 	uint64_t until_ms = 0;
 
 	for (guint i = 0; i < arrivals->len; i++) {
@@ -96,6 +104,7 @@
 		g_assert_cmpuint(arrival->at_ms + SLACK_MS, >=, until_ms);
 		until_ms = MAX(until_ms, arrival->quiet_until_ms);
 	}
+	return until_ms;
 }
 
 static void check_served(const struct fixture *f, struct testbed_answer *answer)
@@ -144,7 +153,7 @@
 	check_refused(&f, &refused, REST_MS / 2);
 	for (uint32_t i = 0; i <= CALLERS; i++)
 		check_served(&f, &answers[i]);
-	check_arrivals(&f);
+	check_arrivals(f.shop);
 	arrivals = mock_upstream_arrivals(f.shop);
 	/* The refused one, the first that tries, and the others after its answer. */
 	g_assert_cmpuint(arrivals->len, ==, CALLERS + 2);
@@ -183,7 +192,7 @@
 	g_assert_true(testbed_wait(f.testbed, &first, 2 * CALL_TIMEOUT_MS));
 	g_assert_cmpuint(first.status, ==, 503);
 	testbed_answer_clear(&first);
-	check_arrivals(&f);
+	check_arrivals(f.shop);
 	g_assert_cmpuint(mock_upstream_arrivals(f.shop)->len, ==, 2);
 	fixture_close(&f);
 }
@@ -210,7 +219,7 @@
 	check_refused(f, &refused, REST_MS / 2);
 	for (uint32_t i = 0; i <= CALLERS; i++)
 		check_served(f, &answers[i]);
-	check_arrivals(f);
+	check_arrivals(f->shop);
 	g_assert_cmpuint(mock_upstream_arrivals(f->shop)->len, ==, CALLERS + 2);
 }
 
@@ -337,6 +346,73 @@
 	fixture_close(&f);
 }
 
+static const struct testbed_request generation = { .path = "/long/",
+						   .key = TESTBED_KEY,
+						   .output_tokens = TOKENS };
+
+/* Begins a generation on the first engine, lets an engine ask for a time, and has the first engine
+ * leave: the generation is moved, with no call for a copy before the end of the time. */
+static void check_move(uint32_t quiet_engine)
+{
+	struct mock_upstream_conf conf = { .engine = true, .pace_ms = EVENT_MS };
+	struct testbed_answer moved;
+	struct testbed_answer refused;
+	const GArray *copies;
+	struct mock_upstream *quiet;
+	struct fixture f;
+	uint64_t until_ms;
+
+	fixture_open(&f);
+	quiet = f.engines[quiet_engine];
+	for (uint32_t i = 0; i < G_N_ELEMENTS(f.engines); i++)
+		mock_upstream_configure(f.engines[i], &conf);
+	mock_upstream_list(f.engines[0]);
+	testbed_run(f.testbed, 300);
+	testbed_begin(f.gateway, &generation, &moved);
+	testbed_run(f.testbed, 300);
+	g_assert_cmpuint(mock_upstream_open_count(f.engines[0]), ==, 1);
+	if (quiet_engine != 0) {
+		mock_upstream_list(quiet);
+		testbed_run(f.testbed, 300);
+	}
+	conf.shed_percent = 100;
+	conf.quiet_ms = ENGINE_REST_MS;
+	mock_upstream_configure(quiet, &conf);
+	testbed_begin(f.gateway, &generation, &refused);
+	testbed_run(f.testbed, 100);
+	conf.shed_percent = 0;
+	mock_upstream_configure(quiet, &conf);
+	mock_upstream_list(f.engines[1]);
+	testbed_run(f.testbed, 100);
+	mock_upstream_drain(f.engines[0]);
+	g_assert_true(testbed_wait(f.testbed, &moved, 10000));
+	until_ms = check_arrivals(quiet);
+	g_assert_cmpuint(until_ms, >, 0);
+	copies = mock_upstream_copies_ms(f.engines[0]);
+	g_test_message("%u calls for copies, the first %" G_GINT64_FORMAT " ms after the end",
+		       copies->len,
+		       copies->len ? (gint64)(g_array_index(copies, guint64, 0) - until_ms) : 0);
+	g_assert_cmpuint(copies->len, >, 0);
+	g_assert_cmpuint(g_array_index(copies, guint64, 0) + SLACK_MS, >=, until_ms);
+	g_assert_true(testbed_is_complete(&moved, TOKENS));
+	g_assert_cmpuint(mock_request_record(f.platform, moved.id).executions, ==, 1);
+	g_assert_cmpuint(mock_request_record(f.platform, moved.id).arrivals, ==, 2);
+	g_assert_true(testbed_wait(f.testbed, &refused, 10000));
+	testbed_answer_clear(&moved);
+	testbed_answer_clear(&refused);
+	fixture_close(&f);
+}
+
+static void test_move_from(void)
+{
+	check_move(0);
+}
+
+static void test_move_to(void)
+{
+	check_move(1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -347,5 +423,7 @@
 	g_test_add_func("/gateway-quiet/reload", test_reload);
 	g_test_add_func("/gateway-quiet/cut-off", test_cut_off);
 	g_test_add_func("/gateway-quiet/restart", test_restart);
+	g_test_add_func("/gateway-quiet/move-from", test_move_from);
+	g_test_add_func("/gateway-quiet/move-to", test_move_to);
 	return g_test_run();
 }
--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -73,6 +73,7 @@
 	GPtrArray *jobs;
 	GArray *arrivals_ms; /* guint64 */
 	GArray *arrivals;    /* struct mock_arrival */
+	GArray *copies_ms;   /* guint64: when KV copies were asked for */
 	uint64_t started_ms; /* wall clock */
 	uint64_t leaving_ms; /* when it began to leave; 0 before */
 	uint64_t crashed_ms; /* when it crashed; 0 before */
@@ -193,6 +194,7 @@
 	mock_upstream_crash(upstream);
 	g_ptr_array_free(upstream->jobs, TRUE);
 	g_array_free(upstream->arrivals_ms, TRUE);
+	g_array_free(upstream->copies_ms, TRUE);
 	g_array_free(upstream->arrivals, TRUE);
 	g_free(upstream->id);
 	g_free(upstream->service);
@@ -618,6 +620,7 @@
 	upstream->zone = g_strdup(conf->zone);
 	upstream->jobs = g_ptr_array_new();
 	upstream->arrivals_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
+	upstream->copies_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	upstream->arrivals = g_array_new(FALSE, FALSE, sizeof(struct mock_arrival));
 	g_array_set_clear_func(upstream->arrivals, mock_arrival_clear);
 	upstream->started_ms = (uint64_t)g_get_real_time() / 1000;
@@ -659,6 +662,11 @@
 	return upstream->arrivals;
 }
 
+const GArray *mock_upstream_copies_ms(const struct mock_upstream *upstream)
+{
+	return upstream->copies_ms;
+}
+
 const GArray *mock_upstream_arrivals_ms(const struct mock_upstream *upstream)
 {
 	return upstream->arrivals_ms;
@@ -858,6 +866,9 @@
 	json_t *root = json_loadb(text, len, 0, NULL);
 	const char *id = json_string_value(json_object_get(root, "id"));
 	bool stop_source = json_is_true(json_object_get(root, "last"));
+	guint64 now_ms = uv_now(upstream->platform->loop);
+
+	g_array_append_val(upstream->copies_ms, now_ms);
 
 	for (guint i = 0; id && i < upstream->jobs->len; i++) {
 		struct mock_job *job = upstream->jobs->pdata[i];
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -122,6 +122,9 @@
 const GArray *mock_upstream_arrivals_ms(const struct mock_upstream *upstream);
 /** Returns the requests that arrived, in order, as an array of struct mock_arrival; borrowed. */
 const GArray *mock_upstream_arrivals(const struct mock_upstream *upstream);
+/** Returns when it was asked to copy the KV cache of a generation to another engine, on the loop's
+ * clock in ms, as an array of guint64; borrowed. */
+const GArray *mock_upstream_copies_ms(const struct mock_upstream *upstream);
 /** Writes to the entry that the upstream is leaving, and from then on says so in its answers; it
  * continues to serve. */
 void mock_upstream_drain(struct mock_upstream *upstream);
