--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -31,7 +31,7 @@
 	char *request_id;
 };
 
-static void relay_note_answer(const struct env *env, struct fleet_upstream *up,
+static bool relay_note_answer(const struct env *env, struct fleet_upstream *up,
 			      const char *request_id, const struct http_response_head *head);
 
 /* lifetime */
@@ -232,8 +232,9 @@
 	dispatch_load_set_kv_used(&request->kv_copy, used_tokens);
 }
 
-/* Records that the upstream asks to be left alone for a time, or that it did not. */
-static void relay_note_quiet(const struct env *env, struct fleet_upstream *up,
+/* Records that the upstream asks to be left alone for a time, or that it did not. Returns false
+ * when it does. */
+static bool relay_note_quiet(const struct env *env, struct fleet_upstream *up,
 			     const char *request_id, const struct http_response_head *head)
 {
 	struct upstream_quiet *quiet = fleet_upstream_quiet(up);
@@ -248,41 +249,49 @@
 		quiet_ms = g_strdup_printf("%" G_GUINT64_FORMAT, quiet_us / 1000);
 		log_event(LOG_UPSTREAM_QUIET, "upstream", fleet_upstream_id(up), "request",
 			  request_id, "quiet_ms", quiet_ms, NULL);
-		break;
+		return false;
 	case PROTOCOL_QUIET_INVALID:
 		if (quiet->invalid_logged_us &&
 		    now_us < quiet->invalid_logged_us + RELAY_QUIET_LOG_INTERVAL_US)
-			break;
+			return false;
 		quiet->invalid_logged_us = now_us;
 		log_event(LOG_UPSTREAM_QUIET_INVALID, "upstream", fleet_upstream_id(up), "request",
 			  request_id, NULL);
-		break;
+		return false;
 	default:
 		upstream_quiet_record_answer(quiet, now_us);
-		break;
+		return true;
 	}
 }
 
-/* Records what an answer says of the upstream that sent it. */
-static void relay_note_answer(const struct env *env, struct fleet_upstream *up,
+/* Records what an answer says of the upstream that sent it. Returns false when it has a time to be
+ * left alone. */
+static bool relay_note_answer(const struct env *env, struct fleet_upstream *up,
 			      const char *request_id, const struct http_response_head *head)
 {
-	relay_note_quiet(env, up, request_id, head);
+	bool ordinary = relay_note_quiet(env, up, request_id, head);
+
 	if (!env->protocol->decode_leaving(head))
-		return;
+		return ordinary;
 	if (fleet_upstream_state(up) <= FLEET_UPSTREAM_LAPSED) {
 		metric_add(env->metric, METRIC_DEPARTURES, 1);
 		log_event(LOG_UPSTREAM_DEPARTURE, "upstream", fleet_upstream_id(up), "request",
 			  request_id, NULL);
 	}
 	fleet_upstream_record_departure(up, env_now_us());
+	return ordinary;
 }
 
 void relay_note_upstream(struct relay_request *request, const struct http_response_head *head)
 {
-	if (request->attempt.up)
-		relay_note_answer(request->relay->env, request->attempt.up,
-				  relay_request_id(request), head);
+	struct fleet_upstream *up = request->attempt.up;
+
+	if (!up || !relay_note_answer(request->relay->env, up, relay_request_id(request), head))
+		return;
+	/* The head of a stream says nothing of when its engine takes the next request. */
+	if (!relay_is_generation(request))
+		upstream_quiet_record_duration(fleet_upstream_quiet(up),
+					       env_now_us() - request->sent_us);
 }
 
 void relay_log_end(struct relay_request *request, enum log_event_id event, const char *reason)
@@ -499,8 +508,14 @@
 	return RELAY_MIN_RETRY_AFTER_MS + spread + 20 * MIN(queue_length, 100);
 }
 
+bool relay_is_quiet(struct fleet_upstream *up)
+{
+	return upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0;
+}
+
 bool relay_has_backup(const struct relay_request *request)
 {
 	return request->backup.up &&
-	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED;
+	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED &&
+	       !relay_is_quiet(request->backup.up);
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -23,7 +23,7 @@
 
 /** Progress of a request. */
 enum relay_phase {
-	RELAY_QUEUED,	 /* waits for an engine */
+	RELAY_QUEUED,	 /* waits for an engine, or for upstreams that are left alone */
 	RELAY_SENT,	 /* sent; no response head yet */
 	RELAY_BUFFERING, /* the response is collected, to be passed on whole */
 	RELAY_STREAMING, /* the response is passed on as it arrives */
@@ -86,6 +86,7 @@
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint64_t queue_deadline_us;   /* end of the queue timeout, at most deadline_us */
+	uint64_t sent_us;	      /* when the current attempt was started */
 	uint64_t last_progress_us;    /* when the upstream of the current attempt last sent data */
 	uint64_t first_event_us;      /* of the current attempt; 0 before */
 	uint64_t migrate_sent_us;     /* when the latest migration call was sent */
@@ -186,6 +187,8 @@
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
+/** Tells whether an upstream asked to be left alone for a time that has not ended. */
+bool relay_is_quiet(struct fleet_upstream *up);
 /** Tells whether the generation can be resumed from its backup now. */
 bool relay_has_backup(const struct relay_request *request);
 /** @} */
