--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -22,8 +22,6 @@
 #define RELAY_STALL_CHECK_MS 100
 /* Longest time to be left alone that callers are told. */
 #define RELAY_MAX_QUIET_MS 3600000
-/* Time from the stop signal until the balancer sends callers elsewhere. */
-#define RELAY_STOP_PROPAGATION_MS 2700
 
 static void relay_on_caller_gone(void *ctx);
 static void relay_on_caller_drained(void *ctx);
@@ -52,6 +50,7 @@
 		return;
 	while (relay->requests.head)
 		relay_request_free(relay->requests.head->data);
+	relay_cancel_releases(relay);
 	g_hash_table_destroy(relay->length_estimates);
 	g_free(relay);
 }
@@ -96,19 +95,28 @@
 	return false;
 }
 
-/* Tells whether a request is accepted during shutdown: it is certain to finish before the process
- * exits, or it arrived before callers could have been routed elsewhere. */
-static bool relay_fits_before_exit(const struct relay_request *request)
+/* Returns how long an upstream is expected to need for the request, in ms. */
+static uint64_t relay_expected_ms(const struct relay_request *request)
+{
+	return RELAY_MAX_CALL_MS + (relay_is_generation(request)
+					    ? request->expected_output_tokens * RELAY_TOKEN_MS
+					    : 0);
+}
+
+/* Refuses a request that has not run and could be cut by the exit of the process. Returns true when
+ * it was refused. */
+static bool relay_refuse_if_stopping(struct relay_request *request)
 {
 	const struct env *env = request->relay->env;
-	uint64_t needs_ms = RELAY_MAX_CALL_MS;
 
-	if (!env->stopping ||
-	    request->arrived_us < env->stop_us + RELAY_STOP_PROPAGATION_MS * 1000ULL)
-		return true;
-	if (relay_is_generation(request))
-		needs_ms += request->decoded.max_output_tokens * RELAY_TOKEN_MS;
-	return request->arrived_us + needs_ms * 1000 < env->exit_deadline_us;
+	if (request->may_have_run ||
+	    planned_stop_accepts(&env->stop, request->deadline_us + RELAY_DEADLINE_SLACK_MS * 1000,
+				 relay_expected_ms(request) * 1000, env_now_us()))
+		return false;
+	metric_add(env->metric, METRIC_STOP_REFUSED, 1);
+	http_req_close_after_response(request->caller);
+	relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS, "stopping");
+	return true;
 }
 
 /* helpers: placement */
@@ -220,13 +228,11 @@
 			  "upstream-limit");
 }
 
-/* Tells whether a request can wait in the queue until the first upstream may be asked again. Calls
- * of plain services are not queued. */
+/* Tells whether a generation can wait in the queue until the first upstream may be asked again. */
 static bool relay_outlasts_quiet(const struct relay_request *request, uint64_t quiet_us)
 {
-	return relay_is_generation(request) &&
-	       relay_age_ms(request) * 1000 + quiet_us <
-		       request->relay->env->settings->load.wait_ms * 1000;
+	return relay_age_ms(request) * 1000 + quiet_us <
+	       request->relay->env->settings->load.wait_ms * 1000;
 }
 
 /* Refuses a request whose upstreams have all asked to be left alone. The callers are invited back
@@ -244,6 +250,36 @@
 		"upstreams-quiet");
 }
 
+/* Tells whether a call has to wait for upstreams that are left alone, or behind calls that do. */
+static bool relay_waits_for_quiet(const struct relay_request *request,
+				  const struct dispatch_need *need)
+{
+	struct dispatch *dispatch = request->relay->dispatch;
+
+	return !relay_is_generation(request) && !request->may_have_run &&
+	       (dispatch_queued_calls(dispatch, request->service_name) ||
+		dispatch_is_held_back(dispatch, need));
+}
+
+/* Queues a call until its upstreams take it, or refuses it when it would be answered too late. */
+static void relay_enqueue_call(struct relay_request *request, const struct dispatch_need *need)
+{
+	struct dispatch *dispatch = request->relay->dispatch;
+	g_autofree char *ahead =
+		g_strdup_printf("%u", dispatch_queued_calls(dispatch, request->service_name));
+
+	if (!dispatch_call_fits(dispatch, need, relay_priority(request), request->deadline_us)) {
+		relay_refuse_quiet(request, dispatch_quiet_us(dispatch, request->service_name));
+		return;
+	}
+	request->phase = RELAY_QUEUED;
+	request->queue_deadline_us = request->deadline_us;
+	log_event(LOG_REQUEST_QUEUED, "request", relay_request_id(request), "route",
+		  relay_route_name(request), "ahead", ahead, NULL);
+	request->queued = dispatch_enqueue_call(dispatch, need, relay_priority(request),
+						request->deadline_us, relay_on_granted, request);
+}
+
 static void relay_place(struct relay_request *request)
 {
 	struct dispatch *dispatch = request->relay->dispatch;
@@ -252,9 +288,10 @@
 	struct fleet_upstream *up;
 	uint64_t quiet_us = dispatch_quiet_us(dispatch, request->service_name);
 
-	if (relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
-	if (quiet_us && !request->may_have_run && !relay_outlasts_quiet(request, quiet_us)) {
+	if (quiet_us && relay_is_generation(request) && !request->may_have_run &&
+	    !relay_outlasts_quiet(request, quiet_us)) {
 		relay_refuse_quiet(request, quiet_us);
 		return;
 	}
@@ -268,7 +305,15 @@
 			return;
 		}
 	} else {
-		up = dispatch_select_plain(dispatch, &need, &decision);
+		/* Queued calls go first. */
+		up = dispatch_queued_calls(dispatch, request->service_name) &&
+				     !request->may_have_run
+			     ? NULL
+			     : dispatch_select_plain(dispatch, &need, &decision);
+		if (!up && relay_waits_for_quiet(request, &need)) {
+			relay_enqueue_call(request, &need);
+			return;
+		}
 	}
 	if (!up) {
 		if (request->may_have_run)
@@ -292,6 +337,11 @@
 	struct relay_request *request = ctx;
 
 	request->queued = NULL;
+	if (!up) {
+		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch,
+							      request->service_name));
+		return;
+	}
 	metric_observe(request->relay->env->metric, METRIC_QUEUE_US,
 		       env_now_us() - request->arrived_us);
 	/* The key may have been revoked while the request was queued. */
@@ -300,7 +350,7 @@
 				  "unconfirmed");
 		return;
 	}
-	if (relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
 	relay_start_attempt(request, up, NULL, NULL);
 	relay_log_placed(request, up, decision);
@@ -396,6 +446,8 @@
 {
 	struct env *env = request->relay->env;
 	struct dispatch_need need = relay_dispatch_need(request);
+	struct fleet_upstream *up = request->attempt.up;
+	bool ran = outcome != ATTEMPT_NOT_SENT && outcome != ATTEMPT_NOT_RUN;
 	struct attempt_summary summary;
 	struct dispatch_decision decision;
 	enum attempt_action action;
@@ -406,10 +458,19 @@
 		relay_request_free(request);
 		return;
 	}
+	/* After the time for which it asked to be left alone, the upstream may have the call. */
+	if (!ran && up && !relay_is_generation(request) &&
+	    upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0)
+		g_ptr_array_remove(request->tried, up);
 	available =
 		relay_is_generation(request)
 			? dispatch_has_upstream(request->relay->dispatch, request->service_name)
 			: dispatch_select_plain(request->relay->dispatch, &need, &decision) != NULL;
+	/* A call that did not run may wait for its next attempt. */
+	if (!available && !ran)
+		available = relay_waits_for_quiet(request, &need) &&
+			    dispatch_call_fits(request->relay->dispatch, &need,
+					       relay_priority(request), request->deadline_us);
 	summary = relay_summarize(request, outcome, available);
 	action = attempt_decide(&summary);
 	if (action == ATTEMPT_ACTION_RETRY && outcome != ATTEMPT_NOT_SENT) {
@@ -512,6 +573,8 @@
 		relay_cancel_attempt(request);
 		request->attempt_count++;
 		relay_on_attempt_end(request, ATTEMPT_SILENT);
+	} else if (request->phase == RELAY_QUEUED && relay_refuse_if_stopping(request)) {
+		return;
 	} else if (request->phase == RELAY_QUEUED && now_us >= request->queue_deadline_us) {
 		if (request->may_have_run)
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "waited");
@@ -559,11 +622,8 @@
 	request->fingerprint = relay_compute_fingerprint(request);
 	if (relay_is_generation(request))
 		relay_update_estimate(request);
-	if (!relay_fits_before_exit(request)) {
-		http_req_close_after_response(request->caller);
-		relay_reply_error(request, ERR_NOT_READY, RELAY_MIN_RETRY_AFTER_MS, "stopping");
+	if (relay_refuse_if_stopping(request))
 		return;
-	}
 	limit_exchange_on_request(relay->env->limit_exchange, request->service_name);
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
@@ -603,6 +663,24 @@
 	dispatch_grant_queued(relay->dispatch);
 }
 
+void relay_answer_open(struct relay *relay)
+{
+	GList *next;
+
+	for (GList *item = relay->requests.head; item; item = next) {
+		struct relay_request *request = item->data;
+
+		next = item->next;
+		if (!request->caller || request->response_started)
+			continue;
+		if (request->phase == RELAY_QUEUED && !request->may_have_run)
+			relay_reply_error(request, ERR_NOT_READY, relay_retry_after_ms(request),
+					  "stopping");
+		else
+			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "stopping");
+	}
+}
+
 void relay_log_unfinished(struct relay *relay)
 {
 	for (GList *item = relay->requests.head; item; item = item->next) {
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -23,7 +23,7 @@
 
 /** Progress of a request. */
 enum relay_phase {
-	RELAY_QUEUED,	 /* waits for an engine */
+	RELAY_QUEUED,	 /* waits for an engine, or for upstreams that are left alone */
 	RELAY_SENT,	 /* sent; no response head yet */
 	RELAY_BUFFERING, /* the response is collected, to be passed on whole */
 	RELAY_STREAMING, /* the response is passed on as it arrives */
@@ -44,6 +44,7 @@
 	struct env *env;
 	struct dispatch *dispatch;
 	GQueue requests; /* struct relay_request */
+	GQueue releases; /* open calls that release KV copies, struct relay_release */
 	/** Decides what follows an attempt that ended without completing the request; may free
 	 * the request. */
 	void (*on_attempt_end)(struct relay_request *request, enum attempt_outcome outcome);
@@ -73,9 +74,9 @@
 	struct fleet_upstream
 		*migrate_target;      /* target of the migration, with a reference; or NULL */
 	struct dispatch_load kv_copy; /* on the engine to which the KV cache is copied */
-	char *kv_copy_handle;	  /* of the latest KV copy by a migration, if it is still unused */
-	char *kv_copy_source;	  /* address of the engine that made the copy */
-	GPtrArray *tried;	  /* upstreams that had the request, with references */
+	char *kv_copy_handle; /* of the latest KV copy by a migration, if it is still unused */
+	struct fleet_upstream *kv_copy_source; /* that made the copy, with a reference */
+	GPtrArray *tried;		       /* upstreams that had the request, with references */
 	GPtrArray *migrate_tried; /* engines that did not accept a copy, with references */
 	struct event_stream *events;
 	GString *response_body;	   /* the part that is not passed on yet */
@@ -85,6 +86,7 @@
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint64_t queue_deadline_us;   /* end of the queue timeout, at most deadline_us */
+	uint64_t sent_us;	      /* when the current attempt was started */
 	uint64_t last_progress_us;    /* when the upstream of the current attempt last sent data */
 	uint64_t first_event_us;      /* of the current attempt; 0 before */
 	uint64_t migrate_sent_us;     /* when the latest migration call was sent */
@@ -131,6 +133,8 @@
 /** Drops the record of a migration's KV copy that was consumed or no longer exists; sends nothing
  * to the engine. */
 void relay_forget_copy(struct relay_request *request);
+/** Cancels the open calls that release KV copies. */
+void relay_cancel_releases(struct relay *relay);
 /** Cancels the open migration, if any, and releases its KV copy at the engine that made it. */
 void relay_cancel_migration(struct relay_request *request);
 /** Updates the expected output length, and with it the KV cache counted on the engines. */
@@ -185,6 +189,8 @@
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
+/** Tells whether an upstream asked to be left alone for a time that has not ended. */
+bool relay_is_quiet(struct fleet_upstream *up);
 /** Tells whether the generation can be resumed from its backup now. */
 bool relay_has_backup(const struct relay_request *request);
 /** @} */
