HTTP client: at most 128 headers and 16 KiB of them in a response

Cause: only the parser limits a head, to 80 KiB. A header of three bytes is stored in 80, so one head that never ends holds 2.1 MB until the deadline; trailers too. The connections were open until the deadline; now they are closed at once, as after any other answer that is not valid HTTP (502, attempt-failed in the log). Why: what one response can store is bounded by count and bytes, before its end. An endless status line or chunk extension is not stored and stays with the parser.

The test's upstream writes as fast as the other side reads (raw_conn_write_endlessly).

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -10,6 +10,10 @@
 
 #define HTTP_CLIENT_READ_BUFFER_BYTES	   16384
 #define HTTP_CLIENT_IDLE_CHECK_INTERVAL_MS 500
+/* Names and values of the headers of a response, trailers included. */
+#define HTTP_CLIENT_MAX_HEADER_BYTES (16U << 10)
+/* A stored header takes 80 bytes and more, however short it is. */
+#define HTTP_CLIENT_MAX_HEADERS 128
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -67,12 +71,13 @@
 	GString *value;
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms; /* idle time after which the connection is not reused */
+	size_t header_bytes;	/* names and values of the response being read */
 	bool in_value;
 	bool connected;
 	bool writing;
 	bool closing;
-	bool mismatched; /* the response being read belongs to another call */
-	bool no_reuse;	 /* close the connection after this call */
+	bool mismatched;     /* the response being read belongs to another call */
+	bool no_reuse;	     /* close the connection after this call */
 	bool response_complete;
 	bool idle;
 };
@@ -398,6 +403,9 @@
 	struct client_conn *conn = parser->data;
 
 	g_ptr_array_set_size(conn->headers, 0);
+	g_string_truncate(conn->name, 0);
+	g_string_truncate(conn->value, 0);
+	conn->header_bytes = 0;
 	conn->in_value = false;
 	conn->mismatched = false;
 	return 0;
@@ -417,6 +425,16 @@
 	g_string_truncate(conn->value, 0);
 }
 
+/* Adds to the size of the headers. @return 0, or -1 if a limit is exceeded */
+static int client_conn_count_header_bytes(struct client_conn *conn, size_t len)
+{
+	conn->header_bytes += len;
+	return conn->header_bytes > HTTP_CLIENT_MAX_HEADER_BYTES ||
+			       conn->headers->len / 2 > HTTP_CLIENT_MAX_HEADERS
+		       ? -1
+		       : 0;
+}
+
 static int client_conn_on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	struct client_conn *conn = parser->data;
@@ -425,7 +443,7 @@
 		client_conn_store_header(conn);
 	conn->in_value = false;
 	g_string_append_len(conn->name, at, (gssize)len);
-	return 0;
+	return client_conn_count_header_bytes(conn, len);
 }
 
 static int client_conn_on_header_value(http_parser *parser, const char *at, size_t len)
@@ -434,7 +452,7 @@
 
 	conn->in_value = true;
 	g_string_append_len(conn->value, at, (gssize)len);
-	return 0;
+	return client_conn_count_header_bytes(conn, len);
 }
 
 /* Computes from the Keep-Alive header how long the connection may stay idle. */
--- a/test/testbed/raw_upstream.c
+++ b/test/testbed/raw_upstream.c
@@ -16,7 +16,8 @@
 	uv_tcp_t tcp;
 	uv_timer_t timer;
 	GString *request;
-	char *later; /* what the timer writes */
+	char *later;   /* what the timer writes */
+	char *endless; /* written again whenever it is sent */
 	uint32_t later_ms;
 	uint32_t open_handles;
 	bool repeat;
@@ -40,6 +41,7 @@
 		return;
 	g_string_free(conn->request, TRUE);
 	g_free(conn->later);
+	g_free(conn->endless);
 	g_free(conn);
 }
 
@@ -63,6 +65,9 @@
 	if (status != 0 || (conn->close_when_sent &&
 			    uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) == 0))
 		raw_conn_abort(conn);
+	else if (conn->endless && conn->upstream &&
+		 uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) == 0)
+		raw_conn_write(conn, conn->endless);
 }
 
 static void raw_conn_on_timer(uv_timer_t *timer)
@@ -183,6 +188,13 @@
 	uv_timer_start(&conn->timer, raw_conn_on_timer, delay_ms, 0);
 }
 
+void raw_conn_write_endlessly(struct raw_conn *conn, const char *text)
+{
+	g_free(conn->endless);
+	conn->endless = g_strdup(text);
+	raw_conn_write(conn, text);
+}
+
 bool raw_conn_has_later(const struct raw_conn *conn)
 {
 	return uv_is_active((const uv_handle_t *)&conn->timer);
--- a/test/testbed/raw_upstream.h
+++ b/test/testbed/raw_upstream.h
@@ -34,6 +34,8 @@
 /** Writes a text after a delay, and again after each further delay if @p repeat is set. Replaces an
  * earlier call for the connection. */
 void raw_conn_write_later(struct raw_conn *conn, const char *text, uint32_t delay_ms, bool repeat);
+/** Writes a text again and again, as fast as the other side reads. */
+void raw_conn_write_endlessly(struct raw_conn *conn, const char *text);
 /** Returns whether a text is still to be written by raw_conn_write_later(). */
 bool raw_conn_has_later(const struct raw_conn *conn);
 /** Closes the connection when all is sent. */
