HTTP client: what comes before the answer is limited, and interim answers have no body

Each call reads and skips them until its deadline, and the process has less time for other callers. Cause: nothing counted what a call skips. Besides, the body that an interim answer claimed to have (a length, chunks) was taken for the body of the answer itself, ahead of its head, and was gathered with it. Why: 256 KiB before the head, as for an answer that is discarded, is more than any late copy seen and a bounded time; an interim answer never has a body (RFC 9110, 15.2), and 101 is not valid since nothing asks for an upgrade.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -14,6 +14,10 @@
 #define HTTP_CLIENT_MAX_HEADER_BYTES (16U << 10)
 /* A stored header takes 80 bytes and more, however short it is. */
 #define HTTP_CLIENT_MAX_HEADERS 128
+/* Bytes on a connection before the response to its call: interim responses, and responses to other
+ * calls, whose bodies may be long. */
+#define HTTP_CLIENT_MAX_SKIPPED_BYTES	(256U << 10)
+#define HTTP_CLIENT_SWITCHING_PROTOCOLS 101
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -72,12 +76,14 @@
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms; /* idle time after which the connection is not reused */
 	size_t header_bytes;	/* names and values of the response being read */
+	size_t skipped_bytes;	/* read before the head of the response to the call */
 	bool in_value;
 	bool connected;
 	bool writing;
 	bool closing;
 	bool mismatched;     /* the response being read belongs to another call */
 	bool no_reuse;	     /* close the connection after this call */
+	bool response_begun; /* its head has arrived */
 	bool response_complete;
 	bool idle;
 };
@@ -483,8 +489,12 @@
 
 	client_conn_store_header(conn);
 	client_conn_parse_keep_alive(conn, &head);
+	/* No call asks for another protocol. */
+	if (head.status == HTTP_CLIENT_SWITCHING_PROTOCOLS)
+		return -1;
+	/* Interim responses have no body, whatever their headers say. */
 	if (head.status / 100 == 1)
-		return 0;
+		return 1;
 	if (!call)
 		return 0;
 	if (call->ops->matches && !call->ops->matches(call->ctx, &head)) {
@@ -493,6 +503,7 @@
 		conn->client->counts.mismatched++;
 		return 0;
 	}
+	conn->response_begun = true;
 	if (head.closes)
 		conn->no_reuse = true;
 	if (call->ops->head)
@@ -557,9 +568,12 @@
 
 	if (conn->closing)
 		return;
+	if (!conn->response_begun)
+		conn->skipped_bytes += len;
 	if (conn->response_complete) {
 		client_conn_finish_response(conn, len - used);
-	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
+		   conn->skipped_bytes > HTTP_CLIENT_MAX_SKIPPED_BYTES) {
 		conn->client->counts.malformed++;
 		client_conn_fail(conn, HTTP_CALL_BROKEN);
 	}
@@ -659,7 +673,9 @@
 		return;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->response_begun = false;
 	conn->response_complete = false;
+	conn->skipped_bytes = 0;
 	conn->mismatched = false;
 	conn->no_reuse = call->new_connection;
 	conn->output = call->request;
--- a/test/test_gateway_endless.c
+++ b/test/test_gateway_endless.c
@@ -270,8 +270,51 @@
 	  ONCE(OWN_HEAD CHUNKED "0\r\n", "a:\n"),
 	  .held_bytes = HELD_HEAD_BYTES,
 	  .ends_quickly = true },
+	{ .name = "early-hints", ONCE("", EARLY_HINTS "\r\n"), .ends_quickly = true },
+	{ .name = "early-hints-body",
+	  ONCE(EARLY_HINTS CHUNKED, "a\r\n0123456789\r\n"),
+	  .ends_quickly = true },
+	{ .name = "foreign-answers", ONCE("", FOREIGN_ANSWER), .ends_quickly = true },
+	{ .name = "foreign-body", ONCE(FOREIGN_HEAD "\r\n", "x"), .ends_quickly = true },
+	{ .name = "chunk-extensions",
+	  ONCE(OWN_HEAD CHUNKED, "1;" THOUSAND_X "\r\nx\r\n"),
+	  .reads = true },
+	{ .name = "refusal", ONCE(REFUSAL_HEAD LARGEST_BODY, "x"), .ends_quickly = true },
+	{ .name = "unsigned", ONCE("HTTP/1.1 200 OK\r\n\r\n", "x"), .ends_quickly = true },
+	{ .name = "after-answer",
+	  ONCE(OWN_HEAD "Content-Length: 4\r\n\r\ndone", "x"),
+	  .ends_quickly = true },
+	{ .name = "move-body", MOVE("HTTP/1.1 200 OK\r\n\r\n", " ") },
+	{ .name = "move-headers", MOVE("HTTP/1.1 200 OK\r\n", "a:\n") },
+	{ .name = "move-hints", MOVE("", EARLY_HINTS "\r\n") },
 };
 
+/* What is sound passes: interim responses, another one's answer, and a head that is long. */
+static void test_sound(void)
+{
+	g_autoptr(GString) begin = g_string_new(NULL);
+	struct endless_case sound = { .path = "/once/x", .piece = "x", .held_bytes = SOUND_BYTES };
+	struct raw_caller caller;
+	struct fixture f;
+
+	for (uint32_t i = 0; i < SOUND_SKIPPED; i++)
+		g_string_append(begin, EARLY_HINTS "Content-Length: 4\r\n\r\n" FOREIGN_ANSWER);
+	g_string_append(begin, OWN_HEAD);
+	for (uint32_t i = 0; i < SOUND_HEADERS; i++)
+		g_string_append(begin, "X-A: " HUNDRED_X "\r\n");
+	g_string_append_printf(begin, "Content-Length: %d\r\n\r\n", SOUND_BYTES);
+	sound.begin = begin->str;
+	fixture_open(&f, &sound);
+	caller = raw_caller_open(f.gateway, "50d0", sound.path);
+	testbed_run(f.testbed, RUN_MS);
+	raw_caller_read(&caller, SIZE_MAX);
+	g_assert_cmpuint(raw_caller_status(&caller), ==, 200);
+	g_assert_true(raw_caller_is_whole(&caller));
+	g_assert_cmpuint(caller.input->len, >, SOUND_BYTES + SOUND_HEADERS * strlen(HUNDRED_X));
+	raw_caller_close(&caller);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -280,5 +323,6 @@
 
 		g_test_add_data_func(path, &cases[i], check_endless);
 	}
+	g_test_add_func("/gateway-endless/sound", test_sound);
 	return g_test_run();
 }
