Relay: comments without end in a stream leave time for other requests

Cause: event_stream_feed() moved the rest of its buffer after each block. 16 KiB of blocks of two or three bytes move 40 to 60 MB, and up to 32 such reads follow one another in one turn of the loop. Comments are no progress but belong to the answer, so nothing ended the attempt before the deadline. Why: a feed moves the rest once. More than 16 KiB of comments without an event end the attempt like other bytes that are no event (stream-foreign-bytes in the log): a comment of 16 bytes a second for 17 minutes.

--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -47,11 +47,12 @@
 	return stream->buffer->len;
 }
 
-/* Returns the size of the first event including its blank line; 0 when it is incomplete. */
-static size_t event_stream_first_event_bytes(struct event_stream *stream)
+/* Returns the size of the first event from an offset on, including its blank line; 0 when it is
+ * incomplete. */
+static size_t event_stream_first_event_bytes(struct event_stream *stream, size_t offset)
 {
-	const char *text = stream->buffer->str;
-	size_t len = stream->buffer->len;
+	const char *text = stream->buffer->str + offset;
+	size_t len = stream->buffer->len - offset;
 
 	for (size_t i = stream->scanned_bytes; i < len; i++) {
 		if (text[i] != '\n')
@@ -130,19 +131,22 @@
 
 bool event_stream_feed(struct event_stream *stream, const char *buf, size_t len)
 {
+	size_t passed_bytes = 0;
 	size_t event_bytes;
+	bool keep_going = true;
 
 	g_string_append_len(stream->buffer, buf, (gssize)len);
-	while ((event_bytes = event_stream_first_event_bytes(stream)) > 0) {
+	while (keep_going &&
+	       (event_bytes = event_stream_first_event_bytes(stream, passed_bytes)) > 0) {
+		const char *event = stream->buffer->str + passed_bytes;
 		char id[EVENT_STREAM_MAX_ID_BYTES];
-		bool keep_going;
 
-		event_stream_find_id(stream->buffer->str, event_bytes, id);
-		keep_going = stream->cb(stream->ctx, stream->buffer->str, event_bytes, id);
-		g_string_erase(stream->buffer, 0, (gssize)event_bytes);
+		event_stream_find_id(event, event_bytes, id);
+		keep_going = stream->cb(stream->ctx, event, event_bytes, id);
+		passed_bytes += event_bytes;
 		stream->scanned_bytes = 0;
-		if (!keep_going)
-			return false;
 	}
-	return stream->buffer->len <= stream->max_bytes;
+	/* Once for all events: to move the rest for each would take quadratic time. */
+	g_string_erase(stream->buffer, 0, (gssize)passed_bytes);
+	return keep_going && stream->buffer->len <= stream->max_bytes;
 }
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -15,6 +15,8 @@
 /* When more than this is unsent to a slow caller, reading from the upstream pauses until all of it
  * is sent. */
 #define RELAY_BACKLOG_MAX_BYTES (256U << 10)
+/* Comments between two events. More are no sign of life. */
+#define RELAY_COMMENTS_MAX_BYTES (16U << 10)
 /* Events between two updates of the expected output length. */
 #define RELAY_ESTIMATE_INTERVAL_EVENTS 16
 
@@ -115,6 +117,7 @@
 	request->stream = false;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
+	request->comment_bytes = 0;
 	request->migrate_checked_us = 0;
 	g_ptr_array_set_size(request->migrate_tried, 0);
 	request->last_progress_us = env_now_us();
@@ -218,16 +221,17 @@
 	request->phase = RELAY_BUFFERING;
 }
 
-/* Tells whether a block belongs to the stream of the request: a comment, or an event that comes
- * after the last one. */
+/* Tells whether a block belongs to the stream of the request: one of a few comments, or an event
+ * that comes after the last one. */
 static bool relay_is_own_event(const struct relay_request *request, const char *raw, size_t len,
 			       const char *id)
 {
 	const char *last_id =
 		request->last_event_id ? request->last_event_id : request->decoded.last_event_id;
 
-	return event_stream_is_comment(raw, len) ||
-	       (event_stream_is_well_formed(raw, len) && event_stream_may_follow(last_id, id));
+	if (event_stream_is_comment(raw, len))
+		return request->comment_bytes + len <= RELAY_COMMENTS_MAX_BYTES;
+	return event_stream_is_well_formed(raw, len) && event_stream_may_follow(last_id, id);
 }
 
 static bool relay_on_event(void *ctx, const char *raw, size_t len, const char *id)
@@ -247,6 +251,7 @@
 	}
 	/* Comments belong to the response, but they are no progress. */
 	if (event_stream_is_comment(raw, len)) {
+		request->comment_bytes += len;
 		if (request->caller)
 			http_req_stream_write(request->caller, raw, len);
 		return true;
@@ -267,6 +272,7 @@
 	if (request->first_event_us == 0)
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
+	request->comment_bytes = 0;
 	request->event_count++;
 	request->attempt_event_count++;
 	relay_update_used(request);
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -93,6 +93,7 @@
 	uint64_t event_count;	      /* over all attempts */
 	uint64_t attempt_event_count; /* of the current attempt */
 	uint64_t discarded_bytes;     /* of the current response */
+	uint64_t comment_bytes;	      /* since the last event of the current attempt */
 	uint32_t first_event_ms;      /* from the arrival of the request to its first event */
 	uint32_t longest_pause_ms;    /* between two events */
 	uint64_t expected_output_tokens;
--- a/test/test_gateway_endless.c
+++ b/test/test_gateway_endless.c
@@ -284,9 +284,18 @@
 	{ .name = "after-answer",
 	  ONCE(OWN_HEAD "Content-Length: 4\r\n\r\ndone", "x"),
 	  .ends_quickly = true },
+	{ .name = "comments", QUICK("", ":\n\n"), .ends_quickly = true },
+	{ .name = "comments-read", QUICK("", ":\n\n"), .reads = true, .ends_quickly = true },
+	{ .name = "blank-lines-read", QUICK("", "\n"), .reads = true, .ends_quickly = true },
 	{ .name = "move-body", MOVE("HTTP/1.1 200 OK\r\n\r\n", " ") },
 	{ .name = "move-headers", MOVE("HTTP/1.1 200 OK\r\n", "a:\n") },
 	{ .name = "move-hints", MOVE("", EARLY_HINTS "\r\n") },
+	{ .name = "generation-comments-read",
+	  .path = "/long/x",
+	  .begin = EVENTS_HEAD,
+	  .piece = ":\n\n",
+	  .reads = true,
+	  .ends_quickly = true },
 };
 
 /* What is sound passes: interim responses, another one's answer, and a head that is long. */
