Relay: at most 16 MiB are buffered for all open requests together

Cause: the limits were for each request (256 KiB of an answer and as much that a caller has not read, 1 MiB of an event), and nothing limited their sum. Buffers of a connection kept their largest size. An answer that is passed on as it arrives was gathered again to 256 KiB each time, and one whose caller had left was kept. Why: while the sum is at 16 MiB (buffer_budget.h), a request may have 16 KiB: longer answers are passed on as they arrive, the upstream of a caller that does not read is paused, and an incomplete event ends its attempt. The gauge buffered_bytes shows it; sanitized builds check it instead of the process, whose allocator keeps freed memory. Of a caller that left, the call that may run once is read on and dropped, also if it was paused.

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -68,6 +68,7 @@
 	X(METRIC_GENERATIONS_SPILLED, "spilled_total", "Generations sent to another availability zone.")
 #define METRIC_GAUGES(X) \
 	X(METRIC_OPEN_REQUESTS, "open_requests", "Requests whose answer is not complete yet.") \
+	X(METRIC_BUFFERED_BYTES, "buffered_bytes", "Bytes buffered for open requests: of answers, and of what callers have not read.") \
 	X(METRIC_QUEUED_REQUESTS, "queued_requests", "Generations queued for an engine.") \
 	X(METRIC_MEMBERS, "members", "Instances considered alive, this one included.") \
 	X(METRIC_UPSTREAMS, "upstreams", "Upstream instances known.") \
--- a/src/core/event_stream.c
+++ b/src/core/event_stream.c
@@ -1,5 +1,7 @@
 #include "flamingolatch/event_stream.h"
 
+#include "flamingolatch/buffer_budget.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -38,7 +40,7 @@
 	/* Deliberate defect, which the tests have to detect: joins parts of two events. */
 	return;
 #endif
-	g_string_truncate(stream->buffer, 0);
+	stream->buffer = buffer_clear(stream->buffer);
 	stream->scanned_bytes = 0;
 }
 
@@ -147,6 +149,9 @@
 		stream->scanned_bytes = 0;
 	}
 	/* Once for all events: to move the rest for each would take quadratic time. */
-	g_string_erase(stream->buffer, 0, (gssize)passed_bytes);
+	if (passed_bytes == stream->buffer->len)
+		stream->buffer = buffer_clear(stream->buffer);
+	else
+		g_string_erase(stream->buffer, 0, (gssize)passed_bytes);
 	return keep_going && stream->buffer->len <= stream->max_bytes;
 }
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -1,4 +1,5 @@
 #include "flamingolatch/http_server.h"
+#include "flamingolatch/buffer_budget.h"
 #include "flamingolatch/err.h"
 
 #include <h2o.h>
@@ -840,6 +841,7 @@
 	struct http_req *req = conn->req;
 
 	conn->sending = false;
+	conn->inflight = buffer_clear(conn->inflight);
 	if (err) {
 		server_conn_close(conn);
 		return;
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -12,6 +12,8 @@
 #define RELAY_DEFAULT_DEADLINE_MS 60000
 /* With less time left an attempt cannot be answered before the deadline. */
 #define RELAY_MIN_ATTEMPT_MS 20
+/* Buffered for all requests together; a process may have 110 MB. */
+#define RELAY_BUFFERS_MAX_BYTES (16ULL << 20)
 /* Limit on the expected delay that is added to Retry-After; longer estimates are unreliable. */
 #define RELAY_MAX_EXTRA_RETRY_AFTER_MS 3000
 /* Longest duration of a call to a healthy upstream. */
@@ -41,6 +43,7 @@
 	relay->env = env;
 	relay->dispatch = dispatch;
 	relay->on_attempt_end = relay_on_attempt_end;
+	relay->buffers.max_bytes = RELAY_BUFFERS_MAX_BYTES;
 	g_queue_init(&relay->requests);
 	relay->length_estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return relay;
@@ -459,7 +462,7 @@
 	/* A call that may run only once is not cancelled; its response is discarded. */
 	if (request->call && request->route->kind == ROUTE_AT_MOST_ONCE &&
 	    request->phase != RELAY_QUEUED) {
-		request->discard = true;
+		relay_discard_response(request);
 		return;
 	}
 	relay_log_end(request, LOG_REQUEST_CALLER_LEFT, "caller-left");
@@ -470,6 +473,7 @@
 {
 	struct relay_request *request = ctx;
 
+	relay_count_buffered(request);
 	if (request->call)
 		http_call_resume(request->call);
 }
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -121,10 +121,11 @@
 	request->migrate_checked_us = 0;
 	g_ptr_array_set_size(request->migrate_tried, 0);
 	request->last_progress_us = env_now_us();
-	g_string_truncate(request->response_body, 0);
+	request->response_body = buffer_clear(request->response_body);
 	g_string_truncate(request->response_headers, 0);
 	if (request->events)
 		event_stream_reset(request->events);
+	relay_count_buffered(request);
 	request->call = http_call_start(env->http_client, &req, &relay_call_ops, request);
 }
 
@@ -300,6 +301,9 @@
 	fleet_upstream_record_outcome(request->attempt.up, false, not_run, env_now_us());
 	relay_cancel_migration(request);
 	relay_cancel_attempt(request);
+	if (request->events)
+		event_stream_reset(request->events);
+	relay_count_buffered(request);
 	request->attempt_count += !not_run;
 	request->relay->on_attempt_end(request, not_run ? ATTEMPT_NOT_RUN : ATTEMPT_BROKEN);
 }
@@ -308,10 +312,32 @@
  * goes on. */
 static void relay_limit_backlog(struct relay_request *request)
 {
-	if (request->caller && http_req_unsent_bytes(request->caller) > RELAY_BACKLOG_MAX_BYTES)
+	if (request->caller &&
+	    http_req_unsent_bytes(request->caller) >
+		    buffer_budget_limit(&request->relay->buffers, RELAY_BACKLOG_MAX_BYTES))
 		http_call_pause(request->call);
 }
 
+/* Collects a response that is no stream, and passes it on as it arrives once it is too long to be
+ * kept. */
+static void relay_gather(struct relay_request *request, const char *buf, size_t len)
+{
+	request->last_progress_us = env_now_us();
+	if (request->response_started) {
+		http_req_stream_write(request->caller, buf, len);
+		return;
+	}
+	g_string_append_len(request->response_body, buf, (gssize)len);
+	if (request->response_body->len <=
+	    buffer_budget_limit(&request->relay->buffers, RELAY_BUFFER_MAX_BYTES))
+		return;
+	relay_start_response(request);
+	http_req_stream_begin(request->caller, request->status, NULL);
+	http_req_stream_write(request->caller, request->response_body->str,
+			      request->response_body->len);
+	request->response_body = buffer_clear(request->response_body);
+}
+
 static void relay_on_data(void *ctx, const char *buf, size_t len)
 {
 	struct relay_request *request = ctx;
@@ -322,26 +348,16 @@
 			relay_break_attempt(request);
 		return;
 	}
-	if (request->stream) {
-		if (!event_stream_feed(request->events, buf, len)) {
-			relay_break_attempt(request);
-			return;
-		}
-		relay_limit_backlog(request);
+	if (!request->stream) {
+		relay_gather(request, buf, len);
+	} else if (!event_stream_feed(request->events, buf, len) ||
+		   event_stream_pending_bytes(request->events) >
+			   buffer_budget_limit(&request->relay->buffers, RELAY_EVENT_MAX_BYTES)) {
+		relay_break_attempt(request);
 		return;
 	}
-	request->last_progress_us = env_now_us();
-	g_string_append_len(request->response_body, buf, (gssize)len);
-	if (request->response_body->len > RELAY_BUFFER_MAX_BYTES && request->caller) {
-		if (!request->response_started) {
-			relay_start_response(request);
-			http_req_stream_begin(request->caller, request->status, NULL);
-		}
-		http_req_stream_write(request->caller, request->response_body->str,
-				      request->response_body->len);
-		g_string_truncate(request->response_body, 0);
-		relay_limit_backlog(request);
-	}
+	relay_count_buffered(request);
+	relay_limit_backlog(request);
 }
 
 /* Reports an attempt that broke before the answer made progress. An upstream that is leaving may
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -102,6 +102,14 @@
 	request->migrate_target = NULL;
 }
 
+static void relay_set_buffered(struct relay_request *request, uint64_t bytes)
+{
+	struct relay *relay = request->relay;
+
+	buffer_budget_update(&relay->buffers, &request->buffered_bytes, bytes);
+	metric_set(relay->env->metric, METRIC_BUFFERED_BYTES, (int64_t)relay->buffers.held_bytes);
+}
+
 void relay_request_free(struct relay_request *request)
 {
 	struct relay *relay = request->relay;
@@ -113,6 +121,7 @@
 	relay_cancel_migration(request);
 	relay_cancel_attempt(request);
 	dispatch_load_remove(&request->backup);
+	relay_set_buffered(request, 0);
 	g_queue_unlink(&relay->requests, &request->link);
 	event_stream_destroy(request->events);
 	g_ptr_array_free(request->tried, TRUE);
@@ -131,6 +140,26 @@
 
 /* commands */
 
+void relay_count_buffered(struct relay_request *request)
+{
+	uint64_t bytes = request->response_body->len;
+
+	if (request->events)
+		bytes += event_stream_pending_bytes(request->events);
+	if (request->caller)
+		bytes += http_req_unsent_bytes(request->caller);
+	relay_set_buffered(request, bytes);
+}
+
+void relay_discard_response(struct relay_request *request)
+{
+	request->discard = true;
+	request->response_body = buffer_clear(request->response_body);
+	relay_count_buffered(request);
+	/* No caller is left that would read on. */
+	http_call_resume(request->call);
+}
+
 /* Returns the length estimate of the request's route; creates it if needed. */
 static struct length_lognormal *relay_length_estimate(const struct relay_request *request)
 {
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -14,6 +14,7 @@
 #include "env.h"
 
 #include "flamingolatch/attempt.h"
+#include "flamingolatch/buffer_budget.h"
 #include "flamingolatch/err.h"
 #include "flamingolatch/event_stream.h"
 #include "flamingolatch/fetch.h"
@@ -44,6 +45,7 @@
 	struct env *env;
 	struct dispatch *dispatch;
 	GQueue requests; /* struct relay_request */
+	struct buffer_budget buffers;
 	/** Decides what follows an attempt that ended without completing the request; may free
 	 * the request. */
 	void (*on_attempt_end)(struct relay_request *request, enum attempt_outcome outcome);
@@ -94,6 +96,7 @@
 	uint64_t attempt_event_count; /* of the current attempt */
 	uint64_t discarded_bytes;     /* of the current response */
 	uint64_t comment_bytes;	      /* since the last event of the current attempt */
+	uint64_t buffered_bytes;      /* counted in relay::buffers */
 	uint32_t first_event_ms;      /* from the arrival of the request to its first event */
 	uint32_t longest_pause_ms;    /* between two events */
 	uint64_t expected_output_tokens;
@@ -132,6 +135,10 @@
 void relay_forget_copy(struct relay_request *request);
 /** Cancels the open migration, if any, and releases its KV copy at the engine that made it. */
 void relay_cancel_migration(struct relay_request *request);
+/** Counts what is buffered for a request: of the response, and of what its caller has not read. */
+void relay_count_buffered(struct relay_request *request);
+/** Reads the rest of the response without passing it on: its caller left. */
+void relay_discard_response(struct relay_request *request);
 /** Updates the expected output length, and with it the KV cache counted on the engines. */
 void relay_update_estimate(struct relay_request *request);
 /** Records what the answer of the upstream of the current attempt says of the upstream itself: that
--- a/test/test_gateway_endless.c
+++ b/test/test_gateway_endless.c
@@ -168,6 +168,17 @@
 	return line ? g_ascii_strtoull(line + strlen("VmHWM:"), NULL, 10) : 0;
 }
 
+/* Returns what a gateway has buffered for its requests now, in kB. */
+static uint64_t buffered_kb(struct fixture *f)
+{
+	static const char name[] = "\nflamingolatch_buffered_bytes ";
+	g_autofree char *text = testbed_get(f->testbed, f->gateway->metrics_address, "/metrics");
+	const char *line = text ? strstr(text, name) : NULL;
+
+	g_assert_nonnull(line);
+	return g_ascii_strtoull(line + strlen(name), NULL, 10) / 1024;
+}
+
 /* Checks the growth of the process. The sanitizer's memory grows more than the program's. */
 static void check_growth(uint64_t growth_kb, uint32_t requests)
 {
@@ -212,6 +223,7 @@
 	uint64_t before_kb;
 	uint64_t growth_kb;
 	uint64_t other_ms;
+	uint64_t buffered_max_kb = 0;
 	struct fixture f;
 
 	fixture_open(&f, endless);
@@ -229,6 +241,8 @@
 	}
 	for (uint32_t ms = 0; ms < RUN_MS; ms += 20) {
 		testbed_run(f.testbed, 20);
+		if (ms % 200 == 0)
+			buffered_max_kb = MAX(buffered_max_kb, buffered_kb(&f));
 		for (uint32_t i = 0; i < count && endless->leaves && ms == 100; i++)
 			raw_caller_close(&callers[i]);
 		for (uint32_t i = 0; i < count && endless->reads; i++) {
@@ -237,17 +251,19 @@
 		}
 	}
 	g_assert_false(testbed_has_exited(f.gateway));
+	buffered_max_kb = MAX(buffered_max_kb, buffered_kb(&f));
 	other_ms = call_others(&f);
 	growth_kb = peak_memory_kb(f.gateway) - before_kb;
 	g_test_message("%u arrivals, %u moves, %" G_GUINT64_FORMAT
-		       " kB before, grew by %" G_GUINT64_FORMAT
-		       " kB, others took %" G_GUINT64_FORMAT " ms, %u connections open",
-		       f.arrivals, f.moves, before_kb, growth_kb, other_ms,
+		       " kB before, grew by %" G_GUINT64_FORMAT " kB, %" G_GUINT64_FORMAT
+		       " kB buffered, others took %" G_GUINT64_FORMAT " ms, %u connections open",
+		       f.arrivals, f.moves, before_kb, growth_kb, buffered_max_kb, other_ms,
 		       raw_upstream_conn_count(f.raw));
 	g_assert_true(!endless->moves || f.moves > 0);
 	/* An upstream that fails is avoided. */
 	g_assert_cmpuint(f.arrivals, >=,
 			 endless->ends_quickly || endless->held_bytes ? 1 : count / 2);
+	g_assert_cmpuint(buffered_max_kb, <, BUFFERS_MAX_KB + count * REQUEST_MAX_KB);
 	check_growth(growth_kb, count);
 	g_assert_cmpuint(other_ms, <, OTHER_TIMEOUT_MS);
 	if (endless->ends_quickly)
@@ -279,11 +295,30 @@
 	{ .name = "chunk-extensions",
 	  ONCE(OWN_HEAD CHUNKED, "1;" THOUSAND_X "\r\nx\r\n"),
 	  .reads = true },
+	{ .name = "largest-length", ONCE(OWN_HEAD LARGEST_BODY, "x") },
+	{ .name = "largest-length-read", ONCE(OWN_HEAD LARGEST_BODY, "x"), .reads = true },
+	{ .name = "largest-length-left",
+	  ONCE(OWN_HEAD LARGEST_BODY, "x"),
+	  .leaves = true,
+	  .ends_quickly = true },
+	{ .name = "largest-length-many",
+	  ONCE(OWN_HEAD LARGEST_BODY, "x"),
+	  .callers = MANY_CALLERS },
+	{ .name = "largest-length-many-left",
+	  ONCE(OWN_HEAD LARGEST_BODY, "x"),
+	  .callers = MANY_CALLERS,
+	  .leaves = true,
+	  .ends_quickly = true },
+	{ .name = "until-close", .path = "/safe/x", .begin = OWN_HEAD "\r\n", .piece = "x" },
+	{ .name = "error",
+	  ONCE("HTTP/1.1 500 Error\r\nX-Flamingolatch-Attempt-Id: %ID%\r\n" SIGNED "\r\n", "x") },
 	{ .name = "refusal", ONCE(REFUSAL_HEAD LARGEST_BODY, "x"), .ends_quickly = true },
 	{ .name = "unsigned", ONCE("HTTP/1.1 200 OK\r\n\r\n", "x"), .ends_quickly = true },
 	{ .name = "after-answer",
 	  ONCE(OWN_HEAD "Content-Length: 4\r\n\r\ndone", "x"),
 	  .ends_quickly = true },
+	{ .name = "event", QUICK("id: 1\ndata: ", "x"), .ends_quickly = true },
+	{ .name = "held-event", QUICK("id: 1\ndata: ", "x"), .held_bytes = HELD_EVENT_BYTES },
 	{ .name = "comments", QUICK("", ":\n\n"), .ends_quickly = true },
 	{ .name = "comments-read", QUICK("", ":\n\n"), .reads = true, .ends_quickly = true },
 	{ .name = "blank-lines-read", QUICK("", "\n"), .reads = true, .ends_quickly = true },
--- a/test/testbed/raw_upstream.c
+++ b/test/testbed/raw_upstream.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#define RAW_BACKLOG   512
 #define RAW_ID_HEADER "x-flamingolatch-attempt-id: "
 
 struct raw_upstream {
@@ -148,9 +149,9 @@
 	g_assert_cmpint(uv_ip4_addr(ip, port, &address), ==, 0);
 	g_assert_cmpint(uv_tcp_bind(&upstream->listener, (const struct sockaddr *)&address, 0), ==,
 			0);
-	g_assert_cmpint(
-		uv_listen((uv_stream_t *)&upstream->listener, 64, raw_upstream_on_connection), ==,
-		0);
+	g_assert_cmpint(uv_listen((uv_stream_t *)&upstream->listener, RAW_BACKLOG,
+				  raw_upstream_on_connection),
+			==, 0);
 	return upstream;
 }
 
