HTTP client: a 204 or 304 has no body, whatever its headers say

What callers saw: an upstream that puts bytes behind the head of a 204 or 304 had them passed on behind a head without length. The caller's parser reads them as the beginning of the next answer on that connection, which may be another request's. Cause: the parser delivers a body of the claimed length for these statuses, and the server writes none of its framing for them. Evidence: /gateway-raw/bodiless-status (a length, chunks, until close; 204 and 304) fails on the code before ("HTTP/1.1 204 No Content", blank line, "zzzz") and passes. Why: the answer ends with its head (RFC 9112, 6.3).

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -18,6 +18,8 @@
  * calls, whose bodies may be long. */
 #define HTTP_CLIENT_MAX_SKIPPED_BYTES	(256U << 10)
 #define HTTP_CLIENT_SWITCHING_PROTOCOLS 101
+#define HTTP_CLIENT_NO_CONTENT		204
+#define HTTP_CLIENT_NOT_MODIFIED	304
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -477,6 +479,12 @@
 	conn->keep_alive_ms = MIN(conn->keep_alive_ms, HTTP_CLIENT_KEEP_ALIVE_MAX_MS);
 }
 
+/* Returns whether a final response of that status never has a body, whatever its headers say. */
+static bool client_conn_is_bodiless(uint16_t status)
+{
+	return status == HTTP_CLIENT_NO_CONTENT || status == HTTP_CLIENT_NOT_MODIFIED;
+}
+
 static int client_conn_on_headers_complete(http_parser *parser)
 {
 	struct client_conn *conn = parser->data;
@@ -508,7 +516,7 @@
 		conn->no_reuse = true;
 	if (call->ops->head)
 		call->ops->head(call->ctx, &head);
-	return call->is_head_request ? 1 : 0;
+	return call->is_head_request || client_conn_is_bodiless(head.status) ? 1 : 0;
 }
 
 static int client_conn_on_body(http_parser *parser, const char *at, size_t len)
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -335,6 +335,42 @@
 	}
 }
 
+/* answers that have no body by their status */
+
+#define BODY_TEXT "zzzz"
+
+/* Bytes after the head of a 204 or 304 are no part of the answer, whatever length it claims: they
+ * would be read as the next answer on the caller's connection. */
+static void test_bodiless_status(void)
+{
+	static const char *const statuses[] = { "204 No Content", "304 Not Modified" };
+	static const char *const bodies[] = {
+		"Content-Length: 4\r\n\r\n" BODY_TEXT,
+		"Transfer-Encoding: chunked\r\n\r\n4\r\n" BODY_TEXT "\r\n0\r\n\r\n",
+		"\r\n" BODY_TEXT,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses) * G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *text =
+			g_strdup_printf("HTTP/1.1 %s\r\nX-Flamingolatch-Replica-Signature: s\r\n%s",
+					statuses[i % 2], bodies[i / 2]);
+		struct begun_case begun = { .text = text };
+		struct raw_caller caller;
+		struct fixture f;
+
+		fixture_open(&f);
+		add_raw(&f, TESTBED_PLAIN_SERVICE, answer_begun, &begun);
+		caller = raw_caller_open(f.gateway, "b0d1", "/once/x");
+		testbed_run(f.testbed, 500);
+		raw_caller_read(&caller, SIZE_MAX);
+		g_test_message("case %zu: %s", i, caller.input->str);
+		g_assert_cmpuint(raw_caller_status(&caller), ==, i % 2 ? 304 : 204);
+		g_assert_null(strchr(caller.input->str, 'z'));
+		raw_caller_close(&caller);
+		fixture_close(&f);
+	}
+}
+
 /* second copies of an answer */
 
 /* How a second copy of an answer is sent. */
@@ -1095,6 +1131,7 @@
 	g_test_add_func("/gateway-raw/begun-answer-cut", test_begun_answer_cut);
 	g_test_add_func("/gateway-raw/silent-upstream-kept", test_silent_upstream_kept);
 	g_test_add_func("/gateway-raw/garbage-in-stream", test_garbage_in_stream);
+	g_test_add_func("/gateway-raw/bodiless-status", test_bodiless_status);
 	g_test_add_func("/gateway-raw/late-refusal", test_late_refusal);
 	g_test_add_func("/gateway-raw/departure", test_departure);
 	g_test_add_func("/gateway-raw/quiet", test_quiet);
