--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -10,6 +10,16 @@
 
 #define HTTP_CLIENT_READ_BUFFER_BYTES	   16384
 #define HTTP_CLIENT_IDLE_CHECK_INTERVAL_MS 500
+/* Names and values of the headers of a response, trailers included. */
+#define HTTP_CLIENT_MAX_HEADER_BYTES (16U << 10)
+/* A stored header takes 80 bytes and more, however short it is. */
+#define HTTP_CLIENT_MAX_HEADERS 128
+/* Bytes on a connection before the response to its call: interim responses, and responses to other
+ * calls, whose bodies may be long. */
+#define HTTP_CLIENT_MAX_SKIPPED_BYTES	(256U << 10)
+#define HTTP_CLIENT_SWITCHING_PROTOCOLS 101
+#define HTTP_CLIENT_NO_CONTENT		204
+#define HTTP_CLIENT_NOT_MODIFIED	304
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -67,12 +77,15 @@
 	GString *value;
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms; /* idle time after which the connection is not reused */
+	size_t header_bytes;	/* names and values of the response being read */
+	size_t skipped_bytes;	/* read before the head of the response to the call */
 	bool in_value;
 	bool connected;
 	bool writing;
 	bool closing;
-	bool mismatched; /* the response being read belongs to another call */
-	bool no_reuse;	 /* close the connection after this call */
+	bool mismatched;     /* the response being read belongs to another call */
+	bool no_reuse;	     /* close the connection after this call */
+	bool response_begun; /* its head has arrived */
 	bool response_complete;
 	bool idle;
 };
@@ -413,6 +426,7 @@
 	/* Trailers of the previous response are left here. */
 	g_string_truncate(conn->name, 0);
 	g_string_truncate(conn->value, 0);
+	conn->header_bytes = 0;
 	conn->in_value = false;
 	conn->mismatched = false;
 	return 0;
@@ -432,6 +446,16 @@
 	g_string_truncate(conn->value, 0);
 }
 
+/* Adds to the size of the headers. @return 0, or -1 if a limit is exceeded */
+static int client_conn_count_header_bytes(struct client_conn *conn, size_t len)
+{
+	conn->header_bytes += len;
+	return conn->header_bytes > HTTP_CLIENT_MAX_HEADER_BYTES ||
+			       conn->headers->len / 2 > HTTP_CLIENT_MAX_HEADERS
+		       ? -1
+		       : 0;
+}
+
 static int client_conn_on_header_field(http_parser *parser, const char *at, size_t len)
 {
 	struct client_conn *conn = parser->data;
@@ -440,7 +464,7 @@
 		client_conn_store_header(conn);
 	conn->in_value = false;
 	g_string_append_len(conn->name, at, (gssize)len);
-	return 0;
+	return client_conn_count_header_bytes(conn, len);
 }
 
 static int client_conn_on_header_value(http_parser *parser, const char *at, size_t len)
@@ -449,7 +473,7 @@
 
 	conn->in_value = true;
 	g_string_append_len(conn->value, at, (gssize)len);
-	return 0;
+	return client_conn_count_header_bytes(conn, len);
 }
 
 /* Computes from the Keep-Alive header how long the connection may stay idle. */
@@ -471,15 +495,15 @@
 /* Tells whether the response ends with its head, whatever length it states. */
 static bool client_conn_has_no_body(const http_parser *parser, const struct http_call *call)
 {
-	return parser->status_code / 100 == 1 || parser->status_code == 204 ||
-	       parser->status_code == 304 || (call && call->is_head_request);
+	return parser->status_code / 100 == 1 || parser->status_code == HTTP_CLIENT_NO_CONTENT ||
+	       parser->status_code == HTTP_CLIENT_NOT_MODIFIED || (call && call->is_head_request);
 }
 
 /* Tells whether the end of the response cannot be found: its transfer coding is not known, or it
  * switches to a protocol that was not asked for. */
 static bool client_conn_has_unknown_end(const http_parser *parser, bool has_body)
 {
-	return parser->status_code == 101 ||
+	return parser->status_code == HTTP_CLIENT_SWITCHING_PROTOCOLS ||
 	       (has_body && parser->uses_transfer_encoding && !(parser->flags & F_CHUNKED));
 }
 
@@ -511,6 +535,7 @@
 		conn->client->counts.mismatched++;
 		return client_conn_has_no_body(parser, NULL);
 	}
+	conn->response_begun = true;
 	if (head.closes)
 		conn->no_reuse = true;
 	if (call->ops->head)
@@ -575,9 +600,12 @@
 
 	if (conn->closing)
 		return;
+	if (!conn->response_begun)
+		conn->skipped_bytes += len;
 	if (conn->response_complete) {
 		client_conn_finish_response(conn, len - used);
-	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
+		   conn->skipped_bytes > HTTP_CLIENT_MAX_SKIPPED_BYTES) {
 		conn->client->counts.malformed++;
 		client_conn_fail(conn, HTTP_CALL_BROKEN);
 	}
@@ -677,7 +705,9 @@
 		return;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->response_begun = false;
 	conn->response_complete = false;
+	conn->skipped_bytes = 0;
 	conn->mismatched = false;
 	conn->no_reuse = call->new_connection;
 	conn->output = call->request;
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -15,6 +15,8 @@
 /* When more than this is unsent to a slow caller, reading from the upstream pauses until all of it
  * is sent. */
 #define RELAY_BACKLOG_MAX_BYTES (256U << 10)
+/* Comments between two events. More are no sign of life. */
+#define RELAY_COMMENTS_MAX_BYTES (16U << 10)
 /* Events between two updates of the expected output length. */
 #define RELAY_ESTIMATE_INTERVAL_EVENTS 16
 
@@ -117,14 +119,16 @@
 	request->closed_in_stop = false;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
+	request->comment_bytes = 0;
 	request->migrate_checked_us = 0;
 	g_ptr_array_set_size(request->migrate_tried, 0);
 	request->sent_us = env_now_us();
 	request->last_progress_us = request->sent_us;
-	g_string_truncate(request->response_body, 0);
+	request->response_body = buffer_clear(request->response_body);
 	g_string_truncate(request->response_headers, 0);
 	if (request->events)
 		event_stream_reset(request->events);
+	relay_count_buffered(request);
 	request->call = http_call_start(env->http_client, &req, &relay_call_ops, request);
 }
 
@@ -232,16 +236,17 @@
 	request->phase = RELAY_BUFFERING;
 }
 
-/* Tells whether a block belongs to the stream of the request: a comment, or an event that comes
- * after the last one. */
+/* Tells whether a block belongs to the stream of the request: one of a few comments, or an event
+ * that comes after the last one. */
 static bool relay_is_own_event(const struct relay_request *request, const char *raw, size_t len,
 			       const char *id)
 {
 	const char *last_id =
 		request->last_event_id ? request->last_event_id : request->decoded.last_event_id;
 
-	return event_stream_is_comment(raw, len) ||
-	       (event_stream_is_well_formed(raw, len) && event_stream_may_follow(last_id, id));
+	if (event_stream_is_comment(raw, len))
+		return request->comment_bytes + len <= RELAY_COMMENTS_MAX_BYTES;
+	return event_stream_is_well_formed(raw, len) && event_stream_may_follow(last_id, id);
 }
 
 static bool relay_on_event(void *ctx, const char *raw, size_t len, const char *id)
@@ -261,6 +266,7 @@
 	}
 	/* Comments belong to the response, but they are no progress. */
 	if (event_stream_is_comment(raw, len)) {
+		request->comment_bytes += len;
 		if (request->caller)
 			http_req_stream_write(request->caller, raw, len);
 		return true;
@@ -281,6 +287,7 @@
 	if (request->first_event_us == 0)
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
+	request->comment_bytes = 0;
 	request->event_count++;
 	request->attempt_event_count++;
 	relay_update_used(request);
@@ -308,6 +315,9 @@
 	fleet_upstream_record_outcome(request->attempt.up, false, not_run, env_now_us());
 	relay_cancel_migration(request);
 	relay_cancel_attempt(request);
+	if (request->events)
+		event_stream_reset(request->events);
+	relay_count_buffered(request);
 	request->attempt_count += !not_run;
 	request->relay->on_attempt_end(request, not_run ? ATTEMPT_NOT_RUN : ATTEMPT_BROKEN);
 }
@@ -316,10 +326,32 @@
  * goes on. */
 static void relay_limit_backlog(struct relay_request *request)
 {
-	if (request->caller && http_req_unsent_bytes(request->caller) > RELAY_BACKLOG_MAX_BYTES)
+	if (request->caller &&
+	    http_req_unsent_bytes(request->caller) >
+		    buffer_budget_limit(&request->relay->buffers, RELAY_BACKLOG_MAX_BYTES))
 		http_call_pause(request->call);
 }
 
+/* Collects a response that is no stream, and passes it on as it arrives once it is too long to be
+ * kept. */
+static void relay_gather(struct relay_request *request, const char *buf, size_t len)
+{
+	request->last_progress_us = env_now_us();
+	if (request->response_started) {
+		http_req_stream_write(request->caller, buf, len);
+		return;
+	}
+	g_string_append_len(request->response_body, buf, (gssize)len);
+	if (request->response_body->len <=
+	    buffer_budget_limit(&request->relay->buffers, RELAY_BUFFER_MAX_BYTES))
+		return;
+	relay_start_response(request);
+	http_req_stream_begin(request->caller, request->status, NULL);
+	http_req_stream_write(request->caller, request->response_body->str,
+			      request->response_body->len);
+	request->response_body = buffer_clear(request->response_body);
+}
+
 static void relay_on_data(void *ctx, const char *buf, size_t len)
 {
 	struct relay_request *request = ctx;
@@ -330,26 +362,16 @@
 			relay_break_attempt(request);
 		return;
 	}
-	if (request->stream) {
-		if (!event_stream_feed(request->events, buf, len)) {
-			relay_break_attempt(request);
-			return;
-		}
-		relay_limit_backlog(request);
+	if (!request->stream) {
+		relay_gather(request, buf, len);
+	} else if (!event_stream_feed(request->events, buf, len) ||
+		   event_stream_pending_bytes(request->events) >
+			   buffer_budget_limit(&request->relay->buffers, RELAY_EVENT_MAX_BYTES)) {
+		relay_break_attempt(request);
 		return;
 	}
-	request->last_progress_us = env_now_us();
-	g_string_append_len(request->response_body, buf, (gssize)len);
-	if (request->response_body->len > RELAY_BUFFER_MAX_BYTES && request->caller) {
-		if (!request->response_started) {
-			relay_start_response(request);
-			http_req_stream_begin(request->caller, request->status, NULL);
-		}
-		http_req_stream_write(request->caller, request->response_body->str,
-				      request->response_body->len);
-		g_string_truncate(request->response_body, 0);
-		relay_limit_backlog(request);
-	}
+	relay_count_buffered(request);
+	relay_limit_backlog(request);
 }
 
 /* Reports an attempt that broke before the answer made progress. An upstream that is leaving may
--- a/test/testbed/raw_upstream.c
+++ b/test/testbed/raw_upstream.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#define RAW_BACKLOG   512
 #define RAW_ID_HEADER "x-flamingolatch-attempt-id: "
 
 struct raw_upstream {
@@ -21,6 +22,7 @@
 	const char *head;   /* of the request being answered */
 	char *later;	    /* what the timer writes */
 	size_t piece_bytes; /* that the timer writes at a time; 0: all */
+	char *endless;	    /* written again whenever it is sent */
 	uint32_t later_ms;
 	uint32_t open_handles;
 	uint32_t request_count;
@@ -46,6 +48,7 @@
 		return;
 	g_string_free(conn->request, TRUE);
 	g_free(conn->later);
+	g_free(conn->endless);
 	g_free(conn);
 }
 
@@ -90,6 +93,9 @@
 	g_free(raw);
 	if (status != 0)
 		raw_conn_abort(conn);
+	else if (conn->endless && conn->upstream &&
+		 uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) == 0)
+		raw_conn_write(conn, conn->endless);
 	else if (conn->upstream)
 		raw_conn_end_if_sent(conn);
 }
@@ -184,9 +190,9 @@
 	g_assert_cmpint(uv_ip4_addr(ip, port, &address), ==, 0);
 	g_assert_cmpint(uv_tcp_bind(&upstream->listener, (const struct sockaddr *)&address, 0), ==,
 			0);
-	g_assert_cmpint(
-		uv_listen((uv_stream_t *)&upstream->listener, 64, raw_upstream_on_connection), ==,
-		0);
+	g_assert_cmpint(uv_listen((uv_stream_t *)&upstream->listener, RAW_BACKLOG,
+				  raw_upstream_on_connection),
+			==, 0);
 	return upstream;
 }
 
@@ -232,6 +238,13 @@
 	conn->piece_bytes = piece_bytes;
 }
 
+void raw_conn_write_endlessly(struct raw_conn *conn, const char *text)
+{
+	g_free(conn->endless);
+	conn->endless = g_strdup(text);
+	raw_conn_write(conn, text);
+}
+
 bool raw_conn_has_later(const struct raw_conn *conn)
 {
 	return uv_is_active((const uv_handle_t *)&conn->timer);
