Relay: the return to an upstream after its quiet time grows by one with each answer

With several instances, callers who waited for an upstream that had asked to be left alone were refused in numbers soon after its return: it was overrun again and asked again.

Cause: the number of requests that an instance may have open there doubled with each answer: 1, 2, 8, 64. In the third round the queues of six instances send more than its slots and its own queue take.

Change: it grows by one with each answer, so that it doubles while those that are open are answered, as in slow start; 64 answers and the limit is gone. The tests hold it to this bound, which is tighter than the old one: at most one more request is open than answers came since the end.

--- a/include/flamingolatch/upstream_quiet.h
+++ b/include/flamingolatch/upstream_quiet.h
@@ -7,7 +7,9 @@
  * this instance. The load that this answers is a service whose upstreams are
  * overrun: callers wait or come back, and all of them at the end of that time
  * would overrun it again. After the end one request tries; the number that may be
- * open doubles with each answer, until it is of no account.
+ * open grows by one with each answer, so that it doubles while those that are open
+ * are answered, until it is of no account. Other instances come back at the same
+ * time: a faster growth let six of them overrun the upstream again.
  *
  * upstream_quiet_ask() for each answer that asks; upstream_quiet_allows() before a
  * request is sent; upstream_quiet_record_answer() for other answers. All zeros is an
--- a/src/core/upstream_quiet.c
+++ b/src/core/upstream_quiet.c
@@ -36,9 +36,9 @@
 
 uint32_t upstream_quiet_grown_window(uint32_t window, uint32_t answers)
 {
-	while (window > 0 && answers-- > 0)
-		window = window < UPSTREAM_QUIET_WINDOW_MAX ? window * 2 : 0;
-	return window;
+	if (window == 0 || answers > UPSTREAM_QUIET_WINDOW_MAX - window)
+		return 0;
+	return window + answers;
 }
 
 bool upstream_quiet_allows(const struct upstream_quiet *quiet, uint32_t open, uint64_t now_us)
--- a/test/test_call_queue.c
+++ b/test/test_call_queue.c
@@ -65,6 +65,8 @@
 	uint32_t callers;
 	uint32_t served;
 	uint32_t refused; /* to the end */
+	uint32_t refusals;
+	uint32_t truthful; /* of them: an upstream takes requests when the caller is invited back */
 	uint32_t returns;
 	uint32_t arrivals; /* at the upstreams */
 	uint32_t unwanted; /* of them in a time of quiet */
@@ -150,6 +152,12 @@
 {
 	uint64_t left_us = call->deadline_us > run->now_us ? call->deadline_us - run->now_us : 0;
 
+	uint64_t first_us = UINT64_MAX;
+
+	for (uint32_t i = 0; i < run->upstream_count; i++)
+		first_us = MIN(first_us, run->rests_until_us[i]);
+	run->counts.refusals++;
+	run->counts.truthful += first_us <= run->now_us + retry_after_us;
 	call->sent = false;
 	call->attempts = 0;
 	if (call->returns >= RETURNS_MAX || left_us <= WORK_MS * MS) {
@@ -183,8 +191,8 @@
 		if (run->mode != MODE_IGNORE)
 			violation(run, "a call before the end");
 	}
-	if (run->mode != MODE_IGNORE && quiet->until_us && instance->answered[to] < 6 &&
-	    instance->open[to] >= (1U << instance->answered[to]))
+	if (run->mode != MODE_IGNORE && quiet->until_us && instance->answered[to] < 60 &&
+	    instance->open[to] > instance->answered[to])
 		violation(run, "the queue returns at once");
 	run->counts.arrivals++;
 	call->sent = true;
@@ -387,6 +395,8 @@
 	sum->callers += more.callers;
 	sum->served += more.served;
 	sum->refused += more.refused;
+	sum->refusals += more.refusals;
+	sum->truthful += more.truthful;
 	sum->returns += more.returns;
 	sum->arrivals += more.arrivals;
 	sum->unwanted += more.unwanted;
@@ -399,10 +409,12 @@
 						       "the wish is ignored" };
 
 	g_test_message("%u instances, %s: %u callers, %u served in time (%.4f), %u refused, "
-		       "%u came back, %u refused after waiting, %u arrivals, %u of them unwanted",
+		       "%u came back, %.4f of %u refusals truthful, %u refused after waiting, %u "
+		       "arrivals, %u of them unwanted",
 		       instances, modes[mode], counts->callers, counts->served,
 		       (double)counts->served / MAX(counts->callers, 1), counts->refused,
-		       counts->returns, counts->held, counts->arrivals, counts->unwanted);
+		       counts->returns, (double)counts->truthful / MAX(counts->refusals, 1),
+		       counts->refusals, counts->held, counts->arrivals, counts->unwanted);
 }
 
 /* Each call is answered in time or refused before its deadline, the urgent ones first, and none is
@@ -432,23 +444,23 @@
 	}
 }
 
-/* The forecast of a return, place by place: one, then two, then eight requests at a time. */
+/* The forecast of a return, place by place: one, two, four, eight requests at a time. */
 static void test_forecast(void)
 {
 	struct upstream_quiet quiet = { 0 };
 	struct call_queue_upstream up = { &quiet, 100, 100, 0, 0 };
 	struct call_queue *queue = call_queue_create();
-	struct call_queue_item *items[12];
+	struct call_queue_item *items[16];
 	char calls[G_N_ELEMENTS(items)];
 
 	upstream_quiet_record_duration(&quiet, 100 * MS);
 	upstream_quiet_ask(&quiet, 1 * S, 1 * S);
 	for (uint32_t i = 0; i < G_N_ELEMENTS(items); i++) {
-		uint64_t rounds = i == 0 ? 1 : i < 3 ? 2 : i < 11 ? 3 : 4;
+		uint64_t rounds = i == 0 ? 1 : i < 3 ? 2 : i < 7 ? 3 : i < 15 ? 4 : 5;
 
 		g_assert_cmpuint(call_queue_answer_us(queue, &up, 1, 1, 1 * S), ==,
 				 2 * S + rounds * 100 * MS);
-		items[i] = call_queue_add(queue, 1, 2 * S + 300 * MS, &calls[i]);
+		items[i] = call_queue_add(queue, 1, 2 * S + 400 * MS, &calls[i]);
 	}
 	g_assert_cmpuint(call_queue_answer_us(queue, &up, 1, 0, 1 * S), ==, 2 * S + 100 * MS);
 	g_assert_cmpuint(call_queue_answer_us(queue, &up, 0, 0, 1 * S), ==, UINT64_MAX);
--- a/test/test_upstream_quiet.c
+++ b/test/test_upstream_quiet.c
@@ -17,7 +17,7 @@
 #define STEP_MS		5
 #define QUEUED		40 /* requests that wait at each instance all the time */
 #define WORK_MS		50
-#define ANSWERS_TO_FULL 7 /* answers after which the limit is of no account */
+#define ANSWERS_TO_FULL 64 /* answers after which the limit is of no account */
 
 /* Requests of one instance at the upstream, by the time at which they are answered. */
 struct caller {
@@ -56,7 +56,7 @@
 		if (now_us < caller->quiet.until_us)
 			violation(seed, "a request before the end");
 		if (caller->quiet.until_us && caller->answered < ANSWERS_TO_FULL &&
-		    caller->open >= (1U << caller->answered))
+		    caller->open > caller->answered)
 			violation(seed, "the queue returns at once");
 		caller->ends_us[caller->open++] = now_us + WORK_MS * MS;
 	}
