Test: departures seen by many instances whose lists lag

That an upstream's own word holds for its start, and ends with it, was shown for one instance and a random list.

New: /fleet/departure-instances: 1, 6 and 195 instances with lists that lag by up to 6 s, every fourth by 20 s, that show a departure late or never, and older words of the same start; upstreams leave, exit and start again under their id, at their own, another's or a new address; peers pass notices on. No instance uses an upstream in the start in which that told it that it leaves, and all use each upstream again after its last start.

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -639,6 +639,279 @@
 	fleet_destroy(fleet);
 }
 
+#define WORLD_SEEDS	    40
+#define WORLD_SEEDS_MANY    6 /* with WORLD_INSTANCES_MAX instances */
+#define WORLD_INSTANCES_MAX 195
+#define WORLD_UPSTREAMS	    5
+#define WORLD_STEP_MS	    100
+#define WORLD_STEPS	    400
+#define WORLD_SETTLE_STEPS  900 /* without departures and lags; longer than any notice is kept */
+#define WORLD_LAG_MAX_MS    6000
+#define WORLD_LONG_LAG_MS   20000 /* of every fourth instance */
+#define WORLD_RECORDS	    64
+
+/* The list of instances said this of an upstream from then on. */
+struct world_record {
+	uint64_t at_us;
+	uint64_t started_ms;
+	uint32_t address; /* number */
+	bool listed;
+	bool leaving;
+};
+
+/* An upstream, and the history of its entry. */
+struct world_upstream {
+	char id[2];
+	struct world_record records[WORLD_RECORDS];
+	uint32_t record_count;
+	uint64_t started_ms;
+	uint32_t address;
+	uint64_t said_us;   /* when it began to say that it leaves; 0: it does not */
+	uint64_t exits_us;  /* 0: it does not */
+	uint64_t starts_us; /* when it starts again; 0: it runs */
+};
+
+/* An instance, with what it saw of each upstream. */
+struct world_instance {
+	struct fleet *fleet;
+	uint64_t lag_us; /* of the list */
+	uint32_t record[WORLD_UPSTREAMS];
+	uint64_t told_ms[WORLD_UPSTREAMS]; /* start that told it that it leaves; 0: none */
+};
+
+struct world {
+	GRand *rand;
+	struct world_upstream ups[WORLD_UPSTREAMS];
+	struct world_instance *instances;
+	uint32_t instance_count;
+	uint32_t address_count;
+	uint64_t now_us;
+	uint32_t departures;
+	uint32_t told;
+};
+
+static bool world_chance(struct world *world, uint32_t one_in)
+{
+	return g_rand_int_range(world->rand, 0, (gint32)one_in) == 0;
+}
+
+static uint64_t world_draw_us(struct world *world, uint32_t from_ms, uint32_t to_ms)
+{
+	return (uint64_t)g_rand_int_range(world->rand, (gint32)from_ms, (gint32)to_ms) * MS;
+}
+
+static void world_record_entry(struct world_upstream *up, uint64_t at_us, bool listed, bool leaving)
+{
+	struct world_record *last = up->record_count ? &up->records[up->record_count - 1] : NULL;
+
+	if (up->record_count == WORLD_RECORDS)
+		return;
+	up->records[up->record_count++] = (struct world_record){
+		.at_us = last ? MAX(at_us, last->at_us) : at_us,
+		.started_ms = up->started_ms,
+		.address = up->address,
+		.listed = listed,
+		.leaving = leaving,
+	};
+}
+
+static void world_start_upstream(struct world *world, struct world_upstream *up)
+{
+	up->started_ms = world->now_us / MS;
+	up->said_us = 0;
+	up->exits_us = 0;
+	up->starts_us = 0;
+	/* Addresses are used again: its own, or that of another one that is gone, which gets a new
+	 * one. */
+	if (world_chance(world, 2)) {
+		struct world_upstream *other =
+			&world->ups[g_rand_int_range(world->rand, 0, WORLD_UPSTREAMS)];
+		bool gone = other->starts_us && world->now_us >= other->exits_us;
+
+		up->address = gone ? other->address : world->address_count++;
+		if (gone && other != up)
+			other->address = world->address_count++;
+	}
+	world_record_entry(up, world->now_us, true, false);
+}
+
+/* An upstream begins to leave: it says so at once, the list hears of it later or never. */
+static void world_depart(struct world *world, struct world_upstream *up)
+{
+	uint64_t now_us = world->now_us;
+
+	world->departures++;
+	up->said_us = now_us;
+	up->exits_us = now_us + world_draw_us(world, 2000, 8000);
+	up->starts_us = up->exits_us + world_draw_us(world, 500, 4000);
+	if (!world_chance(world, 3))
+		world_record_entry(up, now_us + world_draw_us(world, 0, 2000), true, true);
+	if (!world_chance(world, 4))
+		world_record_entry(up, up->exits_us, false, false);
+}
+
+/* Applies a record of the list to an instance. */
+static void world_apply(struct world *world, struct world_instance *instance,
+			const struct world_upstream *up, const struct world_record *record)
+{
+	g_autofree char *address = g_strdup_printf("10.0.0.%u:80", record->address);
+	struct fleet_entry entry = engine_entry(up->id, address, record->started_ms);
+
+	entry.leaving = record->leaving;
+	if (record->listed)
+		fleet_put_entry(instance->fleet, &entry, world->now_us);
+	else if (fleet_find(instance->fleet, up->id))
+		fleet_remove_entry(instance->fleet, up->id,
+				   world_chance(world, 2) ? world->now_us + 3 * S : 0,
+				   world->now_us);
+}
+
+/* Reads the list as it was some time ago, and now and then an older word of the same start, as
+ * from a delegate that lags more. */
+static void world_read_list(struct world *world, struct world_instance *instance)
+{
+	for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+		const struct world_upstream *up = &world->ups[u];
+		uint32_t *at = &instance->record[u];
+		bool changed = false;
+
+		while (*at < up->record_count &&
+		       up->records[*at].at_us + instance->lag_us <= world->now_us) {
+			world_apply(world, instance, up, &up->records[(*at)++]);
+			changed = true;
+		}
+		if (!changed && *at > 1 && world_chance(world, 50) && up->records[*at - 1].listed &&
+		    up->records[*at - 2].started_ms == up->records[*at - 1].started_ms)
+			world_apply(world, instance, up, &up->records[*at - 2]);
+	}
+}
+
+/* Sends requests to upstreams that look usable; their answers say whether they leave. Returns false
+ * when one is used that had told this instance that it leaves. */
+static bool world_send(struct world *world, struct world_instance *instance)
+{
+	for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+		const struct world_upstream *actual = &world->ups[u];
+		struct fleet_upstream *up = fleet_find(instance->fleet, actual->id);
+		uint64_t started_ms;
+
+		if (!up || fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED)
+			continue;
+		started_ms = fleet_upstream_started_ms(up);
+		if (instance->told_ms[u] == started_ms)
+			return false;
+		if (!world_chance(world, 5) || started_ms != actual->started_ms ||
+		    !actual->said_us || world->now_us < actual->said_us ||
+		    world->now_us >= actual->exits_us)
+			continue;
+		fleet_upstream_record_departure(up, world->now_us);
+		instance->told_ms[u] = started_ms;
+		world->told++;
+	}
+	return true;
+}
+
+/* A peer passes on that an upstream leaves, as it sees it. */
+static void world_notify(struct world *world, struct world_instance *instance)
+{
+	const struct world_instance *peer =
+		&world->instances[g_rand_int_range(world->rand, 0, (gint32)world->instance_count)];
+
+	for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+		struct fleet_upstream *up = fleet_find(instance->fleet, world->ups[u].id);
+		struct fleet_upstream *theirs = fleet_find(peer->fleet, world->ups[u].id);
+
+		if (up && theirs && fleet_upstream_state(theirs) == FLEET_UPSTREAM_LEAVING &&
+		    fleet_upstream_started_ms(up) == fleet_upstream_started_ms(theirs))
+			fleet_upstream_set_leaving(up, world->now_us);
+	}
+}
+
+static void world_violation(uint32_t seed, uint32_t instances, const char *what)
+{
+	printf("violation: seed %u, %u instances: %s\n", seed, instances, what);
+	exit(EXIT_FAILURE);
+}
+
+static void world_step(struct world *world, uint32_t seed, bool settled)
+{
+	for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+		struct world_upstream *up = &world->ups[u];
+
+		if (up->starts_us && world->now_us >= up->starts_us)
+			world_start_upstream(world, up);
+		else if (!up->said_us && !settled && world_chance(world, 60))
+			world_depart(world, up);
+	}
+	for (uint32_t i = 0; i < world->instance_count; i++) {
+		struct world_instance *instance = &world->instances[i];
+
+		if (settled)
+			instance->lag_us = 0;
+		world_read_list(world, instance);
+		if (!settled && world_chance(world, 10))
+			world_notify(world, instance);
+		fleet_tick(instance->fleet, world->now_us);
+		if (!world_send(world, instance))
+			world_violation(seed, world->instance_count,
+					"used in the start in which it said that it leaves");
+	}
+	world->now_us += WORLD_STEP_MS * MS;
+}
+
+/* Instances whose lists lag differently, with upstreams that say that they leave, exit and start
+ * again under their ids and used addresses. @return how often an instance was told */
+static uint32_t run_world(uint32_t seed, uint32_t instance_count)
+{
+	struct world world = { .rand = g_rand_new_with_seed(seed),
+			       .instances = g_new0(struct world_instance, instance_count),
+			       .instance_count = instance_count,
+			       .now_us = 1 * S };
+
+	for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+		world.ups[u].id[0] = (char)('a' + u);
+		world.ups[u].address = world.address_count++;
+		world_start_upstream(&world, &world.ups[u]);
+	}
+	for (uint32_t i = 0; i < instance_count; i++) {
+		world.instances[i].fleet = create_fleet();
+		world.instances[i].lag_us = i % 4 == 3 ? WORLD_LONG_LAG_MS * MS
+						       : world_draw_us(&world, 0, WORLD_LAG_MAX_MS);
+	}
+	for (uint32_t step = 0; step < WORLD_STEPS + WORLD_SETTLE_STEPS; step++)
+		world_step(&world, seed, step >= WORLD_STEPS);
+	for (uint32_t i = 0; i < instance_count; i++) {
+		for (uint32_t u = 0; u < WORLD_UPSTREAMS; u++) {
+			struct fleet_upstream *up =
+				fleet_find(world.instances[i].fleet, world.ups[u].id);
+
+			if (!up || fleet_upstream_started_ms(up) != world.ups[u].started_ms ||
+			    fleet_upstream_state(up) != FLEET_UPSTREAM_READY)
+				world_violation(seed, instance_count,
+						"not used though it started again");
+		}
+		fleet_destroy(world.instances[i].fleet);
+	}
+	g_free(world.instances);
+	g_rand_free(world.rand);
+	return world.told;
+}
+
+/* The upstream's own word binds each instance that heard it for that start, and ends with it. */
+static void test_departure_instances(void)
+{
+	uint32_t told = 0;
+
+	for (uint32_t seed = 1; seed <= WORLD_SEEDS; seed++) {
+		told += run_world(seed, 1);
+		told += run_world(seed, 6);
+		if (seed <= WORLD_SEEDS_MANY)
+			told += run_world(seed, WORLD_INSTANCES_MAX);
+	}
+	g_test_message("an instance was told %u times", told);
+	g_assert_cmpuint(told, >, 1000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -659,5 +932,6 @@
 	g_test_add_func("/fleet/restored", test_restored);
 	g_test_add_func("/fleet/departure", test_departure);
 	g_test_add_func("/fleet/departure-ends", test_departure_ends);
+	g_test_add_func("/fleet/departure-instances", test_departure_instances);
 	return g_test_run();
 }
