--- a/test/test_proc.c
+++ b/test/test_proc.c
@@ -426,11 +426,25 @@
 	cluster_destroy(cluster);
 }
 
+/* Prints what the entries logged, to find out why something did not happen. */
+static void print_entry_logs(const struct cluster *cluster, uint32_t count)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		g_autofree char *path = g_strdup_printf("%s/entry%u.log", cluster_dir(cluster), i);
+		g_autofree char *text = NULL;
+
+		if (g_file_get_contents(path, &text, NULL, NULL))
+			fprintf(stderr, "entry %u:\n%s", i, text);
+	}
+}
+
 /* Waits until an entry knows that an engine runs @p version. */
 static void wait_engine_version(struct cluster *cluster, uint32_t entry, uint32_t engine,
 				const char *version)
 {
 	g_autofree char *id = g_strdup_printf("engine-%u", engine);
+	g_autofree char *last = NULL;
+	gint64 begun_us = g_get_monotonic_time();
 	bool seen = false;
 
 	for (uint32_t i = 0; i < 600 && !seen; i++) {
@@ -440,14 +454,21 @@
 		for (size_t u = 0; u < json_array_size(ups); u++) {
 			const json_t *up = json_array_get(ups, u);
 
-			if (strcmp(json_string_value(json_object_get(up, "id")), id) == 0)
-				seen = g_strcmp0(json_string_value(json_object_get(up, "version")),
-						 version) == 0;
+			if (strcmp(json_string_value(json_object_get(up, "id")), id) != 0)
+				continue;
+			g_free(last);
+			last = g_strdup(json_string_value(json_object_get(up, "version")));
+			seen = g_strcmp0(last, version) == 0;
 		}
 		json_decref(state);
 		g_usleep(SECOND_US / 20);
 	}
-	g_assert_true(seen);
+	if (!seen) {
+		print_entry_logs(cluster, three_each.entries);
+		g_error("entry %u knows %s of %s, not %s, after %" G_GINT64_FORMAT " ms", entry,
+			last ? last : "no version", id, version,
+			(g_get_monotonic_time() - begun_us) / 1000);
+	}
 }
 
 /*
