Test: sound answers wait until the cut ones have come

With a fixed pause upstreams counted as failing when the machine was slow, and requests were refused and played again: /gateway-cut/resumed took 49 s, retry 27 s (load average 14 to 21, ctest -j2). The checks are the same.

--- a/test/test_gateway_cut.c
+++ b/test/test_gateway_cut.c
@@ -20,13 +20,11 @@
 #define RESET_PAUSE_MS	  2   /* from the last byte to a reset that comes later */
 #define PIECE_BYTES	  40
 #define PIECE_PAUSE_MS	  1
-/* Sound answers come after the cut ones: then the upstream does not count as failing. */
-#define SOUND_PAUSE_MS	 16
-#define MAX_UPSTREAMS	 12
-#define MAX_BATCH_CUTS	 16 /* at once */
-#define BATCH_SOUND	 24
-#define SUSPENSION_MS	 450 /* the first time for which an upstream that fails is left alone */
-#define MAX_REPLAY_COUNT 4   /* of a cut whose request was refused unsent */
+#define MAX_UPSTREAMS	  12
+#define MAX_BATCH_CUTS	  16 /* at once */
+#define BATCH_SOUND	  24
+#define SUSPENSION_MS	  450 /* the first time for which an upstream that fails is left alone */
+#define MAX_REPLAY_COUNT  4   /* of a cut whose request was refused unsent */
 /* Share of the cuts that must have reached an upstream. */
 #define PLAYED_SHARE 0.98
 
@@ -77,12 +75,21 @@
 	struct raw_caller caller;
 };
 
+/* A request that waits for its sound answer. */
+struct held_request {
+	struct raw_conn *conn;
+	uint64_t number; /* of the connection */
+	char *answer;
+};
+
 struct fixture {
 	struct testbed *testbed;
 	struct mock_platform *platform;
 	struct testbed_gateway *gateway;
 	struct raw_upstream *raw[MAX_UPSTREAMS];
 	const struct cut_kind *kind;
+	GPtrArray *held;  /* struct held_request */
+	bool hold;	  /* sound answers wait for the cut ones */
 	GHashTable *cuts; /* id to struct cut; other requests get a sound answer */
 	bool keep_conns;  /* sound answers keep their connection open */
 	uint32_t upstream_count;
@@ -124,21 +131,51 @@
 	return g_strjoinv(id, parts);
 }
 
-static void answer_sound(const struct fixture *f, struct raw_conn *conn, const char *id)
+static void held_request_free(gpointer data)
+{
+	struct held_request *held = data;
+
+	g_free(held->answer);
+	g_free(held);
+}
+
+/* Answers the requests that wait. Sound answers come after the cut ones: then the upstreams do not
+ * count as failing. */
+static void release_sound(struct fixture *f)
+{
+	for (guint i = 0; i < f->held->len; i++) {
+		struct held_request *held = f->held->pdata[i];
+		bool open = false;
+
+		for (uint32_t n = 0; n < f->upstream_count; n++)
+			open |= raw_upstream_find_conn(f->raw[n], held->number) == held->conn;
+		if (!open)
+			continue;
+		if (!f->keep_conns)
+			raw_conn_close(held->conn);
+		raw_conn_write(held->conn, held->answer);
+	}
+	g_ptr_array_set_size(f->held, 0);
+}
+
+static void answer_sound(struct fixture *f, struct raw_conn *conn, const char *id)
 {
 	const char *head = raw_conn_request_head(conn);
 	bool stream = strstr(head, " /long/") || strstr(head, " /quick/");
 	g_autofree char *own = with_id(OK_OWN, id);
-	g_autofree char *text = g_strconcat(
-		own, f->keep_conns ? "" : "Connection: close\r\n",
-		stream ? EVENTS "Content-Length: 48\r\n\r\n" EVENT(91, "a") EVENT(92, "b")
-				 EVENT(93, "c")
-		       : "Transfer-Encoding: chunked\r\n\r\nC\r\n" BODY "\r\n0\r\nX-T: 1\r\n\r\n",
-		NULL);
-
-	if (!f->keep_conns)
-		raw_conn_close(conn);
-	raw_conn_write_later(conn, text, SOUND_PAUSE_MS, false);
+	struct held_request *held = g_new0(struct held_request, 1);
+
+	held->conn = conn;
+	held->number = raw_conn_number(conn);
+	held->answer = g_strconcat(own, f->keep_conns ? "" : "Connection: close\r\n",
+				   stream ? EVENTS "Content-Length: 48\r\n\r\n" EVENT(91, "a")
+						    EVENT(92, "b") EVENT(93, "c")
+					  : "Transfer-Encoding: chunked\r\n\r\nC\r\n" BODY
+					    "\r\n0\r\nX-T: 1\r\n\r\n",
+				   NULL);
+	g_ptr_array_add(f->held, held);
+	if (!f->hold)
+		release_sound(f);
 }
 
 static void answer_cut(const struct cut *cut, struct raw_conn *conn)
@@ -216,6 +253,7 @@
 	*f = (struct fixture){ .testbed = testbed_create(38),
 			       .kind = kind,
 			       .upstream_count = upstreams };
+	f->held = g_ptr_array_new_with_free_func(held_request_free);
 	f->cuts = g_hash_table_new(g_str_hash, g_str_equal);
 	f->platform = testbed_platform(f->testbed);
 	testbed_configure(f->testbed, NULL, NULL);
@@ -234,6 +272,7 @@
 			raw_upstream_destroy(f->raw[i]);
 	}
 	g_hash_table_destroy(f->cuts);
+	g_ptr_array_free(f->held, TRUE);
 	testbed_destroy(f->testbed);
 }
 
@@ -496,6 +535,7 @@
 	uint32_t count = 0;
 	bool all_played = true;
 
+	f->hold = true;
 	/* One for each upstream is sent ahead, while none counts as failing. */
 	for (uint32_t i = 0; i < f->upstream_count; i++)
 		sound[i] = open_sound(f);
@@ -513,6 +553,9 @@
 		callers[count + i] = &sound[i];
 	}
 	read_all(f, callers, count, strcmp(f->kind->method, "HEAD") == 0);
+	testbed_run(f->testbed, RESET_PAUSE_MS);
+	f->hold = false;
+	release_sound(f);
 	read_all(f, callers + count, BATCH_SOUND, false);
 	for (uint32_t i = 0; i < BATCH_SOUND; i++)
 		finish_sound(f, &sound[i]);
