--- a/test/soak/stop_callers.c
+++ b/test/soak/stop_callers.c
@@ -169,14 +169,16 @@
 		text = g_strdup(record.arrivals ? "was passed on and got no whole answer"
 						: "was read and got no answer");
 	if (text) {
+		g_autofree char *log = testbed_log_lines(callers->conf.gateway, caller->id);
 		g_autofree char *line = g_strdup_printf(
 			"%s %s %s: %s, sent %d ms after SIGTERM, whole %d, ended %d; status %u, "
-			"%u arrivals, %u executions, %u at work",
+			"%u arrivals, %u executions, %u at work, last at %s\n%s",
 			callers->conf.gateway->name, caller->kind->path, caller->id, text,
 			(int)(caller->sent_ms - callers->stop_ms),
 			(int)(caller->whole_ms - callers->stop_ms),
 			(int)(stop_now_ms() - callers->stop_ms), status, record.arrivals,
-			record.executions, record.working);
+			record.executions, record.working,
+			record.upstream ? record.upstream : "none", log);
 
 		callers->conf.violation(callers->conf.ctx, line);
 	}
