--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -266,8 +266,10 @@
 						     .crash_part = SOAK_CRASH_PART,
 						     .crash_target = SOAK_CRASH_TARGET };
 	if (g_strcmp0(soak->options.only, SOAK_FAULT_LATE_STOP) == 0) {
-		replica->conf.work_ms += random_below(soak, SOAK_SLOW_WORK_MS);
-		replica->conf.pace_ms <<= random_below(soak, 5);
+		/* some begin late, others begin at once and take long to end */
+		if (random_below(soak, 2))
+			replica->conf.work_ms += random_below(soak, SOAK_SLOW_WORK_MS);
+		replica->conf.pace_ms <<= random_below(soak, 6);
 		replica->conf.slots = 2U << random_below(soak, 4);
 	}
 	replica->stand_in = mock_upstream_create(soak->mock_platform, &replica->conf);
