Test: several calls follow the release of a copy

Change: four calls at once; one of them at least follows, each is answered and runs once. The check that none runs twice now covers four.

--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -457,7 +457,7 @@
 				 .answers_copies_twice = false,
 				 .copy_delay_ms = 10 * STEP_MS };
 	struct testbed_answer answer;
-	struct testbed_answer call;
+	struct testbed_answer calls[4];
 	struct engine *source;
 	uint32_t short_calls = 0;
 	struct fixture f;
@@ -471,14 +471,18 @@
 		fixture_run(&f, STEP_MS);
 	g_assert_cmpuint(source->releases, ==, 1);
 	fixture_run(&f, 2 * STEP_MS);
-	testbed_begin(f.gateway, &short_call, &call);
+	/* Placement may choose another engine for one of them, but not for all. */
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++)
+		testbed_begin(f.gateway, &short_call, &calls[i]);
 	fixture_run(&f, START_MS);
-	g_assert_cmpuint(call.status, ==, 200);
-	testbed_answer_clear(&call);
+	for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+		g_assert_cmpuint(calls[i].status, ==, 200);
+		testbed_answer_clear(&calls[i]);
+	}
 	for (uint32_t i = 0; i < ENGINE_COUNT; i++)
 		short_calls += f.engines[i].short_calls;
-	g_assert_cmpuint(source->short_calls, ==, 1);
-	g_assert_cmpuint(short_calls, ==, 1);
+	g_assert_cmpuint(source->short_calls, >=, 1);
+	g_assert_cmpuint(short_calls, ==, G_N_ELEMENTS(calls));
 	check_complete(&f, &answer);
 	fixture_close(&f);
 }
