Comments: two limits of the relay in plain words

Cause: one told how its value was chosen, the other had to be read twice. Change: comments only. Measured: nothing; the compiled code is the same.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -12,7 +12,7 @@
 #define RELAY_DEFAULT_DEADLINE_MS 60000
 /* With less time left an attempt cannot be answered before the deadline. */
 #define RELAY_MIN_ATTEMPT_MS 20
-/* Buffered for all requests together; a process may have 110 MB. */
+/* Limit of the bytes buffered for all open requests together. */
 #define RELAY_BUFFERS_MAX_BYTES (16ULL << 20)
 /* Limit on the expected delay that is added to Retry-After; longer estimates are unreliable. */
 #define RELAY_MAX_EXTRA_RETRY_AFTER_MS 3000
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -15,7 +15,7 @@
 /* When more than this is unsent to a slow caller, reading from the upstream pauses until all of it
  * is sent. */
 #define RELAY_BACKLOG_MAX_BYTES (256U << 10)
-/* Comments between two events. More are no sign of life. */
+/* Limit of the comments between two events; a stream that exceeds it is faulty. */
 #define RELAY_COMMENTS_MAX_BYTES (16U << 10)
 /* Events between two updates of the expected output length. */
 #define RELAY_ESTIMATE_INTERVAL_EVENTS 16
