Testbed: the sanitizer keeps 8 MB of freed memory of a gateway, not 256

Since large buffers are given back, the sanitizer's quarantine holds them, and the test takes them for the process's. Change: the limit of 8 MB for the gateways of the testbed. The bound of the test is as before.

--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -274,7 +274,9 @@
 	int log = open(gateway->log_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
 	g_autoptr(GError) error = NULL;
 
-	g_subprocess_launcher_setenv(launcher, "ASAN_OPTIONS", "detect_leaks=0", TRUE);
+	/* With the sanitizer's own limit, freed memory counts for the size of the process. */
+	g_subprocess_launcher_setenv(launcher, "ASAN_OPTIONS",
+				     "detect_leaks=0:quarantine_size_mb=8", TRUE);
 	g_subprocess_launcher_set_child_setup(launcher, testbed_child_setup, NULL, NULL);
 	g_subprocess_launcher_take_stdout_fd(launcher, log);
 	g_subprocess_launcher_take_stderr_fd(launcher, fcntl(log, F_DUPFD_CLOEXEC, 0));
