Regions: routes and customers may restrict where requests are served

Cause: allowed_regions of routes and customers was not read; placement knew the distance to an upstream, not whether the request may go there. Change: route_allows_region(), asked at each selection, for copies and backups and before the first byte leaves, by the newest configuration. Without an allowed upstream a request is refused at once. A malformed list rejects the configuration.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -149,6 +149,8 @@
 uint64_t fleet_upstream_started_ms(const struct fleet_upstream *up);
 const char *fleet_upstream_address(const struct fleet_upstream *up);
 const char *fleet_upstream_zone(const struct fleet_upstream *up);
+/** Returns the region of its zone, or NULL when the zone is unknown. */
+const char *fleet_upstream_region(const struct fleet_upstream *up);
 enum fleet_upstream_state fleet_upstream_state(const struct fleet_upstream *up);
 const char *fleet_upstream_state_name(enum fleet_upstream_state state);
 /** Returns the distance from this instance. */
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -78,6 +78,7 @@
 	X(LOG_STORE_RESTORED, 637, WARNING, "source-restored", "The store came back from an older copy; what it lost is read and written again.") \
 	X(LOG_API_KEYS_STALE, 640, WARNING, "keys-stale", "The configuration was not confirmed in time; requests with API keys are refused.") \
 	X(LOG_API_KEYS_CONFIRMED, 641, INFO, "keys-fresh", "The configuration is confirmed again; API keys are accepted.") \
+	X(LOG_REGION_UNKNOWN, 645, WARNING, "region-unknown", "A route or customer is restricted to a region that has no zone in the settings; nothing is sent there.") \
 	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was loaded again.") \
 	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the previous settings stay in force.") \
 	X(LOG_SUPPRESSED, 690, WARNING, "log-suppressed", "Log lines were dropped since the last event of this kind.")
--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -44,6 +44,7 @@
 	bool is_public;		   /**< needs no API key */
 	bool resumable;		   /**< a broken stream may be resumed at another upstream */
 	GArray *targets;	   /**< struct route_target */
+	GPtrArray *regions;	   /**< names of the regions that may serve it; empty: all */
 };
 
 /** Properties of the engines behind a service. */
@@ -68,7 +69,8 @@
 
 struct route_customer {
 	char *name;
-	int32_t priority; /**< overrides the route's priority; -1 if unset */
+	int32_t priority;   /**< overrides the route's priority; -1 if unset */
+	GPtrArray *regions; /**< names of the regions that may serve its requests; empty: all */
 };
 
 /** Limits on the size and the duration of what a caller sends. */
@@ -93,6 +95,9 @@
 struct route *route_config_add_route(struct route_config *config, const char *host,
 				     const char *prefix);
 void route_add_target(struct route *route, const char *service, uint32_t weight);
+/** Restricts a route or customer to a region, beside those that it may use already.
+ * @param regions route::regions or route_customer::regions */
+void route_add_region(GPtrArray *regions, const char *name);
 /** Adds a service; one of the same name is freed and replaced. */
 struct route_service *route_config_add_service(struct route_config *config, const char *name);
 /** Adds a customer without API keys, whose priority is unset. */
@@ -116,6 +121,9 @@
 /** Returns the service of that name, or NULL. */
 const struct route_service *route_config_find_service(const struct route_config *config,
 						      const char *name);
+/** Returns the customer of that name, or NULL. */
+const struct route_customer *route_config_find_customer_name(const struct route_config *config,
+							     const char *name);
 /** Returns the customer that an API key belongs to, or NULL. */
 const struct route_customer *route_config_find_customer(const struct route_config *config,
 							const char *key);
@@ -123,6 +131,19 @@
  * @param draw random number, uniformly distributed
  * @return its name, or NULL if the route has no targets; the first if all weights are 0 */
 const char *route_select_service(const struct route *route, uint32_t draw);
+/** Returns whether upstreams of a region may get a request. A restriction of the route and one of
+ * the customer both bind.
+ * @param customer NULL if the request has none
+ * @param region NULL when it is unknown: allowed only without a restriction */
+bool route_allows_region(const struct route *route, const struct route_customer *customer,
+			 const char *region);
+/** Returns whether any region is excluded for a request. @param customer NULL if it has none */
+bool route_is_restricted(const struct route *route, const struct route_customer *customer);
+/** Calls @p callback for each region that a route or customer is restricted to.
+ * @param owner name of the route or customer; "-" when it has none */
+void route_config_foreach_region(const struct route_config *config,
+				 void (*callback)(void *ctx, const char *owner, const char *region),
+				 void *ctx);
 const char *route_kind_name(enum route_kind kind);
 /** Returns whether a request of this route may be executed more than once, so that it may be
  * retried after an attempt whose outcome is unknown. */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -710,6 +710,11 @@
 	return up->zone;
 }
 
+const char *fleet_upstream_region(const struct fleet_upstream *up)
+{
+	return up->fleet->region_of(up->fleet->ctx, up->zone);
+}
+
 enum fleet_upstream_state fleet_upstream_state(const struct fleet_upstream *up)
 {
 	return up->state;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -29,6 +29,7 @@
 	struct route *route = data;
 
 	g_array_free(route->targets, TRUE);
+	g_ptr_array_unref(route->regions);
 	g_free(route->name);
 	g_free(route->host);
 	g_free(route->prefix);
@@ -48,6 +49,7 @@
 {
 	struct route_customer *customer = data;
 
+	g_ptr_array_unref(customer->regions);
 	g_free(customer->name);
 	g_free(customer);
 }
@@ -103,6 +105,7 @@
 	route->max_attempts = 1;
 	route->targets = g_array_new(FALSE, TRUE, sizeof(struct route_target));
 	g_array_set_clear_func(route->targets, route_target_clear);
+	route->regions = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(config->routes, route);
 	host_routes = g_hash_table_lookup(config->hosts, route->host);
 	if (!host_routes) {
@@ -142,10 +145,16 @@
 
 	customer->name = g_strdup(name);
 	customer->priority = -1;
+	customer->regions = g_ptr_array_new_with_free_func(g_free);
 	g_ptr_array_add(config->customers, customer);
 	return customer;
 }
 
+void route_add_region(GPtrArray *regions, const char *name)
+{
+	g_ptr_array_add(regions, g_strdup(name));
+}
+
 void route_config_add_key(struct route_config *config, const char *key,
 			  struct route_customer *customer)
 {
@@ -211,6 +220,18 @@
 	return g_hash_table_lookup(config->keys, key);
 }
 
+const struct route_customer *route_config_find_customer_name(const struct route_config *config,
+							     const char *name)
+{
+	for (guint i = 0; i < config->customers->len; i++) {
+		const struct route_customer *customer = config->customers->pdata[i];
+
+		if (strcmp(customer->name, name) == 0)
+			return customer;
+	}
+	return NULL;
+}
+
 const char *route_select_service(const struct route *route, uint32_t draw)
 {
 	uint32_t total = 0;
@@ -238,6 +259,54 @@
 	return route_kind_names[kind];
 }
 
+/* Tells whether a list of regions, of which an empty one means all, has a region. */
+static bool route_regions_allow(const GPtrArray *regions, const char *region)
+{
+	if (regions->len == 0)
+		return true;
+	for (guint i = 0; region && i < regions->len; i++) {
+		if (strcmp(regions->pdata[i], region) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool route_allows_region(const struct route *route, const struct route_customer *customer,
+			 const char *region)
+{
+	return route_regions_allow(route->regions, region) &&
+	       (!customer || route_regions_allow(customer->regions, region));
+}
+
+bool route_is_restricted(const struct route *route, const struct route_customer *customer)
+{
+	return route->regions->len > 0 || (customer && customer->regions->len > 0);
+}
+
+static void route_foreach_region(const GPtrArray *regions, const char *owner,
+				 void (*callback)(void *ctx, const char *owner, const char *region),
+				 void *ctx)
+{
+	for (guint i = 0; i < regions->len; i++)
+		callback(ctx, owner ? owner : "-", regions->pdata[i]);
+}
+
+void route_config_foreach_region(const struct route_config *config,
+				 void (*callback)(void *ctx, const char *owner, const char *region),
+				 void *ctx)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route = config->routes->pdata[i];
+
+		route_foreach_region(route->regions, route->name, callback, ctx);
+	}
+	for (guint i = 0; i < config->customers->len; i++) {
+		const struct route_customer *customer = config->customers->pdata[i];
+
+		route_foreach_region(customer->regions, customer->name, callback, ctx);
+	}
+}
+
 bool route_allows_rerun(const struct route *route)
 {
 	return route->kind == ROUTE_IDEMPOTENT || (route->kind == ROUTE_STREAM && route->resumable);
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -57,13 +57,19 @@
 
 /* helpers */
 
+/* Tells whether a request may go to an upstream at all. */
+static bool dispatch_is_permitted(const struct fleet_upstream *up, const struct dispatch_need *need)
+{
+	return !need->allows || need->allows(need->allows_ctx, up);
+}
+
 /* Tells whether an upstream may be sent a request as far as its state goes; it may be full, over
  * the limit that it names, or have asked to be left alone. */
 static bool dispatch_is_eligible(const struct fleet_upstream *up, const struct dispatch_need *need,
 				 uint64_t now_us)
 {
 	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
-	    fleet_upstream_suspended(up, now_us))
+	    fleet_upstream_suspended(up, now_us) || !dispatch_is_permitted(up, need))
 		return false;
 	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
 }
@@ -257,7 +263,9 @@
 	struct dispatch_queued *queued;
 
 	while ((queued = call_queue_first(calls))) {
-		struct dispatch_need need = { .service = queued->need.service };
+		struct dispatch_need need = { .service = queued->need.service,
+					      .allows = queued->need.allows,
+					      .allows_ctx = queued->need.allows_ctx };
 		g_autoptr(GArray) ups = dispatch_call_upstreams(dispatch, &need);
 
 		queued = call_queue_find_late(calls, (const struct call_queue_upstream *)ups->data,
@@ -511,22 +519,23 @@
 	return fill <= DISPATCH_MAX_BACKUP_FILL ? up : NULL;
 }
 
-bool dispatch_is_limited(struct dispatch *dispatch, const char *service)
+bool dispatch_is_limited(struct dispatch *dispatch, const struct dispatch_need *need)
 {
-	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	uint64_t now_us = env_now_us();
 
 	for (guint i = 0; i < ups->len; i++) {
-		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
+		if (dispatch_is_permitted(ups->pdata[i], need) &&
+		    fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
 		    !upstream_limit_allows(fleet_upstream_limit(ups->pdata[i]), now_us))
 			return true;
 	}
 	return false;
 }
 
-uint64_t dispatch_quiet_us(struct dispatch *dispatch, const char *service)
+uint64_t dispatch_quiet_us(struct dispatch *dispatch, const struct dispatch_need *need)
 {
-	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	uint64_t now_us = env_now_us();
 	uint64_t first_us = 0;
 
@@ -534,7 +543,8 @@
 		uint64_t left_us =
 			upstream_quiet_left_us(fleet_upstream_quiet(ups->pdata[i]), now_us);
 
-		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED)
+		if (!dispatch_is_permitted(ups->pdata[i], need) ||
+		    fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED)
 			continue;
 		if (left_us == 0)
 			return 0;
@@ -543,12 +553,13 @@
 	return first_us;
 }
 
-bool dispatch_has_upstream(struct dispatch *dispatch, const char *service)
+bool dispatch_has_upstream(struct dispatch *dispatch, const struct dispatch_need *need)
 {
-	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 
 	for (guint i = 0; i < ups->len; i++) {
-		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED)
+		if (dispatch_is_permitted(ups->pdata[i], need) &&
+		    fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED)
 			return true;
 	}
 	return false;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -42,6 +42,10 @@
 	const struct fleet_upstream
 		*avoid; /**< one more upstream not to be selected; may be NULL */
 	const struct fleet_upstream *distance_from; /**< NULL counts distances from this instance */
+	/** Tells whether the request may go to an upstream at all. Asked at each selection, since
+	 * the configuration may change while a request is queued. NULL: to any. */
+	bool (*allows)(void *ctx, const struct fleet_upstream *up);
+	void *allows_ctx;
 };
 
 /** Basis of a selection. Zero it before the call, which leaves fields that do not apply
@@ -78,14 +82,14 @@
 struct fleet_upstream *dispatch_select_backup(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      const struct fleet_upstream *main);
-/** Tells whether an upstream of a service gets no request now because of the limit that it names.
- */
-bool dispatch_is_limited(struct dispatch *dispatch, const char *service);
-/** Returns the time until the first upstream of a service may be asked again, in us, when all of
- * them asked to be left alone; otherwise 0. */
-uint64_t dispatch_quiet_us(struct dispatch *dispatch, const char *service);
-/** Tells whether any upstream of a service may get new requests. */
-bool dispatch_has_upstream(struct dispatch *dispatch, const char *service);
+/** Tells whether an upstream that a request may go to gets none now because of the limit that it
+ * names. */
+bool dispatch_is_limited(struct dispatch *dispatch, const struct dispatch_need *need);
+/** Returns the time until the first upstream that a request may go to can be asked again, in us,
+ * when all of them asked to be left alone; otherwise 0. */
+uint64_t dispatch_quiet_us(struct dispatch *dispatch, const struct dispatch_need *need);
+/** Tells whether any upstream that a request may go to accepts new ones. */
+bool dispatch_has_upstream(struct dispatch *dispatch, const struct dispatch_need *need);
 
 /** Adds a request's load to an upstream and takes a reference to it. */
 void dispatch_load_add(struct dispatch_load *load, struct fleet_upstream *up, uint64_t kv_tokens,
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -210,6 +210,19 @@
 	uv_run(gateway->env.loop, UV_RUN_DEFAULT);
 }
 
+/* Logs a region of the configuration that has no zone: nothing is allowed there. */
+static void gateway_check_region(void *ctx, const char *owner, const char *region)
+{
+	const struct gateway *gateway = ctx;
+	const struct gateway_settings *settings = gateway->env.settings;
+
+	for (uint32_t i = 0; i < settings->zone_count; i++) {
+		if (strcmp(settings->zones[i].region, region) == 0)
+			return;
+	}
+	log_event(LOG_REGION_UNKNOWN, "owner", owner, "region", region, NULL);
+}
+
 /* Applies a new configuration from the store. */
 static void gateway_on_config(void *ctx, struct route_config *config)
 {
@@ -236,6 +249,7 @@
 		  NULL);
 	metric_set(gateway->env.metric, METRIC_CONFIG_REVISION,
 		   (int64_t)route_config_version(config));
+	route_config_foreach_region(config, gateway_check_region, gateway);
 }
 
 static void gateway_on_restored(void *ctx)
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -272,7 +272,7 @@
 		g_strdup_printf("%u", dispatch_queued_calls(dispatch, request->service_name));
 
 	if (!dispatch_call_fits(dispatch, need, relay_priority(request), request->deadline_us)) {
-		relay_refuse_quiet(request, dispatch_quiet_us(dispatch, request->service_name));
+		relay_refuse_quiet(request, dispatch_quiet_us(dispatch, need));
 		return;
 	}
 	request->phase = RELAY_QUEUED;
@@ -283,13 +283,22 @@
 						request->deadline_us, relay_on_granted, request);
 }
 
+/* Returns why a request has no upstream, for the log. */
+static const char *relay_no_upstream_reason(struct relay_request *request)
+{
+	struct dispatch_need need = { .service = request->service_name };
+
+	return dispatch_has_upstream(request->relay->dispatch, &need) ? "no-allowed-upstream"
+								      : "no-upstream";
+}
+
 static void relay_place(struct relay_request *request)
 {
 	struct dispatch *dispatch = request->relay->dispatch;
 	struct dispatch_need need = relay_dispatch_need(request);
 	struct dispatch_decision decision = { 0 };
 	struct fleet_upstream *up;
-	uint64_t quiet_us = dispatch_quiet_us(dispatch, request->service_name);
+	uint64_t quiet_us = dispatch_quiet_us(dispatch, &need);
 
 	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
@@ -303,7 +312,7 @@
 		up = dispatch_queue_length(dispatch)
 			     ? NULL
 			     : dispatch_select_engine(dispatch, &need, &decision);
-		if (!up && dispatch_has_upstream(dispatch, request->service_name)) {
+		if (!up && dispatch_has_upstream(dispatch, &need)) {
 			relay_enqueue(request, &need, decision.late_ms);
 			return;
 		}
@@ -323,11 +332,11 @@
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "no-other-upstream");
 		else if (quiet_us)
 			relay_refuse_quiet(request, quiet_us);
-		else if (dispatch_is_limited(dispatch, request->service_name))
+		else if (dispatch_is_limited(dispatch, &need))
 			relay_refuse_limited(request);
 		else
 			relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request),
-					  "no-upstream");
+					  relay_no_upstream_reason(request));
 		return;
 	}
 	relay_start_attempt(request, up, NULL, NULL);
@@ -338,11 +347,11 @@
 			     const struct dispatch_decision *decision)
 {
 	struct relay_request *request = ctx;
+	struct dispatch_need need = relay_dispatch_need(request);
 
 	request->queued = NULL;
 	if (!up) {
-		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch,
-							      request->service_name));
+		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch, &need));
 		return;
 	}
 	metric_observe(request->relay->env->metric, METRIC_QUEUE_US,
@@ -381,7 +390,7 @@
 
 /* Returns what attempt_decide() has to know of an attempt that ended, or would be given up.
  * @param upstream_available whether another upstream is there */
-static struct attempt_summary relay_summarize(const struct relay_request *request,
+static struct attempt_summary relay_summarize(struct relay_request *request,
 					      enum attempt_outcome outcome, bool upstream_available)
 {
 	return (struct attempt_summary){
@@ -409,6 +418,7 @@
 static void relay_follow_attempt(struct relay_request *request, enum attempt_outcome outcome,
 				 enum attempt_action action)
 {
+	struct dispatch_need need;
 	uint64_t quiet_us;
 
 	relay_log_attempt_end(request, outcome, action);
@@ -427,7 +437,8 @@
 		relay_resume_from_backup(request, attempt_outcome_name(outcome));
 		break;
 	case ATTEMPT_ACTION_REFUSE:
-		quiet_us = dispatch_quiet_us(request->relay->dispatch, request->service_name);
+		need = relay_dispatch_need(request);
+		quiet_us = dispatch_quiet_us(request->relay->dispatch, &need);
 		if (quiet_us)
 			relay_refuse_quiet(request, quiet_us);
 		else
@@ -467,7 +478,7 @@
 		g_ptr_array_remove(request->tried, up);
 	available =
 		relay_is_generation(request)
-			? dispatch_has_upstream(request->relay->dispatch, request->service_name)
+			? dispatch_has_upstream(request->relay->dispatch, &need)
 			: dispatch_select_plain(request->relay->dispatch, &need, &decision) != NULL;
 	/* A call that did not run may wait for its next attempt. */
 	if (!available && !ran)
@@ -542,7 +553,7 @@
 }
 
 /* Tells whether the current attempt has made no progress for so long that another is better. */
-static bool relay_is_stalled(const struct relay_request *request, uint64_t now_us)
+static bool relay_is_stalled(struct relay_request *request, uint64_t now_us)
 {
 	const struct gateway_load_settings *load = &request->relay->env->settings->load;
 	uint64_t silent_ms = (now_us - request->last_progress_us) / 1000;
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -146,8 +146,11 @@
 
 static bool relay_on_connected(void *ctx)
 {
-	const struct relay_request *request = ctx;
+	struct relay_request *request = ctx;
 
+	/* The allowed regions may have changed while the connection was opened. */
+	if (!relay_allows_upstream(request, request->attempt.up))
+		return false;
 	/* Another upstream may have got the address in the meantime, or this one has said that it
 	 * leaves or wants to be left alone. An engine that leaves still continues from its own
 	 * copy. */
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -87,7 +87,8 @@
 	need.place.needs_kv_copy = true;
 	need.distance_from = request->attempt.up;
 	if (request->kv_copy.up &&
-	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY) {
+	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY &&
+	    relay_allows_upstream(request, request->kv_copy.up)) {
 		/* The copy was made while the entry of the generation's engine was lapsed, or is
 		 * continued after a time in which an engine wanted to be left alone. */
 		if (relay_is_quiet(request->kv_copy.up))
@@ -194,7 +195,8 @@
 	struct fleet_upstream *up = request->attempt.up;
 	g_autofree char *source = NULL;
 
-	if (!handle || !request->caller || request->call || relay_is_quiet(up))
+	if (!handle || !request->caller || request->call || relay_is_quiet(up) ||
+	    !relay_allows_upstream(request, up))
 		return false;
 	source = g_strdup(fleet_upstream_address(up));
 	fleet_upstream_ref(up);
@@ -307,7 +309,8 @@
 	}
 	request->migrate_target = NULL;
 	request->migrate_stopping = false;
-	if (done && request->caller && !relay_is_quiet(target))
+	if (done && request->caller && !relay_is_quiet(target) &&
+	    relay_allows_upstream(request, target))
 		relay_migration_done(request, target, handle);
 	else
 		relay_migration_failed(request, target, handle, answer->status);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -185,6 +185,7 @@
 	g_string_free(request->response_headers, TRUE);
 	protocol_request_clear(&request->decoded);
 	route_config_unref(request->config);
+	route_config_unref(request->region_config);
 	g_free(request->kv_copy_handle);
 	if (request->kv_copy_source)
 		fleet_upstream_unref(request->kv_copy_source);
@@ -511,7 +512,41 @@
 	return spent_ms < wanted_ms ? (uint32_t)(wanted_ms - spent_ms) : 1;
 }
 
-struct dispatch_need relay_dispatch_need(const struct relay_request *request)
+/* Looks up the request's route and customer in the configuration in force, if it has changed. What
+ * the newest one does not have any more keeps the regions that it had. */
+static void relay_update_regions(struct relay_request *request)
+{
+	struct route_config *newest = request->relay->env->config;
+	const struct route *route;
+	const struct route_customer *customer;
+
+	if (request->region_config == newest || !request->caller)
+		return;
+	route = route_config_match(newest, http_req_host(request->caller),
+				   http_req_target(request->caller));
+	customer = request->customer
+			   ? route_config_find_customer_name(newest, request->customer->name)
+			   : NULL;
+	request->region_route = route ? route : request->route;
+	request->region_customer = customer ? customer : request->customer;
+	route_config_ref(newest);
+	route_config_unref(request->region_config);
+	request->region_config = newest;
+}
+
+bool relay_allows_upstream(void *ctx, const struct fleet_upstream *up)
+{
+	struct relay_request *request = ctx;
+
+	relay_update_regions(request);
+	if (!request->region_route ||
+	    !route_is_restricted(request->region_route, request->region_customer))
+		return true;
+	return route_allows_region(request->region_route, request->region_customer,
+				   fleet_upstream_region(up));
+}
+
+struct dispatch_need relay_dispatch_need(struct relay_request *request)
 {
 	return (struct dispatch_need){
 		.service = request->service_name,
@@ -524,6 +559,8 @@
 			   .resumes = request->resumed },
 		.run_once = !route_allows_rerun(request->route),
 		.excluded = request->tried,
+		.allows = relay_allows_upstream,
+		.allows_ctx = request,
 	};
 }
 
@@ -542,9 +579,9 @@
 	return upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0;
 }
 
-bool relay_has_backup(const struct relay_request *request)
+bool relay_has_backup(struct relay_request *request)
 {
-	return request->backup.up &&
+	return request->backup.up && relay_allows_upstream(request, request->backup.up) &&
 	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED &&
 	       !relay_is_quiet(request->backup.up);
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -64,6 +64,11 @@
 	const struct route *route;
 	const struct route_service *service;
 	const struct route_customer *customer; /* NULL if the route needs no API key */
+	/** Configuration, route and customer whose regions bind the next attempt: the newest,
+	 * looked up by relay_allows_upstream(). NULL before the first look-up. */
+	struct route_config *region_config;
+	const struct route *region_route;
+	const struct route_customer *region_customer;
 	const char *service_name;
 	/** Hash of the customer, the method, the host, the target and the body: the same for a
 	 * request that comes again under another id. */
@@ -193,14 +198,17 @@
 /** Returns the priority, 0 (first) to 9: the customer's if set, or else the route's. */
 uint32_t relay_priority(const struct relay_request *request);
 /** Returns the requirements by which an upstream is selected. */
-struct dispatch_need relay_dispatch_need(const struct relay_request *request);
+struct dispatch_need relay_dispatch_need(struct relay_request *request);
+/** Tells whether the regions that the newest configuration allows for the request include an
+ * upstream's. @param ctx struct relay_request */
+bool relay_allows_upstream(void *ctx, const struct fleet_upstream *up);
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
 /** Tells whether an upstream asked to be left alone for a time that has not ended. */
 bool relay_is_quiet(struct fleet_upstream *up);
 /** Tells whether the generation can be resumed from its backup now. */
-bool relay_has_backup(const struct relay_request *request);
+bool relay_has_backup(struct relay_request *request);
 /** @} */
 
 #endif
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -134,10 +134,41 @@
 	teardown(&f);
 }
 
+static bool allows_far(void *ctx, const struct fleet_upstream *up)
+{
+	(void)ctx;
+	return strcmp(fleet_upstream_zone(up), "far") == 0;
+}
+
+/* A request goes only where it is allowed, also when that is farther, or when it was queued or is a
+ * copy; without such an upstream it does not wait. */
+static void test_allowed(void)
+{
+	struct fixture f;
+	struct dispatch_need wanted;
+	struct dispatch_decision decision = { 0 };
+
+	setup(&f);
+	wanted = need(&f);
+	wanted.allows = allows_far;
+	add_engine(&f, "near-1:1", "near", env_now_us());
+	g_assert_false(dispatch_has_upstream(f.dispatch, &wanted));
+	g_assert_null(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	wanted.place.needs_kv_copy = true;
+	g_assert_null(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	wanted.place.needs_kv_copy = false;
+	add_engine(&f, "far-1:1", "far", env_now_us() - 2000 * 1000);
+	g_assert_true(dispatch_has_upstream(f.dispatch, &wanted));
+	g_assert_cmpstr(fleet_upstream_id(dispatch_select_engine(f.dispatch, &wanted, &decision)),
+			==, "far-1:1");
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/order", test_order);
 	g_test_add_func("/dispatch/new-engine", test_new_engine);
+	g_test_add_func("/dispatch/allowed", test_allowed);
 	return g_test_run();
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -387,6 +387,35 @@
 	protocol_request_clear(&decoded.request);
 }
 
+/* A restriction that cannot be read must not be taken for none. */
+static void test_regions(void)
+{
+	static const char format[] = "{\"version\":3,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+				     "\"prefix\":\"/\",\"service\":\"s\","
+				     "\"route_kind\":\"safe\"%s}],\"services\":[],\"tenants\":[{"
+				     "\"name\":\"t\",\"api_keys\":[\"k\"]%s}]}";
+	static const char *const malformed[] = { "\"north\"", "7",	"{}",		"null",
+						 "[1]",	      "[\"\"]", "[[\"north\"]]" };
+	g_autofree char *text = g_strdup_printf(format, ",\"allowed_regions\":[\"north\"]",
+						",\"allowed_regions\":[]");
+	struct route_config *config = platform_decode_config(text, strlen(text));
+	const struct route *route = route_config_match(config, "h", "/");
+
+	g_assert_cmpuint(route->regions->len, ==, 1);
+	g_assert_true(route_allows_region(route, route_config_find_customer(config, "k"), "north"));
+	g_assert_false(
+		route_allows_region(route, route_config_find_customer(config, "k"), "south"));
+	route_config_unref(config);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		g_autofree char *regions = g_strdup_printf(",\"allowed_regions\":%s", malformed[i]);
+		g_autofree char *in_route = g_strdup_printf(format, regions, "");
+		g_autofree char *in_customer = g_strdup_printf(format, "", regions);
+
+		g_assert_null(platform_decode_config(in_route, strlen(in_route)));
+		g_assert_null(platform_decode_config(in_customer, strlen(in_customer)));
+	}
+}
+
 static void test_migration(void)
 {
 	const struct protocol_ops *ops = platform_protocol();
@@ -434,6 +463,7 @@
 	g_test_add_func("/platform/request", test_request);
 	g_test_add_func("/platform/forged", test_reserved_headers);
 	g_test_add_func("/platform/move", test_migration);
+	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/limit", test_limit);
 	g_test_add_func("/platform/odd-entries", test_odd_entries);
 	return g_test_run();
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -88,6 +88,32 @@
 	g_assert_false(route_allows_rerun(&route));
 }
 
+/* A restriction of the route and one of the customer both bind; a request that has one does not go
+ * to an upstream whose region is unknown. */
+static void test_regions(void)
+{
+	struct route_config *config = route_config_create(1);
+	struct route *route = route_config_add_route(config, "a.example", "/");
+	struct route_customer *customer = route_config_add_customer(config, "acme");
+
+	g_assert_false(route_is_restricted(route, customer));
+	g_assert_true(route_allows_region(route, customer, "north"));
+	g_assert_true(route_allows_region(route, NULL, NULL));
+	route_add_region(route->regions, "north");
+	route_add_region(route->regions, "south");
+	g_assert_true(route_is_restricted(route, NULL));
+	g_assert_true(route_allows_region(route, customer, "south"));
+	g_assert_false(route_allows_region(route, customer, "west"));
+	g_assert_false(route_allows_region(route, NULL, NULL));
+	route_add_region(customer->regions, "south");
+	g_assert_false(route_allows_region(route, customer, "north"));
+	g_assert_true(route_allows_region(route, customer, "south"));
+	g_assert_true(route_allows_region(route, NULL, "north"));
+	g_assert_true(route_config_find_customer_name(config, "acme") == customer);
+	g_assert_null(route_config_find_customer_name(config, "other"));
+	route_config_unref(config);
+}
+
 /* A reference keeps the configuration alive, as a request needs that outlives a change. */
 static void test_reference(void)
 {
@@ -107,6 +133,7 @@
 	g_test_add_func("/route/targets", test_targets);
 	g_test_add_func("/route/customers", test_customers);
 	g_test_add_func("/route/repeatable", test_allows_rerun);
+	g_test_add_func("/route/regions", test_regions);
 	g_test_add_func("/route/reference", test_reference);
 	return g_test_run();
 }
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -20,7 +20,8 @@
 	uv_loop_t loop;
 	struct http_client *cli;
 	uint32_t unused_routes;
-	uint32_t call_timeout_ms; /* of the routes to the plain service */
+	const char *customer_regions; /* JSON; NULL: the customer has no allowed regions */
+	uint32_t call_timeout_ms;     /* of the routes to the plain service */
 	struct mock_platform *platform;
 	GPtrArray *gateways;
 	char *directory;
@@ -136,6 +137,7 @@
 	text = g_strdup_printf(
 		"instance: %s\nzone: %s\nregion: r1\nzones:\n"
 		"  - { name: z1, region: r1 }\n  - { name: z2, region: r1 }\n"
+		"  - { name: z3, region: r2 }\n"
 		"callers: \"%s\"\nready: \"%s\"\nmetrics: \"%s\"\n"
 		"bus: \"%s:8750\"\nstore: \"%s\"\nfirst_start: %s\nconfig_wait_ms: 500\n"
 		"bounds:\n  revoke_ms: %d\n  grace_s: %d\n  recheck_s: 1.0\n"
@@ -196,6 +198,11 @@
 	testbed->unused_routes = count;
 }
 
+void testbed_set_customer_regions(struct testbed *testbed, const char *regions)
+{
+	testbed->customer_regions = regions;
+}
+
 void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms)
 {
 	testbed->call_timeout_ms = timeout_ms;
@@ -242,7 +249,7 @@
 		"\"moves\":true,\"backups\":true,\"stride\":4,\"kv_handle_s\":5}}],"
 		"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
 		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[%s%s]}]}";
+		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[%s%s]%s%s}]}";
 	g_autofree char *unused = testbed_unused_routes(testbed);
 	g_autofree char *text = g_strdup_printf(
 		base, ++testbed->config_version, testbed->call_timeout_ms, testbed->call_timeout_ms,
@@ -252,7 +259,9 @@
 			"\"priority\":2,\"service\":\"" TESTBED_PLAIN_SERVICE
 			"\",\"max_attempts\":2}"
 		      : "",
-		unused, "\"" TESTBED_KEY "\"", keys ? keys : "");
+		unused, "\"" TESTBED_KEY "\"", keys ? keys : "",
+		testbed->customer_regions ? ",\"allowed_regions\":" : "",
+		testbed->customer_regions ? testbed->customer_regions : "");
 
 	mock_store_put(testbed->platform, "op", "config", text);
 }
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -97,6 +97,9 @@
 void testbed_set_unused_routes(struct testbed *testbed, uint32_t count);
 /** Sets the timeout of the routes /once/ and /safe/ in the next configurations, in ms. */
 void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms);
+/** Sets the allowed regions of the customer in the next configurations: JSON, which is not copied;
+ * NULL for none. Zones z1 and z2 are in region r1, z3 in r2. */
+void testbed_set_customer_regions(struct testbed *testbed, const char *regions);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
