Zone evacuation: no requests to upstreams of an evacuated zone

Rows evacuate/ZONE of the operator's table were skipped. A request whose service has only evacuated upstreams is refused at once, 503 not run.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -92,6 +92,11 @@
  * that has ended is removed before.
  */
 void fleet_distrust_entries(struct fleet *fleet, uint64_t now_us);
+/** Replaces the set of evacuated zones, to whose upstreams nothing is sent.
+ * @param zones strings; the fleet takes a reference and expects no later change */
+void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones);
+/** Tells whether fleet_set_evacuated() was called: before, nothing may be sent to any upstream. */
+bool fleet_knows_evacuated(const struct fleet *fleet);
 /** Marks upstreams whose lapse has ended as leaving, removes those that are gone, and makes those
  * ready again that were said to leave but are listed as before. */
 void fleet_tick(struct fleet *fleet, uint64_t now_us);
@@ -150,6 +155,8 @@
 const char *fleet_upstream_address(const struct fleet_upstream *up);
 const char *fleet_upstream_zone(const struct fleet_upstream *up);
 enum fleet_upstream_state fleet_upstream_state(const struct fleet_upstream *up);
+/** Tells whether its zone is evacuated: it continues what it runs and is sent nothing new. */
+bool fleet_upstream_is_evacuated(const struct fleet_upstream *up);
 const char *fleet_upstream_state_name(enum fleet_upstream_state state);
 /** Returns the distance from this instance. */
 enum fleet_upstream_distance fleet_upstream_distance(const struct fleet_upstream *up);
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -78,6 +78,9 @@
 	X(LOG_STORE_RESTORED, 637, WARNING, "source-restored", "The store came back from an older copy; what it lost is read and written again.") \
 	X(LOG_API_KEYS_STALE, 640, WARNING, "keys-stale", "The configuration was not confirmed in time; requests with API keys are refused.") \
 	X(LOG_API_KEYS_CONFIRMED, 641, INFO, "keys-fresh", "The configuration is confirmed again; API keys are accepted.") \
+	X(LOG_ZONE_EVACUATED, 642, WARNING, "zone-evacuated", "A zone is evacuated; its upstreams get no new requests.") \
+	X(LOG_ZONE_RETURNED, 643, INFO, "zone-returned", "A zone is no longer evacuated; its upstreams get requests again.") \
+	X(LOG_EVACUATION_INVALID, 644, WARNING, "evacuation-invalid", "An evacuation names no zone, or one that the settings do not name.") \
 	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was loaded again.") \
 	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the previous settings stay in force.") \
 	X(LOG_SUPPRESSED, 690, WARNING, "log-suppressed", "Log lines were dropped since the last event of this kind.")
--- a/include/flamingolatch/store_client.h
+++ b/include/flamingolatch/store_client.h
@@ -1,8 +1,8 @@
 /**
  * @file store_client.h
  * Port, an interface that the platform adapter implements: access to the store,
- * which holds the configuration, the list of upstreams and the list of the
- * system's own instances.
+ * which holds the configuration, the evacuated zones, the list of upstreams and the
+ * list of the system's own instances.
  *
  * store_ops::read returns all rows of a table and the version to watch it from,
  * store_ops::watch the rows that changed since a version, as soon as there is
@@ -20,7 +20,7 @@
 #include "flamingolatch/store_history.h"
 
 enum store_table {
-	STORE_TABLE_CONFIG,
+	STORE_TABLE_CONFIG,    /**< the operator's: the configuration and the evacuated zones */
 	STORE_TABLE_UPSTREAMS, /**< the instance list */
 	STORE_TABLE_OWN,       /**< the system's own rows: one for each gateway instance, and others
 				* whose keys have a prefix */
@@ -39,12 +39,13 @@
 
 /** One row, decoded. Strings are NULL when the row does not have them. */
 struct store_change {
-	GBytes *config_text; /**< STORE_TABLE_CONFIG: the configuration, not decoded yet */
+	GBytes *config_text; /**< STORE_TABLE_CONFIG: the configuration, not decoded yet; NULL when
+			      * the row is that of an evacuated zone */
 	char *id;	     /**< key of the row: id of the upstream or instance */
 	char *text;	     /**< STORE_TABLE_OWN: what was written */
 	char *service;
-	char *address; /**< "IP:port" */
-	char *zone;
+	char *address;	     /**< "IP:port" */
+	char *zone;	     /**< of the upstream; STORE_TABLE_CONFIG: the evacuated zone */
 	uint64_t started_ms; /**< wall clock of the upstream's start; 0 when unknown */
 	uint32_t slots;	     /**< requests that it processes at once; 0 when unknown */
 	uint32_t cold_ms;    /**< remaining time for which it is slow after its start */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -70,6 +70,7 @@
 	GQueue departed_ids;	    /* keys of the same, the oldest first */
 	GHashTable *put_off;	    /* id to struct fleet_entry that owns its strings */
 	uint64_t distrust_until_us; /* until then entries are put off */
+	GPtrArray *evacuated;	    /* names of zones; NULL before they are known */
 };
 
 static const char *const fleet_upstream_state_names[FLEET_UPSTREAM_STATE_COUNT] = {
@@ -165,6 +166,7 @@
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_key);
 	g_hash_table_destroy(fleet->by_service);
+	g_clear_pointer(&fleet->evacuated, g_ptr_array_unref);
 	g_free(fleet->zone);
 	g_free(fleet);
 }
@@ -254,6 +256,13 @@
 	fleet->distrust_until_us = now_us + FLEET_DISTRUST_US;
 }
 
+void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones)
+{
+	g_ptr_array_ref(zones);
+	g_clear_pointer(&fleet->evacuated, g_ptr_array_unref);
+	fleet->evacuated = zones;
+}
+
 /* Tells whether an entry is older than what is known of the upstream that has its id. */
 static bool fleet_is_outdated(const struct fleet_upstream *up, const struct fleet_entry *entry)
 {
@@ -587,6 +596,18 @@
 
 /* queries */
 
+bool fleet_knows_evacuated(const struct fleet *fleet)
+{
+	return fleet->evacuated != NULL;
+}
+
+bool fleet_upstream_is_evacuated(const struct fleet_upstream *up)
+{
+	GPtrArray *zones = up->fleet->evacuated;
+
+	return zones && g_ptr_array_find_with_equal_func(zones, up->zone, g_str_equal, NULL);
+}
+
 struct fleet_upstream *fleet_find(struct fleet *fleet, const char *id)
 {
 	return g_hash_table_lookup(fleet->by_id, id);
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -66,14 +66,15 @@
 	uint64_t list_behind_us;   /* the same for the instance list */
 };
 
-static const uint8_t delegation_types[] = { DELEGATION_MSG_QUERY, DELEGATION_MSG_REPLY,
+static const uint8_t delegation_types[] = { DELEGATION_MSG_QUERY,   DELEGATION_MSG_REPLY,
 					    DELEGATION_MSG_CHANGES, DELEGATION_MSG_CONFIG,
-					    DELEGATION_MSG_PEERS };
+					    DELEGATION_MSG_PEERS,   DELEGATION_MSG_EVACUATED };
 
 static void delegation_on_tick(uv_timer_t *timer);
 static void delegation_on_message(void *ctx, uint8_t type, const void *buf, size_t len);
 static void delegation_on_list_changed(void *ctx, const struct store_watch_changes *changes);
 static void delegation_on_config_changed(void *ctx);
+static void delegation_on_evacuated_changed(void *ctx);
 static void delegation_on_peers_read(void *ctx);
 static void delegation_send_config(struct delegation *delegation, const char *address,
 				   uint64_t known_version);
@@ -96,7 +97,7 @@
 					     delegation);
 	peer_exchange_set_read_cb(exchange, delegation_on_peers_read, delegation);
 	store_watch_set_changed(watch, delegation_on_list_changed, delegation_on_config_changed,
-				delegation);
+				delegation_on_evacuated_changed, delegation);
 	uv_timer_init(env->loop, &delegation->tick);
 	delegation->tick.data = delegation;
 	uv_timer_start(&delegation->tick, delegation_on_tick, DELEGATION_TICK_MS,
@@ -123,7 +124,7 @@
 	for (uint32_t i = 0; i < G_N_ELEMENTS(delegation_types); i++)
 		peer_exchange_set_message_cb(delegation->exchange, delegation_types[i], NULL, NULL);
 	peer_exchange_set_read_cb(delegation->exchange, NULL, NULL);
-	store_watch_set_changed(delegation->watch, NULL, NULL, NULL);
+	store_watch_set_changed(delegation->watch, NULL, NULL, NULL, NULL);
 	uv_close((uv_handle_t *)&delegation->tick, delegation_on_closed);
 }
 
@@ -163,6 +164,15 @@
 	return config ? route_config_version(config) : 0;
 }
 
+/* Returns the evacuated zones that this instance knows; the array is borrowed. */
+static struct delegation_evacuated delegation_evacuated(const struct delegation *delegation)
+{
+	return (struct delegation_evacuated){
+		.position = store_watch_evacuated_position(delegation->watch),
+		.zones = store_watch_evacuated(delegation->watch),
+	};
+}
+
 /* helpers: finding a delegate */
 
 static void delegation_send_query(struct delegation *delegation, const char *address,
@@ -280,6 +290,10 @@
 	struct store_position unknown = { 0 };
 	bool behind;
 
+	/* Before the confirmation, which so covers the zones too. Whoever knows newer ones is
+	 * right, also when its reply is late or it does not count as healthy. */
+	store_watch_adopt_evacuated(delegation->watch, reply->evacuated.position,
+				    reply->evacuated.zones);
 	if (!delegation->choice ||
 	    !delegate_on_reply(delegation->choice, reply->address, reply->query_sent_us,
 			       reply->state, now_us) ||
@@ -434,6 +448,7 @@
 		.config_version = delegation_config_version(delegation),
 		.store = store_watch_config_position(delegation->watch),
 		.list = store_watch_list_position(delegation->watch),
+		.evacuated = delegation_evacuated(delegation),
 		.state = delegation_state(delegation, age_us),
 	};
 	g_autoptr(GByteArray) bytes = g_byte_array_new();
@@ -495,6 +510,18 @@
 	delegation_send_to_dependents(delegation, DELEGATION_MSG_CONFIG, bytes);
 }
 
+/* Passes on the evacuated zones. A dependent that does not get the message has them with the reply
+ * to its next query. */
+static void delegation_on_evacuated_changed(void *ctx)
+{
+	struct delegation *delegation = ctx;
+	struct delegation_evacuated evacuated = delegation_evacuated(delegation);
+	g_autoptr(GByteArray) bytes = g_byte_array_new();
+
+	delegation_encode_evacuated(bytes, &evacuated);
+	delegation_send_to_dependents(delegation, DELEGATION_MSG_EVACUATED, bytes);
+}
+
 static void delegation_add_peer(void *ctx, const char *address, const char *instance,
 				const char *zone, bool listed)
 {
@@ -542,6 +569,18 @@
 	return true;
 }
 
+static bool delegation_apply_evacuated(struct delegation *delegation, const void *buf, size_t len)
+{
+	struct delegation_evacuated evacuated;
+	g_autoptr(GVariant) owner = NULL;
+
+	if (!delegation_decode_evacuated(buf, len, &evacuated, &owner))
+		return false;
+	store_watch_adopt_evacuated(delegation->watch, evacuated.position, evacuated.zones);
+	g_ptr_array_unref(evacuated.zones);
+	return true;
+}
+
 static bool delegation_apply_peers(struct delegation *delegation, const void *buf, size_t len)
 {
 	g_autoptr(GVariant) owner = NULL;
@@ -577,8 +616,10 @@
 		break;
 	case DELEGATION_MSG_REPLY:
 		handled = delegation_decode_reply(buf, len, &reply, &owner);
-		if (handled)
+		if (handled) {
 			delegation_on_reply(delegation, &reply);
+			g_ptr_array_unref(reply.evacuated.zones);
+		}
 		break;
 	case DELEGATION_MSG_CHANGES:
 		handled = delegation_apply_changes(delegation, buf, len);
@@ -586,6 +627,9 @@
 	case DELEGATION_MSG_CONFIG:
 		handled = delegation_apply_config(delegation, buf, len);
 		break;
+	case DELEGATION_MSG_EVACUATED:
+		handled = delegation_apply_evacuated(delegation, buf, len);
+		break;
 	case DELEGATION_MSG_PEERS:
 		handled = delegation_apply_peers(delegation, buf, len);
 		break;
--- a/src/serve/delegation_message.c
+++ b/src/serve/delegation_message.c
@@ -6,9 +6,12 @@
 #define DELEGATION_POSITION_TYPE "(tt)"
 /* address, time sent (us), version of the configuration, position of the list */
 #define DELEGATION_QUERY_TYPE "(stt" DELEGATION_POSITION_TYPE ")"
+/* position of the store, names of zones */
+#define DELEGATION_EVACUATED_TYPE "(" DELEGATION_POSITION_TYPE "as)"
 /* address, time sent (us), age (us), version of the configuration, positions of the store and of
- * the list, state */
-#define DELEGATION_REPLY_TYPE "(sttt" DELEGATION_POSITION_TYPE DELEGATION_POSITION_TYPE "u)"
+ * the list, state, evacuated zones */
+#define DELEGATION_REPLY_TYPE                                                                      \
+	"(sttt" DELEGATION_POSITION_TYPE DELEGATION_POSITION_TYPE "u" DELEGATION_EVACUATED_TYPE ")"
 /* id, service, address, zone, start (wall clock, ms), remaining slow start (ms), slots, leaving,
  * removed */
 #define DELEGATION_CHANGE_TYPE "(ssssttubb)"
@@ -59,26 +62,69 @@
 	return true;
 }
 
+/* Returns a floating variant. */
+static GVariant *delegation_build_evacuated(const struct delegation_evacuated *evacuated)
+{
+	GVariantBuilder zones;
+
+	g_variant_builder_init(&zones, G_VARIANT_TYPE("as"));
+	for (guint i = 0; evacuated->zones && i < evacuated->zones->len; i++)
+		g_variant_builder_add(&zones, "s", evacuated->zones->pdata[i]);
+	return g_variant_new(DELEGATION_EVACUATED_TYPE, evacuated->position.era,
+			     evacuated->position.version, &zones);
+}
+
+/* Borrows the names of the zones from a variant, which must outlive the result. */
+static void delegation_read_evacuated(GVariant *variant, struct delegation_evacuated *out)
+{
+	g_autoptr(GVariantIter) iter = NULL;
+	const char *zone;
+
+	g_variant_get(variant, DELEGATION_EVACUATED_TYPE, &out->position.era,
+		      &out->position.version, &iter);
+	out->zones = g_ptr_array_new();
+	while (g_variant_iter_next(iter, "&s", &zone))
+		g_ptr_array_add(out->zones, (gpointer)zone);
+}
+
+void delegation_encode_evacuated(GByteArray *out, const struct delegation_evacuated *evacuated)
+{
+	delegation_append(out, delegation_build_evacuated(evacuated));
+}
+
+bool delegation_decode_evacuated(const void *buf, size_t len, struct delegation_evacuated *out,
+				 GVariant **owner)
+{
+	*owner = delegation_parse(DELEGATION_EVACUATED_TYPE, buf, len);
+	if (!*owner)
+		return false;
+	delegation_read_evacuated(*owner, out);
+	return true;
+}
+
 void delegation_encode_reply(GByteArray *out, const struct delegation_reply *reply)
 {
 	delegation_append(out,
-			  g_variant_new(DELEGATION_REPLY_TYPE, reply->address, reply->query_sent_us,
-					reply->age_us, reply->config_version, reply->store.era,
-					reply->store.version, reply->list.era, reply->list.version,
-					(guint32)reply->state));
+			  g_variant_new("(sttt(tt)(tt)u@((tt)as))", reply->address,
+					reply->query_sent_us, reply->age_us, reply->config_version,
+					reply->store.era, reply->store.version, reply->list.era,
+					reply->list.version, (guint32)reply->state,
+					delegation_build_evacuated(&reply->evacuated)));
 }
 
 bool delegation_decode_reply(const void *buf, size_t len, struct delegation_reply *out,
 			     GVariant **owner)
 {
+	g_autoptr(GVariant) evacuated = NULL;
 	guint32 state;
 
 	*owner = delegation_parse(DELEGATION_REPLY_TYPE, buf, len);
 	if (!*owner)
 		return false;
-	g_variant_get(*owner, "(&sttt(tt)(tt)u)", &out->address, &out->query_sent_us, &out->age_us,
-		      &out->config_version, &out->store.era, &out->store.version, &out->list.era,
-		      &out->list.version, &state);
+	g_variant_get(*owner, "(&sttt(tt)(tt)u@((tt)as))", &out->address, &out->query_sent_us,
+		      &out->age_us, &out->config_version, &out->store.era, &out->store.version,
+		      &out->list.era, &out->list.version, &state, &evacuated);
+	delegation_read_evacuated(evacuated, &out->evacuated);
 	/* A state of another version of this program is none to rely on. */
 	out->state = state < DELEGATE_STATE_COUNT ? (enum delegate_state)state : DELEGATE_UNHEALTHY;
 	return true;
--- a/src/serve/delegation_message.h
+++ b/src/serve/delegation_message.h
@@ -21,6 +21,7 @@
 	DELEGATION_MSG_CONFIG = 5,
 	DELEGATION_MSG_PEERS = 6,
 	DELEGATION_MSG_CHANGES = 10, /**< of the instance list, packed */
+	DELEGATION_MSG_EVACUATED = 11,
 };
 
 /** Limit on unpacked changes: the whole list of 40,000 upstreams. */
@@ -34,6 +35,12 @@
 	struct store_position list; /**< of the sender's instance list; zeros: none */
 };
 
+/** The evacuated zones that an instance knows. */
+struct delegation_evacuated {
+	struct store_position position; /**< of the store; zeros when it does not know them */
+	GPtrArray *zones;		/**< strings */
+};
+
 /** Reply to a query. */
 struct delegation_reply {
 	const char *address;	     /**< bus address of the instance that replies */
@@ -42,6 +49,7 @@
 	uint64_t config_version;     /**< of its configuration in force; 0: none */
 	struct store_position store; /**< when the configuration was confirmed */
 	struct store_position list;  /**< of the instance list that it knows */
+	struct delegation_evacuated evacuated;
 	/** Healthy: it watches the store itself, the store answers and confirmed the configuration
 	 * recently, and the instance does not stop. */
 	enum delegate_state state;
@@ -59,8 +67,13 @@
 bool delegation_decode_query(const void *buf, size_t len, struct delegation_query *out,
 			     GVariant **owner);
 void delegation_encode_reply(GByteArray *out, const struct delegation_reply *reply);
+/** @param out its array of zones is freed with g_ptr_array_unref() */
 bool delegation_decode_reply(const void *buf, size_t len, struct delegation_reply *out,
 			     GVariant **owner);
+void delegation_encode_evacuated(GByteArray *out, const struct delegation_evacuated *evacuated);
+/** @param out its array of zones is freed with g_ptr_array_unref() */
+bool delegation_decode_evacuated(const void *buf, size_t len, struct delegation_evacuated *out,
+				 GVariant **owner);
 void delegation_encode_changes(GByteArray *out, const struct store_watch_changes *changes);
 /** @param out its rows are freed with g_ptr_array_unref() */
 bool delegation_decode_changes(const void *buf, size_t len, struct store_watch_changes *out);
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -63,7 +63,7 @@
 				 uint64_t now_us)
 {
 	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
-	    fleet_upstream_suspended(up, now_us))
+	    fleet_upstream_is_evacuated(up) || fleet_upstream_suspended(up, now_us))
 		return false;
 	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
 }
@@ -518,6 +518,7 @@
 
 	for (guint i = 0; i < ups->len; i++) {
 		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
+		    !fleet_upstream_is_evacuated(ups->pdata[i]) &&
 		    !upstream_limit_allows(fleet_upstream_limit(ups->pdata[i]), now_us))
 			return true;
 	}
@@ -534,7 +535,8 @@
 		uint64_t left_us =
 			upstream_quiet_left_us(fleet_upstream_quiet(ups->pdata[i]), now_us);
 
-		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED)
+		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED ||
+		    fleet_upstream_is_evacuated(ups->pdata[i]))
 			continue;
 		if (left_us == 0)
 			return 0;
@@ -548,8 +550,24 @@
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
 
 	for (guint i = 0; i < ups->len; i++) {
-		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED)
+		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
+		    !fleet_upstream_is_evacuated(ups->pdata[i]))
 			return true;
 	}
 	return false;
 }
+
+bool dispatch_is_evacuated(struct dispatch *dispatch, const char *service)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	bool evacuated = false;
+
+	for (guint i = 0; i < ups->len; i++) {
+		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED)
+			continue;
+		if (!fleet_upstream_is_evacuated(ups->pdata[i]))
+			return false;
+		evacuated = true;
+	}
+	return evacuated;
+}
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -86,6 +86,8 @@
 uint64_t dispatch_quiet_us(struct dispatch *dispatch, const char *service);
 /** Tells whether any upstream of a service may get new requests. */
 bool dispatch_has_upstream(struct dispatch *dispatch, const char *service);
+/** Tells whether a service has upstreams, all of them in evacuated zones. */
+bool dispatch_is_evacuated(struct dispatch *dispatch, const char *service);
 
 /** Adds a request's load to an upstream and takes a reference to it. */
 void dispatch_load_add(struct dispatch_load *load, struct fleet_upstream *up, uint64_t kv_tokens,
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -31,6 +31,18 @@
 			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000));
 }
 
+static json_t *dump_evacuated(const struct store_watch *store_watch)
+{
+	const GPtrArray *zones = store_watch_evacuated(store_watch);
+	struct store_position position = store_watch_evacuated_position(store_watch);
+	json_t *names = json_array();
+
+	for (guint i = 0; i < zones->len; i++)
+		json_array_append_new(names, json_string(zones->pdata[i]));
+	return json_pack("{s:o, s:I, s:I}", "zones", names, "era", (json_int_t)position.era,
+			 "version", (json_int_t)position.version);
+}
+
 static json_t *dump_upstreams(struct env *env)
 {
 	g_autoptr(GPtrArray) ids = fleet_ids(env->fleet);
@@ -51,7 +63,7 @@
 	struct store_position config = store_watch_config_position(store_watch);
 
 	return json_pack(
-		"{s:o, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:i, s:b, s:o, s:o, s:o}",
+		"{s:o, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:o, s:i, s:b, s:o, s:o, s:o}",
 		"settings", gateway_settings_to_json(env->settings), "config_version",
 		(json_int_t)(env->config ? route_config_version(env->config) : 0), "config_era",
 		(json_int_t)config.era, "config_store_version", (json_int_t)config.version,
@@ -59,8 +71,9 @@
 		age_us == UINT64_MAX ? (json_int_t)-1 : (json_int_t)(age_us / 1000), "keys_fresh",
 		env_keys_fresh(env), "synced", store_watch_is_synced(store_watch), "follows_store",
 		store_watch_is_healthy(store_watch), "list_era", (json_int_t)list.era,
-		"list_version", (json_int_t)list.version, "instances", (int)env->live_instances,
-		"stopping", planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
-		"quarantined", crash_guard_json(env->crash_guard), "requests",
+		"list_version", (json_int_t)list.version, "evacuated", dump_evacuated(store_watch),
+		"instances", (int)env->live_instances, "stopping",
+		planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env), "quarantined",
+		crash_guard_json(env->crash_guard), "requests",
 		relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -72,6 +72,10 @@
 		relay_reply_error(request, ERR_NOT_READY, 500, "no-configuration");
 		return false;
 	}
+	if (!fleet_knows_evacuated(env->fleet)) {
+		relay_reply_error(request, ERR_NOT_READY, 500, "zones-unknown");
+		return false;
+	}
 	request->config = route_config_ref(env->config);
 	request->route = route_config_match(request->config, http_req_host(request->caller),
 					    http_req_target(request->caller));
@@ -231,6 +235,19 @@
 			  "upstream-limit");
 }
 
+/* Refuses a request that has not run when all upstreams of its service are in evacuated zones: when
+ * one of these returns is not known. Returns true when it was refused. */
+static bool relay_refuse_if_evacuated(struct relay_request *request)
+{
+	struct relay *relay = request->relay;
+
+	if (request->may_have_run || !dispatch_is_evacuated(relay->dispatch, request->service_name))
+		return false;
+	metric_add(relay->env->metric, METRIC_EVACUATION_REFUSED, 1);
+	relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request), "evacuated");
+	return true;
+}
+
 /* Tells whether a generation can wait in the queue until the first upstream may be asked again. */
 static bool relay_outlasts_quiet(const struct relay_request *request, uint64_t quiet_us)
 {
@@ -291,7 +308,8 @@
 	struct fleet_upstream *up;
 	uint64_t quiet_us = dispatch_quiet_us(dispatch, request->service_name);
 
-	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request) ||
+	    relay_refuse_if_evacuated(request))
 		return;
 	if (quiet_us && relay_is_generation(request) && !request->may_have_run &&
 	    !relay_outlasts_quiet(request, quiet_us)) {
@@ -340,6 +358,8 @@
 	struct relay_request *request = ctx;
 
 	request->queued = NULL;
+	if (!up && relay_refuse_if_evacuated(request))
+		return;
 	if (!up) {
 		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch,
 							      request->service_name));
@@ -427,6 +447,8 @@
 		relay_resume_from_backup(request, attempt_outcome_name(outcome));
 		break;
 	case ATTEMPT_ACTION_REFUSE:
+		if (relay_refuse_if_evacuated(request))
+			break;
 		quiet_us = dispatch_quiet_us(request->relay->dispatch, request->service_name);
 		if (quiet_us)
 			relay_refuse_quiet(request, quiet_us);
@@ -577,7 +599,8 @@
 		relay_cancel_attempt(request);
 		request->attempt_count++;
 		relay_on_attempt_end(request, ATTEMPT_SILENT);
-	} else if (request->phase == RELAY_QUEUED && relay_refuse_if_stopping(request)) {
+	} else if (request->phase == RELAY_QUEUED &&
+		   (relay_refuse_if_stopping(request) || relay_refuse_if_evacuated(request))) {
 		return;
 	} else if (request->phase == RELAY_QUEUED && now_us >= request->queue_deadline_us) {
 		if (request->may_have_run)
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -148,6 +148,9 @@
 {
 	const struct relay_request *request = ctx;
 
+	/* Its zone may have been evacuated while the connection was made. */
+	if (fleet_upstream_is_evacuated(request->attempt.up))
+		return false;
 	/* Another upstream may have got the address in the meantime, or this one has said that it
 	 * leaves or wants to be left alone. An engine that leaves still continues from its own
 	 * copy. */
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -86,7 +86,7 @@
 	need.place.resumes = true;
 	need.place.needs_kv_copy = true;
 	need.distance_from = request->attempt.up;
-	if (request->kv_copy.up &&
+	if (request->kv_copy.up && !fleet_upstream_is_evacuated(request->kv_copy.up) &&
 	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY) {
 		/* The copy was made while the entry of the generation's engine was lapsed, or is
 		 * continued after a time in which an engine wanted to be left alone. */
@@ -168,6 +168,10 @@
 
 bool relay_has_unneeded_copy(const struct relay_request *request)
 {
+	/* A copy that has stopped the generation is not ended: it is what remains of it. */
+	if (request->kv_copy.up && !request->migrate_stopping &&
+	    fleet_upstream_is_evacuated(request->kv_copy.up))
+		return true;
 	return request->kv_copy.up && !request->migrate_call && request->attempt.up &&
 	       fleet_upstream_state(request->attempt.up) == FLEET_UPSTREAM_READY;
 }
@@ -194,7 +198,8 @@
 	struct fleet_upstream *up = request->attempt.up;
 	g_autofree char *source = NULL;
 
-	if (!handle || !request->caller || request->call || relay_is_quiet(up))
+	if (!handle || !request->caller || request->call || relay_is_quiet(up) ||
+	    fleet_upstream_is_evacuated(up))
 		return false;
 	source = g_strdup(fleet_upstream_address(up));
 	fleet_upstream_ref(up);
@@ -230,6 +235,14 @@
 	return request->closed_in_stop && code == 404 && !relay_is_stream_cut(request);
 }
 
+/* Returns why a migration did not reach its target. */
+static const char *relay_migration_reason(struct fleet_upstream *target)
+{
+	if (fleet_upstream_is_evacuated(target))
+		return "target-evacuated";
+	return relay_is_quiet(target) ? "target-quiet" : "refused";
+}
+
 static void relay_migration_failed(struct relay_request *request, struct fleet_upstream *target,
 				   const char *handle, uint16_t code)
 {
@@ -239,8 +252,7 @@
 
 	log_event(LOG_MIGRATION_FAILED, "request", relay_request_id(request), "upstream",
 		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason",
-		  relay_is_quiet(target) ? "target-quiet" : "refused", "status", status, "move_ms",
-		  took, NULL);
+		  relay_migration_reason(target), "status", status, "move_ms", took, NULL);
 	g_ptr_array_add(request->migrate_tried, fleet_upstream_ref(target));
 	if (!request->call && relay_resume_at_source(request, handle))
 		return;
@@ -287,7 +299,8 @@
 		g_free(request->kv_copy_handle);
 		request->kv_copy_handle = g_strdup(handle);
 	}
-	if (done && !request->migrate_last && request->call) {
+	if (done && !request->migrate_last && request->call &&
+	    !fleet_upstream_is_evacuated(target)) {
 		g_autofree char *took = g_strdup_printf(
 			"%" G_GUINT64_FORMAT, (env_now_us() - request->migrate_sent_us) / 1000);
 
@@ -307,7 +320,8 @@
 	}
 	request->migrate_target = NULL;
 	request->migrate_stopping = false;
-	if (done && request->caller && !relay_is_quiet(target))
+	if (done && request->caller && !relay_is_quiet(target) &&
+	    !fleet_upstream_is_evacuated(target))
 		relay_migration_done(request, target, handle);
 	else
 		relay_migration_failed(request, target, handle, answer->status);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -112,6 +112,11 @@
 	dispatch_load_remove(&request->kv_copy);
 	if (!request->kv_copy_handle)
 		return;
+	/* Nothing is sent to an evacuated zone that can be left out: the copy expires there. */
+	if (fleet_upstream_is_evacuated(request->kv_copy_source)) {
+		g_clear_pointer(&request->kv_copy_handle, g_free);
+		return;
+	}
 	path = env->protocol->encode_kv_copy_path(request->kv_copy_handle);
 	req.path = path;
 	req.address = fleet_upstream_address(request->kv_copy_source);
@@ -546,5 +551,6 @@
 {
 	return request->backup.up &&
 	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED &&
+	       !fleet_upstream_is_evacuated(request->backup.up) &&
 	       !relay_is_quiet(request->backup.up);
 }
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -1,6 +1,7 @@
 #include "store_watch.h"
 
 #include "flamingolatch/delta.h"
+#include "flamingolatch/evacuation.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -68,8 +69,9 @@
 	bool has_dependents;
 	uint64_t probe_delay_ms;	     /* until the next probe */
 	struct store_position list_position; /* of the last change of the instance list */
-	GBytes *config_text;		     /* of the configuration in force */
-	GBytes *previous_text;		     /* of the one before; NULL when there is none */
+	struct evacuation *evacuation;
+	GBytes *config_text;   /* of the configuration in force */
+	GBytes *previous_text; /* of the one before; NULL when there is none */
 	uint64_t previous_version;
 	struct store_watch_config whole;      /* the configuration in force; packed when needed */
 	struct store_watch_config difference; /* the same as a difference from the one before */
@@ -104,6 +106,7 @@
 	struct store_watch *watch = g_new0(struct store_watch, 1);
 
 	watch->env = env;
+	watch->evacuation = evacuation_create();
 	watch->callbacks = *callbacks;
 	watch->open_handles = 4;
 	uv_idle_init(env->loop, &watch->decode_idle);
@@ -136,6 +139,7 @@
 	store_watch_clear_packed(&watch->difference);
 	g_clear_pointer(&watch->config_text, g_bytes_unref);
 	g_clear_pointer(&watch->previous_text, g_bytes_unref);
+	evacuation_destroy(watch->evacuation);
 	g_free(watch);
 }
 
@@ -201,8 +205,10 @@
 void store_watch_set_changed(struct store_watch *watch,
 			     void (*list_changed)(void *ctx,
 						  const struct store_watch_changes *changes),
-			     void (*config_changed)(void *ctx), void *ctx)
+			     void (*config_changed)(void *ctx),
+			     void (*evacuated_changed)(void *ctx), void *ctx)
 {
+	watch->callbacks.evacuated_changed = evacuated_changed;
 	watch->callbacks.list_changed = list_changed;
 	watch->callbacks.config_changed = config_changed;
 	watch->callbacks.changed_ctx = ctx;
@@ -335,6 +341,59 @@
 	store_cursor_follow(&watch->tables[0].cursor, position);
 }
 
+/* Logs the zones that only one of two sets has. */
+static void store_watch_log_zones(const struct store_watch *watch, enum log_event_id event,
+				  const GPtrArray *with, const GPtrArray *without)
+{
+	struct store_position position = evacuation_position(watch->evacuation);
+	char version[24];
+	char era[24];
+
+	snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, position.version);
+	snprintf(era, sizeof(era), "%" G_GUINT64_FORMAT, position.era);
+	for (guint i = 0; i < with->len; i++) {
+		const char *zone = with->pdata[i];
+
+		if (evacuation_has_zone(without, zone))
+			continue;
+		log_event(event, "zone", zone, "version", version, "era", era, NULL);
+		if (event == LOG_ZONE_EVACUATED &&
+		    !gateway_settings_region_of(watch->env->settings, zone))
+			log_event(LOG_EVACUATION_INVALID, "zone", zone, "reason", "unknown-zone",
+				  NULL);
+	}
+}
+
+/* Puts the set of evacuated zones into force and passes it on when it changed. */
+static void store_watch_apply_evacuated(struct store_watch *watch, GPtrArray *previous,
+					bool changed)
+{
+	GPtrArray *zones = evacuation_zones(watch->evacuation);
+
+	if (!evacuation_is_known(watch->evacuation) ||
+	    (!changed && fleet_knows_evacuated(watch->env->fleet)))
+		return;
+	fleet_set_evacuated(watch->env->fleet, zones);
+	metric_set(watch->env->metric, METRIC_EVACUATED_ZONES, zones->len);
+	if (!changed)
+		return;
+	store_watch_log_zones(watch, LOG_ZONE_EVACUATED, zones, previous);
+	store_watch_log_zones(watch, LOG_ZONE_RETURNED, previous, zones);
+	if (watch->callbacks.evacuated_changed)
+		watch->callbacks.evacuated_changed(watch->callbacks.changed_ctx);
+}
+
+void store_watch_adopt_evacuated(struct store_watch *watch, struct store_position position,
+				 const GPtrArray *zones)
+{
+	g_autoptr(GPtrArray) previous = g_ptr_array_ref(evacuation_zones(watch->evacuation));
+	bool changed;
+
+	store_watch_note_era(watch, position.era);
+	changed = evacuation_adopt(watch->evacuation, position, zones);
+	store_watch_apply_evacuated(watch, previous, changed);
+}
+
 void store_watch_read_now(struct store_watch *watch, bool config, bool list)
 {
 	const bool wanted[] = { config, list };
@@ -409,6 +468,16 @@
 	return watch->list_position;
 }
 
+GPtrArray *store_watch_evacuated(const struct store_watch *watch)
+{
+	return evacuation_zones(watch->evacuation);
+}
+
+struct store_position store_watch_evacuated_position(const struct store_watch *watch)
+{
+	return evacuation_position(watch->evacuation);
+}
+
 struct store_position store_watch_config_position(const struct store_watch *watch)
 {
 	return watch->tables[0].cursor.position;
@@ -423,7 +492,8 @@
 
 bool store_watch_is_synced(const struct store_watch *watch)
 {
-	return watch->tables[0].has_data && watch->tables[1].has_data;
+	return watch->tables[0].has_data && watch->tables[1].has_data &&
+	       evacuation_is_known(watch->evacuation);
 }
 
 bool store_watch_is_starting(const struct store_watch *watch)
@@ -466,6 +536,19 @@
 						  : METRIC_STORE_LIST_CALLS;
 }
 
+/* Has the table of the configuration watched from where both the configuration and the evacuated
+ * zones are known: a configuration that a peer sent moves the cursor, but not the zones. */
+static void store_watch_include_zones(struct store_watch_table *table)
+{
+	struct store_position zones = evacuation_position(table->watch->evacuation);
+	struct store_cursor *cursor = &table->cursor;
+
+	if (!evacuation_is_known(table->watch->evacuation) || zones.era != cursor->position.era)
+		store_cursor_reset(cursor);
+	else if (store_position_is_after(cursor->position, zones))
+		store_cursor_set(cursor, zones);
+}
+
 static void store_watch_send(struct store_watch_table *table)
 {
 	struct env *env = table->watch->env;
@@ -477,6 +560,8 @@
 	if (table->immediate)
 		wait_ms = 0;
 	table->immediate = false;
+	if (table->table == STORE_TABLE_CONFIG && table->cursor.synced)
+		store_watch_include_zones(table);
 	table->asked = table->cursor.position;
 	table->whole = !table->cursor.synced;
 	table->sent_boot_us = env_boot_us();
@@ -655,6 +740,46 @@
 		store_watch_send_after(table, delay_ms);
 }
 
+/* Returns the rows of an answer that evacuate zones, as an array of struct evacuation_row. */
+static GArray *store_watch_evacuation_rows(const struct store_answer *answer)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct evacuation_row));
+
+	for (guint i = 0; i < answer->changes->len; i++) {
+		const struct store_change *change = answer->changes->pdata[i];
+		struct evacuation_row row = { change->zone, change->removed };
+
+		if (change->config_text || !change->zone)
+			continue;
+		if (!change->malformed)
+			g_array_append_val(rows, row);
+		else if (!change->removed)
+			log_event(LOG_EVACUATION_INVALID, "zone", change->zone, "reason",
+				  "malformed", NULL);
+	}
+	return rows;
+}
+
+/* Applies the evacuated zones of an answer. This does not wait for a configuration that came with
+ * them to be decoded. */
+static void store_watch_apply_zones(const struct store_watch_table *table,
+				    const struct store_answer *answer)
+{
+	struct store_watch *watch = table->watch;
+	g_autoptr(GPtrArray) previous = g_ptr_array_ref(evacuation_zones(watch->evacuation));
+	g_autoptr(GArray) rows = NULL;
+	bool changed;
+
+	/* The store was restored since; the table is read again. */
+	if (store_position_is_void(answer->position, watch->history.era))
+		return;
+	rows = store_watch_evacuation_rows(answer);
+	changed = table->whole ? evacuation_replace(watch->evacuation, answer->position, rows)
+			       : evacuation_change(watch->evacuation, table->asked,
+						   answer->position, rows);
+	store_watch_apply_evacuated(watch, previous, changed);
+}
+
 /* Starts to decode the configuration of an answer. @return false when it has none */
 static bool store_watch_decode_answer(struct store_watch_table *table,
 				      const struct store_answer *answer)
@@ -782,8 +907,11 @@
 {
 	struct store_watch *watch = table->watch;
 
-	if (table->table == STORE_TABLE_CONFIG && store_watch_decode_answer(table, answer))
-		return true;
+	if (table->table == STORE_TABLE_CONFIG) {
+		store_watch_apply_zones(table, answer);
+		if (store_watch_decode_answer(table, answer))
+			return true;
+	}
 	if (!store_watch_advance(table, table->whole, table->asked, answer->position))
 		return false;
 	if (table->table == STORE_TABLE_UPSTREAMS) {
--- a/src/serve/store_watch.h
+++ b/src/serve/store_watch.h
@@ -1,6 +1,7 @@
 /**
  * @file store_watch.h
- * Holds the configuration and the instance list, and watches both in the store.
+ * Holds the configuration, the evacuated zones and the instance list, and watches
+ * them in the store.
  *
  * An instance that watches reads both tables and then waits for their changes.
  * Each answer about the configuration confirms it as of the time at which its call
@@ -8,6 +9,10 @@
  * the configuration and the changes of the list, see delegation.h, and the
  * instance only probes the store now and then after its own calls have failed.
  *
+ * The evacuated zones are rows of the table of the configuration, but their position
+ * is their own: they take effect at once, before a configuration of the same answer
+ * is decoded, and also when it is not valid. See evacuation.h.
+ *
  * store_watch_create(), store_watch_set_watching() whenever the decision
  * changes, store_watch_destroy(). Entries of the instance list go into the fleet,
  * what is new to the callbacks.
@@ -48,18 +53,21 @@
 	void (*list_changed)(void *ctx, const struct store_watch_changes *changes);
 	/** An answer of the store brought a newer configuration. */
 	void (*config_changed)(void *ctx);
-	void *changed_ctx; /**< of list_changed and config_changed */
+	/** The set of evacuated zones changed, by an answer of the store or a peer. */
+	void (*evacuated_changed)(void *ctx);
+	void *changed_ctx; /**< of list_changed, config_changed and evacuated_changed */
 };
 
 struct store_watch *store_watch_create(struct env *env,
 				       const struct store_watch_callbacks *callbacks);
 /** Cancels the open calls and frees the watch; @p watch may be NULL. */
 void store_watch_destroy(struct store_watch *watch);
-/** Sets the callbacks for what is passed on to other instances; both may be NULL. */
+/** Sets the callbacks for what is passed on to other instances; all may be NULL. */
 void store_watch_set_changed(struct store_watch *watch,
 			     void (*list_changed)(void *ctx,
 						  const struct store_watch_changes *changes),
-			     void (*config_changed)(void *ctx), void *ctx);
+			     void (*config_changed)(void *ctx),
+			     void (*evacuated_changed)(void *ctx), void *ctx);
 
 /** Starts or ends the watch of both tables. Open calls are not cancelled at the end, but no other
  * follows. */
@@ -82,6 +90,10 @@
  * @param position of the store at that time; zeros if it is not known */
 void store_watch_confirm(struct store_watch *watch, uint64_t confirmed_us,
 			 struct store_position position);
+/** Takes over the evacuated zones that a peer knows, if they are newer.
+ * @param zones strings */
+void store_watch_adopt_evacuated(struct store_watch *watch, struct store_position position,
+				 const GPtrArray *zones);
 /** Reads from the store at once what a delegate knows and did not pass on. */
 void store_watch_read_now(struct store_watch *watch, bool config, bool list);
 
@@ -98,7 +110,11 @@
 struct store_position store_watch_list_position(const struct store_watch *watch);
 /** Returns the position of the store at the last answer about the configuration. */
 struct store_position store_watch_config_position(const struct store_watch *watch);
-/** Returns true once the configuration and the instance list are both known. */
+/** Returns the evacuated zones, as an array of strings that is not changed later. */
+GPtrArray *store_watch_evacuated(const struct store_watch *watch);
+/** Returns the position of the store up to which they are known; zeros before they are. */
+struct store_position store_watch_evacuated_position(const struct store_watch *watch);
+/** Returns true once the configuration, the evacuated zones and the instance list are known. */
 bool store_watch_is_synced(const struct store_watch *watch);
 /** Returns true while this instance watches both tables itself and the store answers. */
 bool store_watch_is_healthy(const struct store_watch *watch);
