--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -51,6 +51,7 @@
 	char *call_copy;  /* answer to a short request, for a second copy */
 	char *taken_over; /* KV copy from which it went on */
 	uint32_t copy_calls;
+	uint32_t last_copy_calls; /* that stopped the generation */
 	uint32_t releases;
 	uint32_t generations;
 	uint32_t short_calls;
@@ -155,6 +156,7 @@
 		engine, first && script->first_copy ? script->first_copy : "200 OK",
 		first ? "first" : "later");
 
+	engine->last_copy_calls += last;
 	if (last || (first && script->breaks_at_copy))
 		engine_stop_stream(engine);
 	if (raw_conn_has_later(conn)) {
@@ -517,6 +519,87 @@
 	fixture_close(&f);
 }
 
+/* Begins to move a generation and evacuates zones while the copy is made.
+ * @param last waits for the copy that stops the generation
+ * @return the engine that has the generation */
+static struct engine *evacuate_during_copy(struct fixture *f, struct testbed_answer *answer,
+					   bool last, const char *const *zones)
+{
+	struct script script = { .copy_answer_ms = 20 * STEP_MS, .release = "204 No Content" };
+	struct engine *source;
+
+	fixture_open(f, false);
+	source = start_generation(f, &script, answer);
+	g_assert_cmpstr(source->zone, ==, "z1");
+	engine_list(source, "draining");
+	for (uint32_t ms = 0; ms < TIMEOUT_MS / 2; ms += STEP_MS) {
+		if (last ? source->last_copy_calls : source->copy_calls)
+			break;
+		fixture_run(f, STEP_MS);
+	}
+	g_assert_cmpuint(source->last_copy_calls, ==, last);
+	for (; *zones; zones++) {
+		g_autofree char *key = g_strdup_printf("evacuate/%s", *zones);
+
+		mock_store_put(f->platform, "op", key, "{}");
+	}
+	fixture_run(f, 30 * STEP_MS);
+	return source;
+}
+
+/* A copy into a zone that is evacuated meanwhile is given up, and the generation goes on where it
+ * runs. */
+static void test_evacuated_target(void)
+{
+	static const char *const zones[] = { "z2", NULL };
+	struct testbed_answer answer;
+	struct engine *source;
+	struct fixture f;
+	uint32_t copy_calls;
+
+	source = evacuate_during_copy(&f, &answer, false, zones);
+	copy_calls = source->copy_calls;
+	fixture_run(&f, 100 * STEP_MS);
+	g_assert_cmpuint(source->copy_calls, ==, copy_calls);
+	g_assert_null(find_taken_over(&f));
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
+/* A generation that was stopped for its last copy does not go on at the target in an evacuated
+ * zone, but where it was stopped. */
+static void test_evacuated_after_stop(void)
+{
+	static const char *const zones[] = { "z2", NULL };
+	struct testbed_answer answer;
+	struct engine *source;
+	struct fixture f;
+
+	source = evacuate_during_copy(&f, &answer, true, zones);
+	g_assert_true(find_taken_over(&f) == source);
+	check_complete(&f, &answer);
+	fixture_close(&f);
+}
+
+/* When the zone in which it was stopped is evacuated too, it ends: nothing is sent to either, and
+ * the caller sees that the stream is not whole. */
+static void test_evacuated_both(void)
+{
+	static const char *const zones[] = { "z1", "z2", NULL };
+	struct testbed_answer answer;
+	struct engine *source;
+	struct fixture f;
+
+	source = evacuate_during_copy(&f, &answer, true, zones);
+	g_assert_null(find_taken_over(&f));
+	g_assert_cmpuint(source->releases, ==, 0);
+	g_assert_true(testbed_wait(f.testbed, &answer, TIMEOUT_MS));
+	g_assert_true(answer.broken);
+	g_assert_true(testbed_is_prefix(&answer, OUTPUT_TOKENS));
+	testbed_answer_clear(&answer);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -525,5 +608,8 @@
 	g_test_add_func("/gateway-migration/release-departure", test_release_departure);
 	g_test_add_func("/gateway-migration/late-release-answer", test_late_release_answer);
 	g_test_add_func("/gateway-migration/ended-attempt", test_ended_attempt);
+	g_test_add_func("/gateway-migration/evacuated-target", test_evacuated_target);
+	g_test_add_func("/gateway-migration/evacuated-after-stop", test_evacuated_after_stop);
+	g_test_add_func("/gateway-migration/evacuated-both", test_evacuated_both);
 	return g_test_run();
 }
