--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -57,10 +57,15 @@
 
 /* helpers */
 
+static bool dispatch_is_allowed(const struct fleet_upstream *up, const struct dispatch_need *need)
+{
+	return !need->allows || need->allows(need->allows_ctx, up);
+}
+
 /* Tells whether a request may go to an upstream at all. */
 static bool dispatch_is_permitted(const struct fleet_upstream *up, const struct dispatch_need *need)
 {
-	return !need->allows || need->allows(need->allows_ctx, up);
+	return !fleet_upstream_is_evacuated(up) && dispatch_is_allowed(up, need);
 }
 
 /* Tells whether an upstream may be sent a request as far as its state goes; it may be full, over
@@ -564,3 +569,19 @@
 	}
 	return false;
 }
+
+bool dispatch_is_evacuated(struct dispatch *dispatch, const struct dispatch_need *need)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
+	bool evacuated = false;
+
+	for (guint i = 0; i < ups->len; i++) {
+		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED ||
+		    !dispatch_is_allowed(ups->pdata[i], need))
+			continue;
+		if (!fleet_upstream_is_evacuated(ups->pdata[i]))
+			return false;
+		evacuated = true;
+	}
+	return evacuated;
+}
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -90,6 +90,9 @@
 uint64_t dispatch_quiet_us(struct dispatch *dispatch, const struct dispatch_need *need);
 /** Tells whether any upstream that a request may go to accepts new ones. */
 bool dispatch_has_upstream(struct dispatch *dispatch, const struct dispatch_need *need);
+/** Tells whether all upstreams that a request may go to otherwise are in evacuated zones, and there
+ * is one. */
+bool dispatch_is_evacuated(struct dispatch *dispatch, const struct dispatch_need *need);
 
 /** Adds a request's load to an upstream and takes a reference to it. */
 void dispatch_load_add(struct dispatch_load *load, struct fleet_upstream *up, uint64_t kv_tokens,
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -148,8 +148,9 @@
 {
 	struct relay_request *request = ctx;
 
-	/* The allowed regions may have changed while the connection was opened. */
-	if (!relay_allows_upstream(request, request->attempt.up))
+	/* Its zone may have been evacuated, or the allowed regions changed, while the connection
+	 * was opened. */
+	if (!relay_may_send_to(request, request->attempt.up))
 		return false;
 	/* Another upstream may have got the address in the meantime, or this one has said that it
 	 * leaves or wants to be left alone. An engine that leaves still continues from its own
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -88,7 +88,7 @@
 	need.distance_from = request->attempt.up;
 	if (request->kv_copy.up &&
 	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY &&
-	    relay_allows_upstream(request, request->kv_copy.up)) {
+	    relay_may_send_to(request, request->kv_copy.up)) {
 		/* The copy was made while the entry of the generation's engine was lapsed, or is
 		 * continued after a time in which an engine wanted to be left alone. */
 		if (relay_is_quiet(request->kv_copy.up))
@@ -169,6 +169,10 @@
 
 bool relay_has_unneeded_copy(const struct relay_request *request)
 {
+	/* A copy that has stopped the generation is not ended: it is what remains of it. */
+	if (request->kv_copy.up && !request->migrate_stopping &&
+	    fleet_upstream_is_evacuated(request->kv_copy.up))
+		return true;
 	return request->kv_copy.up && !request->migrate_call && request->attempt.up &&
 	       fleet_upstream_state(request->attempt.up) == FLEET_UPSTREAM_READY;
 }
@@ -196,7 +200,7 @@
 	g_autofree char *source = NULL;
 
 	if (!handle || !request->caller || request->call || relay_is_quiet(up) ||
-	    !relay_allows_upstream(request, up))
+	    !relay_may_send_to(request, up))
 		return false;
 	source = g_strdup(fleet_upstream_address(up));
 	fleet_upstream_ref(up);
@@ -232,6 +236,14 @@
 	return request->closed_in_stop && code == 404 && !relay_is_stream_cut(request);
 }
 
+/* Returns why a migration did not reach its target. */
+static const char *relay_migration_reason(struct fleet_upstream *target)
+{
+	if (fleet_upstream_is_evacuated(target))
+		return "target-evacuated";
+	return relay_is_quiet(target) ? "target-quiet" : "refused";
+}
+
 static void relay_migration_failed(struct relay_request *request, struct fleet_upstream *target,
 				   const char *handle, uint16_t code)
 {
@@ -241,8 +253,7 @@
 
 	log_event(LOG_MIGRATION_FAILED, "request", relay_request_id(request), "upstream",
 		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason",
-		  relay_is_quiet(target) ? "target-quiet" : "refused", "status", status, "move_ms",
-		  took, NULL);
+		  relay_migration_reason(target), "status", status, "move_ms", took, NULL);
 	g_ptr_array_add(request->migrate_tried, fleet_upstream_ref(target));
 	if (!request->call && relay_resume_at_source(request, handle))
 		return;
@@ -289,7 +300,7 @@
 		g_free(request->kv_copy_handle);
 		request->kv_copy_handle = g_strdup(handle);
 	}
-	if (done && !request->migrate_last && request->call) {
+	if (done && !request->migrate_last && request->call && relay_may_send_to(request, target)) {
 		g_autofree char *took = g_strdup_printf(
 			"%" G_GUINT64_FORMAT, (env_now_us() - request->migrate_sent_us) / 1000);
 
@@ -310,7 +321,7 @@
 	request->migrate_target = NULL;
 	request->migrate_stopping = false;
 	if (done && request->caller && !relay_is_quiet(target) &&
-	    relay_allows_upstream(request, target))
+	    relay_may_send_to(request, target))
 		relay_migration_done(request, target, handle);
 	else
 		relay_migration_failed(request, target, handle, answer->status);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -112,6 +112,11 @@
 	dispatch_load_remove(&request->kv_copy);
 	if (!request->kv_copy_handle)
 		return;
+	/* Nothing is sent to an evacuated zone that can be left out: the copy expires there. */
+	if (fleet_upstream_is_evacuated(request->kv_copy_source)) {
+		g_clear_pointer(&request->kv_copy_handle, g_free);
+		return;
+	}
 	path = env->protocol->encode_kv_copy_path(request->kv_copy_handle);
 	req.path = path;
 	req.address = fleet_upstream_address(request->kv_copy_source);
@@ -546,6 +551,11 @@
 				   fleet_upstream_region(up));
 }
 
+bool relay_may_send_to(struct relay_request *request, const struct fleet_upstream *up)
+{
+	return !fleet_upstream_is_evacuated(up) && relay_allows_upstream(request, up);
+}
+
 struct dispatch_need relay_dispatch_need(struct relay_request *request)
 {
 	return (struct dispatch_need){
@@ -581,7 +591,7 @@
 
 bool relay_has_backup(struct relay_request *request)
 {
-	return request->backup.up && relay_allows_upstream(request, request->backup.up) &&
+	return request->backup.up && relay_may_send_to(request, request->backup.up) &&
 	       fleet_upstream_state(request->backup.up) <= FLEET_UPSTREAM_LAPSED &&
 	       !relay_is_quiet(request->backup.up);
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -202,6 +202,9 @@
 /** Tells whether the regions that the newest configuration allows for the request include an
  * upstream's. @param ctx struct relay_request */
 bool relay_allows_upstream(void *ctx, const struct fleet_upstream *up);
+/** Tells whether the request may be sent to an upstream now: its region is allowed, and its zone
+ * not evacuated. */
+bool relay_may_send_to(struct relay_request *request, const struct fleet_upstream *up);
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
