HTTP client: a response with an invalid status breaks its call

http_client now reads the status line byte by byte up to the end of the status and breaks the call unless it has three digits and is from 100 to 599. The connection is closed, the attempt counts as broken. Calls for KV copies and their releases that break count as failures of the upstream, as those of requests do.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -20,6 +20,13 @@
 #define HTTP_CLIENT_SWITCHING_PROTOCOLS 101
 #define HTTP_CLIENT_NO_CONTENT		204
 #define HTTP_CLIENT_NOT_MODIFIED	304
+/* Valid statuses (RFC 9110, section 15); http_parser accepts others, such as 0 and 999. */
+#define HTTP_CLIENT_MIN_STATUS 100
+#define HTTP_CLIENT_MAX_STATUS 599
+/* http_parser also accepts fewer digits, and leading zeros. */
+#define HTTP_CLIENT_STATUS_DIGITS 3
+/* Length of "HTTP/1.1", which http_parser checks. */
+#define HTTP_CLIENT_VERSION_BYTES 8
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -62,6 +69,13 @@
 	bool paused;
 };
 
+/* How much is read of the status line of the current or next response. */
+enum client_status_line {
+	CLIENT_STATUS_LINE_AWAITED,
+	CLIENT_STATUS_LINE_BEGUN,
+	CLIENT_STATUS_LINE_READ, /* up to the end of its status */
+};
+
 /* A connection to a server: connecting, used by one call, or idle. */
 struct client_conn {
 	uv_tcp_t tcp;
@@ -79,6 +93,9 @@
 	uint64_t keep_alive_ms; /* idle time after which the connection is not reused */
 	size_t header_bytes;	/* names and values of the response being read */
 	size_t skipped_bytes;	/* read before the head of the response to the call */
+	enum client_status_line status_line;
+	uint32_t line_bytes;	/* of the status line, up to the end of its status */
+	uint32_t status_digits; /* of those, the digits of the status */
 	bool in_value;
 	bool connected;
 	bool writing;
@@ -429,9 +446,34 @@
 	conn->header_bytes = 0;
 	conn->in_value = false;
 	conn->mismatched = false;
+	conn->line_bytes = 0;
+	conn->status_digits = 0;
+	conn->status_line = CLIENT_STATUS_LINE_BEGUN;
 	return 0;
 }
 
+/* Reads a byte of the status line that http_parser has accepted.
+ * @return false when the status is invalid */
+static bool client_conn_check_status(struct client_conn *conn, char byte)
+{
+	if (++conn->line_bytes <= HTTP_CLIENT_VERSION_BYTES)
+		return true;
+	if (g_ascii_isdigit(byte)) {
+		conn->status_digits++;
+		return true;
+	}
+	if (byte == ' ' && conn->status_digits == 0)
+		return true;
+	conn->status_line = CLIENT_STATUS_LINE_READ;
+#if defined(FL_FAULT_ANY_STATUS)
+	/* Deliberate defect, which the tests have to detect: accepts what http_parser does. */
+	return true;
+#endif
+	return conn->status_digits == HTTP_CLIENT_STATUS_DIGITS &&
+	       conn->parser.status_code >= HTTP_CLIENT_MIN_STATUS &&
+	       conn->parser.status_code <= HTTP_CLIENT_MAX_STATUS;
+}
+
 static void client_conn_store_header(struct client_conn *conn)
 {
 	char *value;
@@ -557,9 +599,9 @@
 {
 	struct client_conn *conn = parser->data;
 
-	if (conn->mismatched || parser->status_code / 100 == 1)
-		return 0;
-	conn->response_complete = true;
+	conn->response_complete = !conn->mismatched && parser->status_code / 100 != 1;
+	conn->status_line = CLIENT_STATUS_LINE_AWAITED;
+	/* client_conn_execute() reads the status line of a response that follows byte by byte. */
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -594,9 +636,36 @@
 		http_call_finish(call, HTTP_CALL_OK);
 }
 
+/* Passes bytes to http_parser, up to the end of the response to the call or an error.
+ * @param valid set to false at an invalid status
+ * @return how many bytes were read */
+static size_t client_conn_execute(struct client_conn *conn, const char *buf, size_t len,
+				  bool *valid)
+{
+	http_parser *parser = &conn->parser;
+	size_t used = 0;
+
+	*valid = true;
+	while (*valid && used < len && !conn->closing && !conn->response_complete) {
+		/* Byte by byte up to the end of the status: http_parser does not report its
+		 * digits. */
+		size_t part = conn->status_line == CLIENT_STATUS_LINE_READ ? len - used : 1;
+
+		used += http_parser_execute(parser, &client_conn_parser_settings, buf + used, part);
+		if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED)
+			http_parser_pause(parser, 0);
+		if (HTTP_PARSER_ERRNO(parser) != HPE_OK)
+			break;
+		if (conn->status_line == CLIENT_STATUS_LINE_BEGUN)
+			*valid = client_conn_check_status(conn, buf[used - 1]);
+	}
+	return used;
+}
+
 static void client_conn_parse(struct client_conn *conn, const char *buf, size_t len)
 {
-	size_t used = http_parser_execute(&conn->parser, &client_conn_parser_settings, buf, len);
+	bool valid;
+	size_t used = client_conn_execute(conn, buf, len, &valid);
 
 	if (conn->closing)
 		return;
@@ -604,9 +673,15 @@
 		conn->skipped_bytes += len;
 	if (conn->response_complete) {
 		client_conn_finish_response(conn, len - used);
-	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
+	} else if (!valid || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
 		   conn->skipped_bytes > HTTP_CLIENT_MAX_SKIPPED_BYTES) {
 		conn->client->counts.malformed++;
+#if defined(FL_FAULT_MALFORMED_ENDS)
+		/* Deliberate defect, which the tests have to detect: takes it for an end. */
+		conn->no_reuse = true;
+		client_conn_finish_response(conn, 0);
+		return;
+#endif
 		client_conn_fail(conn, HTTP_CALL_BROKEN);
 	}
 }
@@ -705,6 +780,7 @@
 		return;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
+	conn->status_line = CLIENT_STATUS_LINE_AWAITED;
 	conn->response_begun = false;
 	conn->response_complete = false;
 	conn->skipped_bytes = 0;
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -281,6 +281,7 @@
 	g_autofree char *handle = kv_copy.handle;
 
 	request->migrate_call = NULL;
+	relay_note_broken_call(request->attempt.up, answer);
 	metric_observe(request->relay->env->metric, METRIC_MIGRATION_CALL_US,
 		       env_now_us() - request->migrate_sent_us);
 	if (handle) {
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -69,6 +69,12 @@
 	dispatch_load_remove(&request->attempt);
 }
 
+void relay_note_broken_call(struct fleet_upstream *up, const struct fetch_response *answer)
+{
+	if (up && answer->sent && answer->result == HTTP_CALL_BROKEN)
+		fleet_upstream_record_outcome(up, false, false, env_now_us());
+}
+
 static void relay_release_free(struct relay_release *release)
 {
 	g_queue_unlink(&release->relay->releases, &release->link);
@@ -96,8 +102,10 @@
 /* Whether the copy was released does not matter: an unreleased copy expires at the engine. */
 static void relay_on_copy_released(void *ctx, const struct fetch_response *answer)
 {
-	(void)answer;
-	relay_release_free(ctx);
+	struct relay_release *release = ctx;
+
+	relay_note_broken_call(release->up, answer);
+	relay_release_free(release);
 }
 
 /* Releases a KV copy that will not be used; it would occupy its engine's memory for seconds. */
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -150,6 +150,9 @@
 /** Records what the answer of the upstream of the current attempt says of the upstream itself: that
  * it leaves, or asks to be left alone for a time. */
 void relay_note_upstream(struct relay_request *request, const struct http_response_head *head);
+/** Counts the upstream as failing if it broke a call about a KV copy off, or answered it with what
+ * is no answer. */
+void relay_note_broken_call(struct fleet_upstream *up, const struct fetch_response *answer);
 /** Counts the KV cache that the generation occupies now on the engines. */
 void relay_update_used(struct relay_request *request);
 /** Logs the end of a request. @param reason without blanks */
--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -133,7 +133,7 @@
 
 static char *engine_copy_answer(const struct engine *engine, const char *status, const char *handle)
 {
-	g_autofree char *body = g_str_has_prefix(status, "200")
+	g_autofree char *body = g_str_has_suffix(status, " OK")
 					? g_strdup_printf("{\"kv_handle\":\"%s\",\"created\":%u}",
 							  handle, engine->event)
 					: g_strdup("");
@@ -342,6 +342,18 @@
 	return count;
 }
 
+/* Returns the recent share of failures of an upstream as the gateway sees it. */
+static double failure_share(const struct fixture *f, const char *id)
+{
+	g_autofree char *state = testbed_get(f->testbed, f->gateway->metrics_address, "/state");
+	g_autofree char *name = g_strdup_printf("\"%s\"", id);
+	const char *at = state ? strstr(state, name) : NULL;
+	const char *share = at ? strstr(at, "\"failure_share\":") : NULL;
+
+	g_assert_nonnull(share);
+	return g_ascii_strtod(share + strlen("\"failure_share\":"), NULL);
+}
+
 /* scenarios */
 
 /* A second copy of an engine's answer to a call for a KV copy is not taken for the answer to the
@@ -517,6 +529,57 @@
 	fixture_close(&f);
 }
 
+/* An engine that answers a call for a copy, or its release, with an invalid status has not answered
+ * it: the generation goes on there, is asked for again and then goes on elsewhere whole. What the
+ * answer says of its sender does not count, and its connection is closed. */
+static void test_invalid_status(void)
+{
+	static const char *const statuses[] = { "000 OK",  "099 OK",  "600 OK",
+						"0200 OK", "1000 OK", "abc OK" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		struct script script = { .first_copy = statuses[i],
+					 .copy_answer_ms = STEP_MS,
+					 .headers = "Server-Leaving: 1\r\n" };
+		struct testbed_answer answer;
+		struct engine *source;
+		struct fixture f;
+
+		fixture_open(&f, false);
+		source = start_generation(&f, &script, &answer);
+		engine_list(source, "draining");
+		wait_taken_over(&f);
+		g_test_message("%s: %u calls, %u failed, %u departures", script.first_copy,
+			       source->copy_calls, count_log_lines(&f, "move-failed"),
+			       count_log_lines(&f, "upstream-departure"));
+		g_assert_cmpuint(source->copy_calls, >=, 2);
+		g_assert_cmpuint(count_log_lines(&f, "move-failed"), ==, 1);
+		check_complete(&f, &answer);
+		fixture_close(&f);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		struct script script = { .copy_answer_ms = STEP_MS, .release = statuses[i] };
+		struct testbed_answer answer;
+		struct engine *source;
+		struct fixture f;
+
+		fixture_open(&f, false);
+		source = start_generation(&f, &script, &answer);
+		lapse_until_copied(&f, source);
+		source->script.headers = "Server-Leaving: 1\r\n";
+		engine_list(source, "ready");
+		fixture_run(&f, START_MS + LIST_MS);
+		g_test_message("release, %s: %u departures, failures %.2f", script.release,
+			       count_log_lines(&f, "upstream-departure"),
+			       failure_share(&f, source->id));
+		g_assert_cmpuint(source->releases, ==, 1);
+		g_assert_cmpuint(count_log_lines(&f, "upstream-departure"), ==, 0);
+		g_assert_cmpfloat(failure_share(&f, source->id), >, 0.0);
+		check_complete(&f, &answer);
+		fixture_close(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -525,5 +588,6 @@
 	g_test_add_func("/gateway-migration/release-departure", test_release_departure);
 	g_test_add_func("/gateway-migration/late-release-answer", test_late_release_answer);
 	g_test_add_func("/gateway-migration/ended-attempt", test_ended_attempt);
+	g_test_add_func("/gateway-migration/invalid-status", test_invalid_status);
 	return g_test_run();
 }
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -371,6 +371,201 @@
 	}
 }
 
+/* answers with an invalid status */
+
+#define SOUND_CALL                                                                                 \
+	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %ID%\r\n"                                  \
+	"X-Flamingolatch-Replica-Signature: s\r\nContent-Length: 4\r\n\r\ndone"
+#define SOUND_STREAM                                                                               \
+	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %ID%\r\n"                                  \
+	"X-Flamingolatch-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"              \
+	"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"
+#define LEAVING_LINE	 "\r\nServer-Leaving: 1"
+#define NOT_RUN_LINE	 "\r\nX-Flamingolatch-Not-Executed: 1"
+#define CLOSE_LINE	 "\r\nConnection: close"
+#define NO_COPY		 "HTTP/1.1 503 No Copy" NOT_RUN_LINE "\r\nContent-Length: 0\r\n\r\n"
+#define SOUND_ID	 "0ea" /* with which the ids of requests begin that get a sound answer */
+#define STATUS_UPSTREAMS 2
+
+/* How upstreams answer a request: the first attempt, or all, with an invalid status. */
+struct status_case {
+	const char *sound;  /* answer, with a place for the id */
+	const char *status; /* what follows the version in the others */
+	bool fresh;	    /* sound answers leave no idle connections */
+	bool refuses;	    /* invalid ones say that the request has not run */
+	bool always;
+	uint32_t arrivals;
+	uint32_t upstream;    /* that had the first attempt */
+	uint64_t conn;	      /* of that attempt */
+	uint32_t reuse_count; /* of such connections that had a request before, over all cases */
+};
+
+struct status_upstream {
+	struct status_case *status_case;
+	uint32_t number;
+};
+
+static void answer_status(void *ctx, struct raw_conn *conn, const char *id)
+{
+	const struct status_upstream *upstream = ctx;
+	struct status_case *c = upstream->status_case;
+	g_auto(GStrv) parts = g_strsplit(c->sound, "%ID%", 2);
+	g_autofree char *sound = g_strjoinv(id, parts);
+	const char *headers = strstr(sound, "\r\n");
+	g_autofree char *text = NULL;
+
+	/* No engine has a copy of a generation that was not begun. */
+	if (strstr(raw_conn_request_head(conn), "\r\nkv-from: ")) {
+		raw_conn_write(conn, NO_COPY);
+		return;
+	}
+	if (g_str_has_prefix(id, SOUND_ID) || (c->arrivals++ > 0 && !c->always)) {
+		text = g_strconcat("HTTP/1.1 200 OK", c->fresh ? CLOSE_LINE : "", headers, NULL);
+	} else {
+		text = g_strconcat("HTTP/1.1", c->status, LEAVING_LINE,
+				   c->refuses ? NOT_RUN_LINE : "", headers, NULL);
+		if (c->arrivals == 1) {
+			c->upstream = upstream->number;
+			c->conn = raw_conn_number(conn);
+			c->reuse_count += raw_conn_request_count(conn) > 1;
+		}
+	}
+	raw_conn_write(conn, text);
+}
+
+static void wait_whole(const struct fixture *f, struct raw_caller *caller)
+{
+	for (uint32_t ms = 0;
+	     ms < QUICK_TIMEOUT_MS && !caller->closed && !raw_caller_is_whole(caller); ms += 10) {
+		testbed_run(f->testbed, 10);
+		raw_caller_read(caller, SIZE_MAX);
+	}
+}
+
+/* Sends a request and waits for the end of its answer. */
+static struct raw_caller call_raw(const struct fixture *f, const char *id, const char *path)
+{
+	struct raw_caller caller = raw_caller_open(f->gateway, id, path);
+
+	wait_whole(f, &caller);
+	return caller;
+}
+
+/* Sends requests together that get a sound answer, so that no upstream is avoided. */
+static void call_soundly(const struct fixture *f, uint32_t number, const char *path)
+{
+	struct raw_caller callers[2 * STATUS_UPSTREAMS];
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+		g_autofree char *id = g_strdup_printf(SOUND_ID "%02x%u", number, i);
+
+		callers[i] = raw_caller_open(f->gateway, id, path);
+	}
+	for (uint32_t i = 0; i < G_N_ELEMENTS(callers); i++) {
+		wait_whole(f, &callers[i]);
+		g_assert_cmpuint(raw_caller_status(&callers[i]), ==, 200);
+		raw_caller_close(&callers[i]);
+	}
+}
+
+/* A response with an invalid status is no answer: the caller gets that of a retry, or 502, as the
+ * request may have run; never a refusal. The upstream counts as failing, and its connection is
+ * closed. */
+static void check_invalid_status(const char *path, const char *service, bool rerun)
+{
+	static const char *const statuses[] = { " 000 OK",  " 099 OK", " 600 OK",  " 0200 OK",
+						" 1000 OK", " abc OK", " +200 OK", "" };
+	struct status_case c = { .sound = strcmp(service, TESTBED_PLAIN_SERVICE) ? SOUND_STREAM
+										 : SOUND_CALL };
+	struct status_upstream upstreams[STATUS_UPSTREAMS];
+	struct raw_upstream *raws[STATUS_UPSTREAMS];
+	g_autofree char *departures = NULL;
+	struct fixture f;
+
+	fixture_open(&f);
+	for (uint32_t i = 0; i < STATUS_UPSTREAMS; i++) {
+		g_autofree char *name = g_strdup_printf("raw-%u", i);
+
+		upstreams[i] = (struct status_upstream){ &c, i };
+		raws[i] = start_raw(&f, name, RAW_HOST_NUMBER + i, "z1", service, answer_status,
+				    &upstreams[i]);
+	}
+	testbed_run(f.testbed, NEW_ENGINE_MS);
+	for (uint32_t i = 0; i < 4 * G_N_ELEMENTS(statuses); i++) {
+		g_autofree char *id = g_strdup_printf("0eb%02x", i);
+		struct raw_caller caller;
+
+		c.fresh = i % 2;
+		c.refuses = i / 2 % 2;
+		c.status = statuses[i / 4];
+		c.always = i + 1 == 4 * G_N_ELEMENTS(statuses);
+		call_soundly(&f, i, path);
+		c.arrivals = 0;
+		caller = call_raw(&f, id, path);
+		g_test_message("%s%s, case %u: %u arrivals, %s", path, c.status, i, c.arrivals,
+			       caller.input->str);
+		g_assert_cmpuint(raw_caller_status(&caller), ==, rerun && !c.always ? 200 : 502);
+		g_assert_cmpuint(c.arrivals, ==, rerun ? 2 : 1);
+		g_assert_true(raw_caller_is_whole(&caller));
+		g_assert_null(strstr(caller.input->str, "not_run"));
+		g_assert_null(raw_upstream_find_conn(raws[c.upstream], c.conn));
+		raw_caller_close(&caller);
+	}
+	g_test_message("%u of the connections were reused", c.reuse_count);
+	g_assert_cmpuint(c.reuse_count, >, 0);
+	g_assert_cmpuint(c.reuse_count, <, 4 * G_N_ELEMENTS(statuses));
+	/* Headers of an invalid response do not count. */
+	departures = testbed_log_lines(f.gateway, "upstream-departure");
+	g_assert_cmpstr(departures, ==, "");
+	for (uint32_t i = 0; i < STATUS_UPSTREAMS; i++)
+		raw_upstream_destroy(raws[i]);
+	fixture_close(&f);
+}
+
+static void test_invalid_status_once(void)
+{
+	check_invalid_status("/once/x", TESTBED_PLAIN_SERVICE, false);
+}
+
+static void test_invalid_status_safe(void)
+{
+	check_invalid_status("/safe/x", TESTBED_PLAIN_SERVICE, true);
+}
+
+static void test_invalid_status_long(void)
+{
+	check_invalid_status("/long/x", TESTBED_ENGINE_SERVICE, false);
+}
+
+static void test_invalid_status_quick(void)
+{
+	check_invalid_status("/quick/x", TESTBED_ENGINE_SERVICE, true);
+}
+
+/* An upstream that goes on to answer with an invalid status is avoided. */
+static void test_invalid_status_suspends(void)
+{
+	struct status_case c = { .sound = SOUND_CALL, .status = " 000 OK", .always = true };
+	struct status_upstream upstream = { &c, 0 };
+	struct fixture f;
+	g_autofree char *state = NULL;
+
+	fixture_open(&f);
+	add_raw(&f, TESTBED_PLAIN_SERVICE, answer_status, &upstream);
+	for (uint32_t i = 0; i < 2; i++) {
+		g_autofree char *id = g_strdup_printf("0eb%u", i);
+		struct raw_caller caller = call_raw(&f, id, "/once/x");
+
+		g_assert_cmpuint(raw_caller_status(&caller), ==, 502);
+		raw_caller_close(&caller);
+	}
+	state = testbed_get(f.testbed, f.gateway->metrics_address, "/state");
+	g_assert_nonnull(state);
+	g_test_message("%s", state);
+	g_assert_nonnull(strstr(state, "\"failure_share\":0.2"));
+	fixture_close(&f);
+}
+
 /* second copies of an answer */
 
 /* How a second copy of an answer is sent. */
@@ -1177,6 +1372,11 @@
 	g_test_add_func("/gateway-raw/silent-upstream-kept", test_silent_upstream_kept);
 	g_test_add_func("/gateway-raw/garbage-in-stream", test_garbage_in_stream);
 	g_test_add_func("/gateway-raw/bodiless-status", test_bodiless_status);
+	g_test_add_func("/gateway-raw/invalid-status-once", test_invalid_status_once);
+	g_test_add_func("/gateway-raw/invalid-status-safe", test_invalid_status_safe);
+	g_test_add_func("/gateway-raw/invalid-status-long", test_invalid_status_long);
+	g_test_add_func("/gateway-raw/invalid-status-quick", test_invalid_status_quick);
+	g_test_add_func("/gateway-raw/invalid-status-suspends", test_invalid_status_suspends);
 	g_test_add_func("/gateway-raw/late-refusal", test_late_refusal);
 	g_test_add_func("/gateway-raw/departure", test_departure);
 	g_test_add_func("/gateway-raw/departure-caller-left", test_departure_caller_left);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -410,6 +410,98 @@
 	mock_server_clear(&server);
 }
 
+/* What follows the version in a status line. */
+static const char *const invalid_statuses[] = {
+	" 000 OK", " 0 OK",    " 9 OK",	   " 20 OK",	" 099 OK",	  " 99 OK",   " 600 OK",
+	" 999 OK", " 1000 OK", " 2000 OK", " 0200 OK",	" 00000200 OK",	  " 099",     " 600",
+	" OK",	   " abc OK",  " 2x0 OK",  " 20O OK",	" +200 OK",	  " -200 OK", " ",
+	"",	   "  OK",     " 200x OK", " 65736 OK", " 4294967496 OK",
+};
+static const char *const valid_statuses[] = {
+	" 200 OK", " 200", " 200 ", "  200 OK", " 599 Odd", " 299 0200", " 500 000",
+};
+
+/* A response with this status before which others may come on the connection. */
+static char *status_response(const char *before, const char *status)
+{
+	return g_strdup_printf("%sHTTP/1.1%s\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nhi", before,
+			       status);
+}
+
+#define FOREIGN_RESPONSE "HTTP/1.1 200 OK\r\nX-Id: z\r\nContent-Length: 3\r\n\r\nold"
+
+/* Tells whether a response with an invalid status broke its call, and its connection was closed.
+ * @param reused whether an idle connection is there for the call */
+static bool is_status_refused(const char *text, bool reused)
+{
+	const struct mock_response responses[] = { { .bytes = OK_RESPONSE },
+						   { .bytes = text },
+						   { .bytes = OK_RESPONSE } };
+	uint32_t first = reused ? 0 : 1;
+	struct mock_server server;
+	struct call_outcome outcome;
+	bool refused;
+
+	mock_server_init(&server, responses + first, G_N_ELEMENTS(responses) - first);
+	if (reused)
+		expect_outcome(mock_server_call(&server, NULL, "a", 0, 2000), HTTP_CALL_OK, "hi");
+	outcome = mock_server_call(&server, NULL, "a", 0, 2000);
+	refused = outcome.result == HTTP_CALL_BROKEN && outcome.sent && outcome.status == 0 &&
+		  outcome.body->len == 0 && http_client_counts(server.client)->malformed == 1 &&
+		  !http_client_has_idle(server.client, server.address, NULL);
+	if (!refused)
+		g_test_message("violation: result %d, status %u, '%s', %s connection",
+			       (int)outcome.result, outcome.status, text,
+			       reused ? "reused" : "fresh");
+	expect_outcome(outcome, outcome.result, NULL);
+	expect_outcome(mock_server_call(&server, NULL, "a", 0, 2000), HTTP_CALL_OK, "hi");
+	refused = refused && server.connections == 2;
+	mock_server_clear(&server);
+	return refused;
+}
+
+/* A response with an invalid status is not taken for an answer: alone, after an interim one, after
+ * an empty line and after one to another call. */
+static void test_invalid_status(void)
+{
+	static const char *const before[] = { "", "HTTP/1.1 100 Continue\r\n\r\n", "\r\n",
+					      FOREIGN_RESPONSE };
+	uint32_t accepted = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid_statuses) * G_N_ELEMENTS(before); i++) {
+		g_autofree char *text = status_response(before[i % G_N_ELEMENTS(before)],
+							invalid_statuses[i / G_N_ELEMENTS(before)]);
+
+		accepted += !is_status_refused(text, false);
+		accepted += !is_status_refused(text, true);
+	}
+	/* Not an assertion: the tests of defects must not end by an abort. */
+	if (accepted > 0)
+		g_test_fail();
+}
+
+/* The status is checked also when its bytes arrive apart, and a valid one is not refused. */
+static void test_split_status(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid_statuses) + G_N_ELEMENTS(valid_statuses); i++) {
+		bool valid = i >= G_N_ELEMENTS(invalid_statuses);
+		const char *status = valid ? valid_statuses[i - G_N_ELEMENTS(invalid_statuses)]
+					   : invalid_statuses[i];
+		g_autofree char *text = status_response("", status);
+
+		for (size_t at = 1; at < strlen("HTTP/1.1") + strlen(status) + 2; at++) {
+			g_autofree char *begin = g_strndup(text, at);
+			struct mock_response response = { .bytes = begin, .later = text + at };
+			struct mock_server server;
+
+			mock_server_init(&server, &response, 1);
+			expect_outcome(mock_server_call(&server, NULL, "a", 0, 2000),
+				       valid ? HTTP_CALL_OK : HTTP_CALL_BROKEN, valid ? "hi" : "");
+			mock_server_clear(&server);
+		}
+	}
+}
+
 /* The server responds before it has read the body. The connection must not be reused, since
  * the rest of the body is still being written to it. */
 static void test_early_response(void)
@@ -774,6 +866,8 @@
 	g_test_add_func("/http/client/late-extra", test_extra_data_on_idle);
 	g_test_add_func("/http/client/disowned", test_mismatched);
 	g_test_add_func("/http/client/broken", test_broken_responses);
+	g_test_add_func("/http/client/invalid-status", test_invalid_status);
+	g_test_add_func("/http/client/split-status", test_split_status);
 	g_test_add_func("/http/client/early", test_early_response);
 	g_test_add_func("/http/client/not-sent", test_connect_failed);
 	g_test_add_func("/http/client/silence", test_timeout);
