Soak: violations print the log of their instance

A process that outlives its grace period is reported with its log from SIGTERM on, the processor time that it has got since and that of the soak itself; a request with a revoked key with the log of its instance from the change of the key on. The summary names the longest planned stop. The logs of earlier violations were lost with the test bed.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -27,6 +27,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define SOAK_LOOP_STEP_MS 2
 /* Guarantees with a time bound are checked on instances without a fault for this long. */
@@ -102,6 +103,9 @@
 	uint64_t sigcont_at_ms;	      /* 0 unless stopped by SIGSTOP */
 	uint64_t heal_at_ms;	      /* when the store proxy forwards again; 0 while it does */
 	uint64_t sigterm_sent_ms;     /* 0 unless it is shutting down after SIGTERM */
+	uint64_t sigterm_log_bytes;   /* size of its log then */
+	uint64_t sigterm_cpu_ms;      /* processor time that it had got by then */
+	uint64_t sigterm_own_cpu_ms;  /* that this program had got by then */
 	uint64_t harmed_ms;	      /* last SIGKILL, SIGSTOP, SIGCONT or start */
 	GArray *harms_ms;	      /* guint64: all of them */
 	uint64_t stop_at_ms;	      /* when SIGTERM is sent; 0: not planned */
@@ -109,6 +113,7 @@
 	struct stop_callers *callers; /* from before the signal on; NULL once all have ended */
 	bool exit_expected;	      /* after SIGKILL or SIGTERM, until it is restarted */
 	bool available;		      /* no fault was active on it at the last poll */
+	uint64_t key_log_bytes[SOAK_KEY_COUNT]; /* size of its log at the last change of a key */
 };
 
 struct replica {
@@ -172,6 +177,7 @@
 	uint32_t refused;		/* status 503 */
 	uint32_t failed;		/* another status or no answer; it may have run */
 	uint32_t truncated;		/* status 200, but the connection broke */
+	uint64_t longest_stop_ms;	/* from SIGTERM to the end of the process */
 	GHashTable *faults;		/* fault name to count */
 	uint64_t crash_part_from_ms;	/* when callers begin to send it; 0: never */
 	GArray *crashes_ms;		/* guint64: engines that crashed under it */
@@ -216,6 +222,15 @@
 		printf("%" G_GUINT64_FORMAT " fault %s\n", now_ms(), name);
 }
 
+/* Prints the log of a gateway from an offset on, below the violation that it belongs to. */
+static void print_log(const struct testbed_gateway *gateway, uint64_t from_bytes)
+{
+	g_autofree char *log = testbed_log_from(gateway, from_bytes);
+
+	printf("log of %s:\n%s\n", gateway->name, log);
+	fflush(stdout);
+}
+
 /* configuration and API keys */
 
 static void publish_config(struct soak *soak)
@@ -231,9 +246,15 @@
 
 static void toggle_random_key(struct soak *soak)
 {
-	struct api_key_state *key = &soak->keys[random_below(soak, SOAK_KEY_COUNT)];
+	uint32_t index = random_below(soak, SOAK_KEY_COUNT);
+	struct api_key_state *key = &soak->keys[index];
 
 	record_fault(soak, key->granted ? "revoke" : "grant");
+	for (guint i = 0; i < soak->instances->len; i++) {
+		struct instance *instance = soak->instances->pdata[i];
+
+		instance->key_log_bytes[index] = testbed_log_size(instance->gateway);
+	}
 	key->granted = !key->granted;
 	if (random_below(soak, 3) == 0) {
 		record_fault(soak, "config-large");
@@ -472,12 +493,34 @@
 		kill_instance(soak, instance);
 }
 
+/* Returns the processor time that this program has got, in ms. */
+static uint64_t own_cpu_ms(void)
+{
+	return (uint64_t)clock() * 1000 / CLOCKS_PER_SEC;
+}
+
+/* Reports a process that still runs after its grace period. */
+static void report_late_exit(struct soak *soak, const struct instance *instance)
+{
+	violation(soak,
+		  "%s did not exit within its grace period; %" G_GUINT64_FORMAT
+		  " ms after SIGTERM it has got %" G_GUINT64_FORMAT
+		  " ms of processor time since, and this program %" G_GUINT64_FORMAT,
+		  instance->gateway->name, now_ms() - instance->sigterm_sent_ms,
+		  testbed_cpu_ms(instance->gateway) - instance->sigterm_cpu_ms,
+		  own_cpu_ms() - instance->sigterm_own_cpu_ms);
+	print_log(instance->gateway, instance->sigterm_log_bytes);
+}
+
 static void stop_instance(struct soak *soak, struct instance *instance)
 {
 	uint64_t now = now_ms();
 
 	record_fault(soak, SOAK_FAULT_STOP);
 	instance->exit_expected = true;
+	instance->sigterm_log_bytes = testbed_log_size(instance->gateway);
+	instance->sigterm_cpu_ms = testbed_cpu_ms(instance->gateway);
+	instance->sigterm_own_cpu_ms = own_cpu_ms();
 	testbed_signal(instance->gateway, SIGTERM);
 	instance->sigterm_sent_ms = now;
 	instance->disturbed_until_ms = now + TESTBED_GRACE_S * 1000 + 1000;
@@ -638,11 +681,12 @@
 	}
 	update_stop(soak, instance);
 	if (instance->sigterm_sent_ms && testbed_has_exited(instance->gateway)) {
+		soak->longest_stop_ms = MAX(soak->longest_stop_ms, now - instance->sigterm_sent_ms);
 		instance->sigterm_sent_ms = 0;
 		instance->restart_at_ms = now + random_below(soak, 200);
 	} else if (instance->sigterm_sent_ms &&
 		   now > instance->sigterm_sent_ms + TESTBED_GRACE_S * 1000 + 500) {
-		violation(soak, "%s did not exit within its grace period", instance->gateway->name);
+		report_late_exit(soak, instance);
 		instance->sigterm_sent_ms = now;
 	}
 	if (instance->restart_at_ms && now >= instance->restart_at_ms) {
@@ -796,10 +840,13 @@
 		violation(soak, "%s %s: forwarded with customer %s instead of one", path,
 			  answer->id, record.customer);
 	if (record.arrivals && !key->granted &&
-	    answer->sent_ms > key->changed_ms + TESTBED_REVOKE_MS)
+	    answer->sent_ms > key->changed_ms + TESTBED_REVOKE_MS) {
 		violation(soak,
 			  "%s %s was forwarded with a key revoked %" G_GUINT64_FORMAT " ms before",
 			  path, answer->id, answer->sent_ms - key->changed_ms);
+		print_log(request->instance->gateway,
+			  request->instance->key_log_bytes[request->key]);
+	}
 	if (record.leaving_ms > SOAK_NOTICE_MAX_MS && request->undisturbed &&
 	    is_undisturbed(soak, request->instance))
 		violation(soak,
@@ -1344,9 +1391,10 @@
 		violation(&soak, "%" G_GUINT64_FORMAT " answers to callers were not valid HTTP",
 			  testbed_malformed_count(soak.testbed));
 	printf("seed %d: %u requests: %u succeeded, %u refused, %u failed, %u truncated; "
-	       "%u more after SIGTERM; %u violations; faults:",
+	       "%u more after SIGTERM; longest stop %" G_GUINT64_FORMAT
+	       " ms; %u violations; faults:",
 	       options->seed, soak.completed, soak.succeeded, soak.refused, soak.failed,
-	       soak.truncated, late_requests, soak.violations);
+	       soak.truncated, late_requests, soak.longest_stop_ms, soak.violations);
 	g_hash_table_iter_init(&iter, soak.faults);
 	while (g_hash_table_iter_next(&iter, &name, &count))
 		printf(" %s %u", (const char *)name, GPOINTER_TO_UINT(count));
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -6,9 +6,11 @@
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define TESTBED_CLOSE_MAX_MS	 1000
@@ -521,6 +523,42 @@
 	return g_string_free(out, FALSE);
 }
 
+uint64_t testbed_log_size(const struct testbed_gateway *gateway)
+{
+	struct stat info;
+
+	return stat(gateway->log_file, &info) == 0 ? (uint64_t)info.st_size : 0;
+}
+
+char *testbed_log_from(const struct testbed_gateway *gateway, uint64_t offset)
+{
+	g_autofree char *text = NULL;
+	gsize len;
+
+	if (!g_file_get_contents(gateway->log_file, &text, &len, NULL))
+		return g_strdup("");
+	return g_strdup(text + MIN(offset, len));
+}
+
+uint64_t testbed_cpu_ms(const struct testbed_gateway *gateway)
+{
+	const char *pid = gateway->process ? g_subprocess_get_identifier(gateway->process) : NULL;
+	g_autofree char *path = pid ? g_strdup_printf("/proc/%s/stat", pid) : NULL;
+	g_autofree char *text = NULL;
+	const char *end;
+	unsigned long long user = 0;
+	unsigned long long system = 0;
+
+	if (!path || !g_file_get_contents(path, &text, NULL, NULL))
+		return 0;
+	/* The name in brackets may have blanks; the times are the 12th and 13th field after it. */
+	end = strrchr(text, ')');
+	if (!end || sscanf(end + 1, " %*c %*s %*s %*s %*s %*s %*s %*s %*s %*s %*s %llu %llu", &user,
+			   &system) != 2)
+		return 0;
+	return (user + system) * 1000 / (uint64_t)sysconf(_SC_CLK_TCK);
+}
+
 /* helpers */
 
 static bool call_on_connected(void *ctx)
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -145,5 +145,11 @@
 bool testbed_is_prefix(const struct testbed_answer *answer, uint32_t output_tokens);
 /** Returns the lines of a gateway's log that contain a text. The caller frees them. */
 char *testbed_log_lines(const struct testbed_gateway *gateway, const char *needle);
+/** Returns the size of a gateway's log so far, in bytes; it is kept over restarts. */
+uint64_t testbed_log_size(const struct testbed_gateway *gateway);
+/** Returns a gateway's log from an offset on. The caller frees it. */
+char *testbed_log_from(const struct testbed_gateway *gateway, uint64_t offset);
+/** Returns the processor time that the process of a gateway has got, in ms; 0 when none runs. */
+uint64_t testbed_cpu_ms(const struct testbed_gateway *gateway);
 
 #endif
