Cold upstreams: a limit over all instances while cold, and a ramp-up after

Cause: an upstream that has just started, or a zone that returns, looks empty to every instance, so that all send there at once; a cold upstream fails well above a rate that its service states.

Change: warm_up.h limits what all instances together send to it. A few instances, chosen from the rows of the store's table in an order that all compute alike, share the limit; reports of peers do not enter, so that a lost one raises no part. The cold time is taken from the entry, from answers, and from the start that the entry states. cold_start.h applies it to the fleet: terms from the configuration (cold_per_s, cold_start_s) and the settings (bounds.cold_overage, cold_start_slack); without both nothing is done. A delegate passes on how long an upstream is cold, and rows that differ only in that only for services with such terms.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -17,6 +17,7 @@
 
 #include "flamingolatch/upstream_limit.h"
 #include "flamingolatch/upstream_quiet.h"
+#include "flamingolatch/warm_up.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -46,7 +47,8 @@
 	const char *zone;
 	uint64_t started_ms; /**< wall clock time of the upstream's start; 0 when unknown */
 	uint32_t slots;	     /**< requests that it works on at once; 0 when unknown */
-	uint32_t cold_ms; /**< how much longer it is slow after its start; the fleet ignores it */
+	uint64_t age_ms;  /**< time since its start; 0 when unknown. Not a difference of entries */
+	uint32_t cold_ms; /**< how much longer it is cold, see warm_up.h */
 	bool leaving;	  /**< it announced its shutdown */
 };
 
@@ -113,8 +115,12 @@
 
 /** Returns the current incarnation of an upstream, or NULL. */
 struct fleet_upstream *fleet_find(struct fleet *fleet, const char *id);
-/** Returns whether fleet_put_entry() would change nothing. */
+/** Returns whether fleet_put_entry() would change nothing but for how long the upstream is cold. */
 bool fleet_has_entry(const struct fleet *fleet, const struct fleet_entry *entry);
+/** Returns whether an entry says of the cold time of its upstream what is known. Always true for a
+ * service without terms for cold upstreams. */
+bool fleet_has_cold_time(const struct fleet *fleet, const struct fleet_entry *entry,
+			 uint64_t now_us);
 /** Returns an upstream by fleet_upstream_key(), without a reference, or NULL. */
 struct fleet_upstream *fleet_find_key(struct fleet *fleet, uint32_t key);
 /** Returns the upstreams of a service in a stable order: an array of struct fleet_upstream. */
@@ -131,8 +137,9 @@
 /** Calls @p callback for every known upstream. */
 void fleet_foreach(struct fleet *fleet, void (*callback)(void *ctx, struct fleet_upstream *up),
 		   void *ctx);
-/** Calls @p callback with the entry of each upstream that is listed. Its strings are borrowed. */
-void fleet_foreach_entry(struct fleet *fleet,
+/** Calls @p callback with the entry of each upstream that is listed. Its strings are borrowed; its
+ * cold time is 0 for a service without terms for cold upstreams. */
+void fleet_foreach_entry(struct fleet *fleet, uint64_t now_us,
 			 void (*callback)(void *ctx, const struct fleet_entry *entry), void *ctx);
 
 /** @name One upstream
@@ -175,6 +182,8 @@
 struct fleet_load *fleet_upstream_own_load(struct fleet_upstream *up);
 /** Returns the limit that it names in its answers. */
 struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up);
+/** Returns the limit while it is cold and warms up, to be read and updated. */
+struct warm_up *fleet_upstream_cold_limit(struct fleet_upstream *up);
 /** Returns the time for which it asked to be left alone, to be read and updated. */
 struct upstream_quiet *fleet_upstream_quiet(struct fleet_upstream *up);
 /** Makes fleet_foreach_active() visit the upstream while it has open requests of this instance. */
--- a/include/flamingolatch/gateway_settings.h
+++ b/include/flamingolatch/gateway_settings.h
@@ -26,6 +26,9 @@
 	double retry_ratio;    /**< retries for each request of a service */
 	double retry_slack;    /**< retries in a window beyond the ratio, over all instances */
 	double retry_window_s; /**< length of the window that requests and retries are counted in */
+	double cold_overage;   /**< factor of what a cold upstream takes in a second that is
+				* tolerated; 0: cold upstreams have no limit */
+	double cold_start_slack; /**< requests tolerated in a second beyond that */
 };
 
 /** Queue, placement and failure detection. */
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -64,6 +64,7 @@
 	X(METRIC_CRASHED_STARTS, "crashed_starts_total", "Attempts whose connection to the upstream broke before the answer made progress.") \
 	X(METRIC_QUARANTINE_REFUSED, "quarantine_refused_total", "Requests refused because they or a part of their prompt are quarantined or held back.") \
 	X(METRIC_LIMIT_REFUSED, "limit_refused_total", "Requests refused because the upstreams of the service take no more, by the limits that they name.") \
+	X(METRIC_COLD_REQUESTS, "cold_requests_total", "Requests sent to upstreams that were cold or warming up.") \
 	X(METRIC_ENGINE_ORDERS, "orders_total", "Orders sent to engines.") \
 	X(METRIC_CONNECTION_CLOSE_ANSWERS, "closing_answers_total", "Generation answers after which the engine closes the connection.") \
 	X(METRIC_GENERATIONS_SPILLED, "spilled_total", "Generations sent to another availability zone.")
@@ -73,6 +74,7 @@
 	X(METRIC_QUEUED_REQUESTS, "queued_requests", "Generations queued for an engine, and calls for upstreams that are left alone.") \
 	X(METRIC_MEMBERS, "members", "Instances considered alive, this one included.") \
 	X(METRIC_UPSTREAMS, "upstreams", "Upstream instances known.") \
+	X(METRIC_COLD_UPSTREAMS, "cold_upstreams", "Upstreams that are cold or warming up, of services that limit the requests to those.") \
 	X(METRIC_QUARANTINED, "quarantined", "Prompt parts and requests that are not sent to upstreams.") \
 	X(METRIC_CONFIG_REVISION, "config_revision", "Configuration revision in force here.") \
 	X(METRIC_CONFIG_CONFIRMED_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as the newest.") \
--- a/include/flamingolatch/protocol.h
+++ b/include/flamingolatch/protocol.h
@@ -86,6 +86,9 @@
 	/** Returns the requests a second that the upstream takes from all instances together,
 	 * as its answer names them; negative when it names no limit. */
 	double (*decode_limit)(const struct http_response_head *head);
+	/** Returns how much longer the upstream is cold, as its answer says, in ms; 0 when it says
+	 * nothing of it. */
+	uint32_t (*decode_cold)(const struct http_response_head *head);
 	/** Returns true when the upstream says in its answer that it leaves. */
 	bool (*decode_leaving)(const struct http_response_head *head);
 	/** Decodes the time for which the upstream wants nothing from this instance.
--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -61,7 +61,9 @@
 struct route_service {
 	char *name;
 	char *health_path;
-	uint32_t max_connections;   /**< connections that one upstream accepts in total */
+	uint32_t max_connections; /**< connections that one upstream accepts in total */
+	double cold_per_s; /**< requests a second that a cold upstream takes; 0: no such limit */
+	uint32_t cold_start_ms;	    /**< how long an upstream is cold after a start */
 	bool has_engines;	    /**< the upstreams are engines and run generations */
 	struct route_engine engine; /**< valid if @c has_engines is set */
 };
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -39,6 +39,7 @@
 	struct fleet_load own_load;
 	struct upstream_limit limit;
 	struct upstream_quiet quiet;
+	struct warm_up cold_limit;
 	struct fleet_load peer_load; /* the sum over the peers of the own zone */
 	struct fleet_load zone_load; /* the sum over the other zones */
 	double failure_share;
@@ -208,6 +209,7 @@
 	up->zone = g_strdup(entry->zone);
 	up->started_ms = entry->started_ms;
 	up->first_listed_us = now_us;
+	warm_up_appear(&up->cold_limit, entry->age_ms, now_us);
 	up->distance = fleet_distance(fleet, fleet->zone, entry->zone);
 	up->key = g_str_hash(up->scope);
 	up->refs = 1;
@@ -308,12 +310,15 @@
 		added = true;
 	}
 	up->slots = entry->slots;
+	warm_up_hear(&up->cold_limit, entry->cold_ms, now_us);
 	up->unlisted = false;
 	up->announced_leaving |= entry->leaving;
 	if (entry->leaving || fleet_has_departed(fleet, entry->id, entry->started_ms)) {
 		fleet_upstream_set_leaving(up, now_us);
 	} else if (up->state != FLEET_UPSTREAM_READY && up->state != FLEET_UPSTREAM_GONE &&
 		   !up->announced_leaving) {
+		if (up->state == FLEET_UPSTREAM_LEAVING)
+			warm_up_return(&up->cold_limit, now_us);
 		up->leaving_since_us = 0;
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_READY);
 	} else if (added) {
@@ -346,12 +351,13 @@
 
 /* By now an upstream that shuts down has ended. If its entry has gone it is gone; if its entry is
  * still there and says nothing of a shutdown, the notice was wrong. */
-static void fleet_end_leaving(struct fleet_upstream *up)
+static void fleet_end_leaving(struct fleet_upstream *up, uint64_t now_us)
 {
 	if (up->unlisted) {
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
 	} else if (!up->announced_leaving &&
 		   !fleet_has_departed(up->fleet, up->id, up->started_ms)) {
+		warm_up_return(&up->cold_limit, now_us);
 		up->leaving_since_us = 0;
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_READY);
 	}
@@ -370,7 +376,7 @@
 			fleet_upstream_set_leaving(up, now_us);
 		if (up->state == FLEET_UPSTREAM_LEAVING &&
 		    now_us - up->leaving_since_us > FLEET_LEAVING_KEEP_US)
-			fleet_end_leaving(up);
+			fleet_end_leaving(up, now_us);
 		if (up->state == FLEET_UPSTREAM_GONE)
 			fleet_forget(fleet, up);
 	}
@@ -613,6 +619,14 @@
 				: FLEET_UPSTREAM_READY);
 }
 
+bool fleet_has_cold_time(const struct fleet *fleet, const struct fleet_entry *entry,
+			 uint64_t now_us)
+{
+	const struct fleet_upstream *up = g_hash_table_lookup(fleet->by_id, entry->id);
+
+	return !up || warm_up_confirms(&up->cold_limit, entry->cold_ms, now_us);
+}
+
 const GPtrArray *fleet_service_upstreams(struct fleet *fleet, const char *service)
 {
 	static GPtrArray empty;
@@ -649,7 +663,7 @@
 		callback(ctx, up);
 }
 
-void fleet_foreach_entry(struct fleet *fleet,
+void fleet_foreach_entry(struct fleet *fleet, uint64_t now_us,
 			 void (*callback)(void *ctx, const struct fleet_entry *entry), void *ctx)
 {
 	GHashTableIter iter;
@@ -663,6 +677,7 @@
 					     .zone = up->zone,
 					     .started_ms = up->started_ms,
 					     .slots = up->slots,
+					     .cold_ms = warm_up_cold_ms(&up->cold_limit, now_us),
 					     .leaving = up->announced_leaving };
 
 		if (!up->unlisted)
@@ -675,6 +690,11 @@
 	return &up->quiet;
 }
 
+struct warm_up *fleet_upstream_cold_limit(struct fleet_upstream *up)
+{
+	return &up->cold_limit;
+}
+
 struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up)
 {
 	return &up->limit;
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -27,6 +27,8 @@
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_ratio, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_slack, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_window_s, CONF_F64),
+	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, cold_overage, CONF_F64),
+	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, cold_start_slack, CONF_F64),
 	{ 0 },
 };
 static const struct conf_schema gateway_bounds_settings_schema = {
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -174,10 +174,11 @@
 		struct fleet_upstream *up = ups->pdata[i];
 		struct call_queue_upstream view = dispatch_call_view(dispatch, up);
 
-		/* When the limit that it names allows more is not known here. */
+		/* When its limit allows more is not known here. */
 		if (dispatch_is_eligible(up, need, now_us) &&
 		    (upstream_quiet_left_us(view.quiet, now_us) > 0 ||
-		     upstream_limit_allows(fleet_upstream_limit(up), now_us)))
+		     (upstream_limit_allows(fleet_upstream_limit(up), now_us) &&
+		      warm_up_allows(fleet_upstream_cold_limit(up), now_us))))
 			g_array_append_val(out, view);
 	}
 	return out;
@@ -375,6 +376,7 @@
 {
 	return dispatch_is_eligible(up, need, now_us) &&
 	       upstream_limit_allows(fleet_upstream_limit((struct fleet_upstream *)up), now_us) &&
+	       warm_up_allows(fleet_upstream_cold_limit((struct fleet_upstream *)up), now_us) &&
 	       upstream_quiet_allows(fleet_upstream_quiet((struct fleet_upstream *)up),
 				     fleet_upstream_own_load((struct fleet_upstream *)up)->open,
 				     now_us);
@@ -412,6 +414,26 @@
 	};
 }
 
+/* Selects one of the engines. A KV copy goes to a cold one only when no other has room. */
+static int32_t dispatch_place(const struct placement_params *params,
+			      const struct dispatch_need *need, const GPtrArray *ups,
+			      struct placement_engine *views, uint64_t now_us)
+{
+	g_autofree struct placement_engine *warm = NULL;
+	int32_t best = PLACEMENT_NONE;
+
+	if (need->place.needs_kv_copy) {
+		warm = g_memdup2(views, ups->len * sizeof(*views));
+		for (guint i = 0; i < ups->len; i++)
+			warm[i].usable &= warm_up_phase(fleet_upstream_cold_limit(ups->pdata[i]),
+							now_us) != WARM_UP_COLD;
+		best = placement_select_engine(params, &need->place, warm, ups->len);
+	}
+	return best != PLACEMENT_NONE
+		       ? best
+		       : placement_select_engine(params, &need->place, views, ups->len);
+}
+
 struct fleet_upstream *dispatch_select_engine(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      struct dispatch_decision *decision)
@@ -434,7 +456,7 @@
 		views[i].usable &=
 			need->place.needs_kv_copy || dispatch_is_load_known(ups->pdata[i], now_us);
 	}
-	best = placement_select_engine(&params, &need->place, views, ups->len);
+	best = dispatch_place(&params, need, ups, views, now_us);
 	decision->candidates = ups->len;
 	if (best == PLACEMENT_NONE)
 		return NULL;
@@ -518,7 +540,8 @@
 
 	for (guint i = 0; i < ups->len; i++) {
 		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
-		    !upstream_limit_allows(fleet_upstream_limit(ups->pdata[i]), now_us))
+		    !(upstream_limit_allows(fleet_upstream_limit(ups->pdata[i]), now_us) &&
+		      warm_up_allows(fleet_upstream_cold_limit(ups->pdata[i]), now_us)))
 			return true;
 	}
 	return false;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -78,8 +78,8 @@
 struct fleet_upstream *dispatch_select_backup(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      const struct fleet_upstream *main);
-/** Tells whether an upstream of a service gets no request now because of the limit that it names.
- */
+/** Tells whether an upstream of a service gets no request now because of the limit that it names or
+ * that it has while it is cold. */
 bool dispatch_is_limited(struct dispatch *dispatch, const char *service);
 /** Returns the time until the first upstream of a service may be asked again, in us, when all of
  * them asked to be left alone; otherwise 0. */
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -16,9 +16,11 @@
 {
 	struct fleet_load peers = fleet_upstream_peer_load(up);
 	const struct upstream_limit *limit = fleet_upstream_limit((struct fleet_upstream *)up);
+	const struct warm_up *cold = fleet_upstream_cold_limit((struct fleet_upstream *)up);
 	const struct upstream_quiet *quiet = fleet_upstream_quiet((struct fleet_upstream *)up);
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I}",
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I, "
+			 "s:s, s:I, s:f}",
 			 "id", fleet_upstream_id(up), "service", fleet_upstream_service(up),
 			 "address", fleet_upstream_address(up), "zone", fleet_upstream_zone(up),
 			 "state", fleet_upstream_state_name(fleet_upstream_state(up)), "own",
@@ -28,7 +30,10 @@
 			 fleet_upstream_on_probation(up), "silent_ms",
 			 (json_int_t)(fleet_upstream_silent_us(up, now_us) / 1000), "limit_per_s",
 			 limit->limited ? limit->limit_per_s : -1.0, "limit_share", limit->share,
-			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000));
+			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000),
+			 "cold_phase", warm_up_phase_name(warm_up_phase(cold, now_us)), "cold_ms",
+			 (json_int_t)warm_up_cold_ms(cold, now_us), "cold_own_per_s",
+			 warm_up_rate_per_s(cold, now_us));
 }
 
 static json_t *dump_upstreams(struct env *env)
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -23,6 +23,7 @@
 
 #include <uv.h>
 
+struct cold_start;
 struct crash_guard;
 struct limit_exchange;
 
@@ -36,6 +37,7 @@
 	const struct protocol_ops *protocol;
 	struct crash_guard *crash_guard;
 	struct limit_exchange *limit_exchange;
+	struct cold_start *cold_start;
 	struct route_config *config; /**< in force; NULL before the first */
 	struct freshness freshness;  /**< age of the configuration */
 	GHashTable *retry_budgets;   /**< name of a service to struct retry_budget */
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "cold_start.h"
 #include "crash_guard.h"
 #include "delegation.h"
 #include "dispatch.h"
@@ -154,6 +155,7 @@
 	gateway->env.crash_guard = crash_guard_create(&gateway->env, gateway->peer_exchange);
 	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->env.limit_exchange = limit_exchange_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.cold_start = cold_start_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -175,6 +177,7 @@
 		return;
 	delegation_destroy(gateway->delegation);
 	store_watch_destroy(gateway->store_watch);
+	cold_start_destroy(gateway->env.cold_start);
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
@@ -227,6 +230,7 @@
 
 	route_config_unref(gateway->env.config);
 	gateway->env.config = route_config_ref(config);
+	cold_start_on_config(gateway->env.cold_start);
 	http_server_set_limits(gateway->callers, &server,
 			       limits->max_body_bytes ? limits->max_body_bytes
 						      : GATEWAY_DEFAULT_BODY_MAX_BYTES);
@@ -249,6 +253,7 @@
 {
 	struct gateway *gateway = ctx;
 
+	cold_start_on_upstream(gateway->env.cold_start, up);
 	log_event(LOG_UPSTREAM_STATE, "upstream", fleet_upstream_id(up), "service",
 		  fleet_upstream_service(up), "address", fleet_upstream_address(up), "zone",
 		  fleet_upstream_zone(up), "state",
@@ -301,6 +306,7 @@
 	/* Changed addresses take effect at the next start of the process. */
 	gateway->settings = settings;
 	gateway_apply_bounds(gateway);
+	cold_start_on_config(gateway->env.cold_start);
 	gateway_settings_destroy(old);
 	log_event(LOG_SETTINGS_RELOADED, "file", gateway->file, NULL);
 }
--- a/src/serve/limit_exchange.c
+++ b/src/serve/limit_exchange.c
@@ -504,9 +504,12 @@
 	double rate_per_s = 0.0;
 
 	for (guint i = 0; i < ups->len; i++) {
+		double named = upstream_limit_rate_per_s(fleet_upstream_limit(ups->pdata[i]));
+		double cold = warm_up_rate_per_s(fleet_upstream_cold_limit(ups->pdata[i]), now_us);
+
 		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED)
 			rate_per_s +=
-				MAX(upstream_limit_rate_per_s(fleet_upstream_limit(ups->pdata[i])),
+				MAX(named < 0.0 || cold < 0.0 ? MAX(named, cold) : MIN(named, cold),
 				    0.0);
 	}
 	demand->next_return_us = MAX(demand->next_return_us, now_us);
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -115,6 +115,7 @@
 	uint64_t announced_us; /* when the row of this instance was last written; 0 before */
 	bool announced;	       /* the store has the row of this instance */
 	bool has_read;	       /* the rows were read at least once */
+	bool has_learned;      /* a delegate passed on what it read */
 	bool delegated;
 	bool leaving;
 	struct {
@@ -595,6 +596,11 @@
 	return exchange->has_read;
 }
 
+bool peer_exchange_knows_peers(const struct peer_exchange *exchange)
+{
+	return exchange->has_read || exchange->has_learned;
+}
+
 void peer_exchange_each_peer(struct peer_exchange *exchange,
 			     void (*each)(void *ctx, const char *address, const char *instance,
 					  const char *zone, bool listed),
@@ -711,6 +717,11 @@
 	peer_exchange_add_named(exchange, address, instance, zone);
 }
 
+void peer_exchange_note_delegated_read(struct peer_exchange *exchange)
+{
+	exchange->has_learned = true;
+}
+
 void peer_exchange_check_rows(struct peer_exchange *exchange)
 {
 	uint64_t delay_ms =
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -1,5 +1,6 @@
 #include "relay_attempt.h"
 
+#include "cold_start.h"
 #include "crash_guard.h"
 #include "limit_exchange.h"
 
@@ -98,6 +99,7 @@
 				  : 0,
 			  from_address ? 0 : request->decoded.prompt_tokens);
 	upstream_limit_take(fleet_upstream_limit(up), env_now_us());
+	cold_start_on_request(env->cold_start, up);
 	env->placed_generation |= relay_is_generation(request);
 	/* A resumed generation occupies memory before its first event. */
 	if (from_address)
@@ -197,6 +199,9 @@
 	if (verdict == PROTOCOL_ANSWERED || verdict == PROTOCOL_NOT_RUN)
 		limit_exchange_on_answer(request->relay->env->limit_exchange, request->attempt.up,
 					 request->relay->env->protocol->decode_limit(head));
+	if (verdict == PROTOCOL_ANSWERED || verdict == PROTOCOL_NOT_RUN)
+		cold_start_on_answer(request->relay->env->cold_start, request->attempt.up,
+				     request->relay->env->protocol->decode_cold(head));
 	if (http_response_closes_connection(head) && relay_is_generation(request) &&
 	    verdict == PROTOCOL_ANSWERED)
 		metric_add(request->relay->env->metric, METRIC_CONNECTION_CLOSE_ANSWERS, 1);
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -1,5 +1,6 @@
 #include "relay_migrate.h"
 
+#include "cold_start.h"
 #include "relay_attempt.h"
 
 #include <stdlib.h>
@@ -122,6 +123,8 @@
 			       request->decoded.prompt_tokens + request->expected_output_tokens);
 	relay_update_used(request);
 	request->relay->env->placed_generation = true;
+	/* Others are not to select a cold engine for the request that it will get. */
+	cold_start_on_request(request->relay->env->cold_start, target);
 	g_clear_pointer(&request->kv_copy_source, fleet_upstream_unref);
 	request->kv_copy_source = fleet_upstream_ref(request->attempt.up);
 	relay_send_migrate(request, false);
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -389,6 +389,7 @@
 	row->zone = g_strdup(entry->zone);
 	row->started_ms = entry->started_ms;
 	row->slots = entry->slots;
+	row->cold_ms = entry->cold_ms;
 	row->leaving = entry->leaving;
 	g_ptr_array_add(ctx, row);
 }
@@ -400,7 +401,7 @@
 	changes->complete = true;
 	changes->to = watch->list_position;
 	changes->rows = g_ptr_array_new_with_free_func(store_watch_row_free);
-	fleet_foreach_entry(watch->env->fleet, store_watch_add_entry, changes->rows);
+	fleet_foreach_entry(watch->env->fleet, env_now_us(), store_watch_add_entry, changes->rows);
 	return changes;
 }
 
@@ -678,6 +679,8 @@
 /* Returns the entry of a row that is one. It refers to the row's strings. */
 static struct fleet_entry store_watch_entry(const struct store_change *row)
 {
+	uint64_t wall_ms = (uint64_t)g_get_real_time() / 1000;
+
 	return (struct fleet_entry){
 		.id = row->id,
 		.service = row->service,
@@ -685,6 +688,9 @@
 		.zone = row->zone,
 		.started_ms = row->started_ms,
 		.slots = row->slots,
+		/* 0 when it is unknown, or later than the clock here says. */
+		.age_ms = row->started_ms && wall_ms > row->started_ms ? wall_ms - row->started_ms
+								       : 0,
 		.cold_ms = row->cold_ms,
 		.leaving = row->leaving,
 	};
@@ -707,7 +713,7 @@
 }
 
 /* Returns the rows that change something. The store also sends an entry that its upstream only
- * renewed, or whose slow start has advanced. */
+ * renewed, or whose cold time has advanced. */
 static GPtrArray *store_watch_effective_rows(const struct store_watch *watch, const GPtrArray *rows)
 {
 	GPtrArray *effective = g_ptr_array_new();
@@ -716,7 +722,8 @@
 		struct store_change *row = rows->pdata[i];
 		struct fleet_entry entry = store_watch_entry(row);
 
-		if (row->removed || row->malformed || !fleet_has_entry(watch->env->fleet, &entry))
+		if (row->removed || row->malformed || !fleet_has_entry(watch->env->fleet, &entry) ||
+		    !fleet_has_cold_time(watch->env->fleet, &entry, env_now_us()))
 			g_ptr_array_add(effective, row);
 	}
 	metric_add(watch->env->metric, METRIC_STORE_ROWS_UNCHANGED, rows->len - effective->len);
