--- a/include/flamingolatch/warm_up.h
+++ b/include/flamingolatch/warm_up.h
@@ -12,9 +12,9 @@
  * an order that all compute alike. No report of a peer enters, so that one that is
  * lost or late raises no part: the parts add up to the limit, and what instances may
  * have saved up, one request each at least, to WARM_UP_BURST_SHARE of what the
- * service tolerates beyond it. The rest is for instances that know the table a
- * little earlier or later than others. After the cold time the limit doubles every
- * WARM_UP_DOUBLING_MS, and more instances share it, until there is none.
+ * service tolerates beyond it. The rest is for requests that are late on their way,
+ * and for an instance whose row a few others don't know in time. After the cold time the limit
+ * doubles every WARM_UP_DOUBLING_MS, and more instances share it, until there is none.
  *
  * warm_up_appear() once, warm_up_set_terms() when the configuration changes,
  * warm_up_hear() for each entry and warm_up_hear_answer() for each answer,
@@ -32,6 +32,9 @@
 #define WARM_UP_DOUBLING_MS 250
 /** After this many doublings there is no limit: 64 times that of a cold upstream. */
 #define WARM_UP_DOUBLINGS 6
+/** While an upstream is cold, an instance has no part before it has known the store's table for
+ * this long: then every other that has one knows its row, and it knows theirs. */
+#define WARM_UP_SETTLE_MS 1000
 /** Part of the requests tolerated beyond the rate that instances may save up. */
 #define WARM_UP_BURST_SHARE 0.6
 
@@ -108,6 +111,7 @@
 	uint32_t count;
 	uint32_t own;	       /**< index of this instance */
 	uint32_t upstream_key; /**< names the upstream, alike at all instances */
+	uint64_t known_us;     /**< since when this instance knows the table; 0: it does not */
 };
 
 /** Returns by how many instances a limit is shared, or 0 if this one is none of them. Two in three
--- a/src/core/warm_up.c
+++ b/src/core/warm_up.c
@@ -226,7 +226,10 @@
 	uint32_t senders;
 	uint32_t zone_senders;
 
-	if (limit_per_s < 0.0)
+	if (limit_per_s < 0.0 || view->known_us == 0)
+		return 0;
+	if (warm_up_phase(warm_up, now_us) == WARM_UP_COLD &&
+	    now_us < view->known_us + WARM_UP_SETTLE_MS * 1000ULL)
 		return 0;
 	senders = MIN((uint32_t)warm_up_burst(warm_up, limit_per_s), view->count);
 	for (uint32_t i = 0; i < view->count; i++) {
--- a/src/serve/cold_start.c
+++ b/src/serve/cold_start.c
@@ -79,13 +79,9 @@
 static void cold_start_set_part(struct cold_start *cold, struct fleet_upstream *up, uint64_t now_us)
 {
 	struct warm_up *limit = fleet_upstream_cold_limit(up);
-	struct warm_up_view view = { .upstream_key = fleet_upstream_key(up) };
+	struct warm_up_view view = { .upstream_key = fleet_upstream_key(up),
+				     .known_us = peer_exchange_known_since_us(cold->exchange) };
 
-	/* Others have parts of the whole limit that an instance does not know of. */
-	if (!peer_exchange_knows_peers(cold->exchange)) {
-		warm_up_set_part(limit, 0, now_us);
-		return;
-	}
 	cold->zone = fleet_upstream_zone(up);
 	g_array_set_size(cold->members, 0);
 	peer_exchange_each_peer(cold->exchange, cold_start_add_member, cold);
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -558,7 +558,7 @@
 		if (strcmp(peer->address, peer_exchange_address(delegation->exchange)) == 0)
 			peer_exchange_note_own_row(delegation->exchange, peer->listed);
 	}
-	peer_exchange_note_delegated_read(delegation->exchange);
+	peer_exchange_note_read(delegation->exchange);
 	return true;
 }
 
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -112,10 +112,10 @@
 	uint32_t announce_failures; /* in a row */
 	uint32_t read_failures;	    /* in a row */
 	uint32_t open_handles;
-	uint64_t announced_us; /* when the row of this instance was last written; 0 before */
-	bool announced;	       /* the store has the row of this instance */
-	bool has_read;	       /* the rows were read at least once */
-	bool has_learned;      /* a delegate passed on what it read */
+	uint64_t announced_us;	 /* when the row of this instance was last written; 0 before */
+	bool announced;		 /* the store has the row of this instance */
+	bool has_read;		 /* the rows were read at least once */
+	uint64_t known_since_us; /* when the rows were first known, also from a delegate */
 	bool delegated;
 	bool leaving;
 	struct {
@@ -596,9 +596,9 @@
 	return exchange->has_read;
 }
 
-bool peer_exchange_knows_peers(const struct peer_exchange *exchange)
+uint64_t peer_exchange_known_since_us(const struct peer_exchange *exchange)
 {
-	return exchange->has_read || exchange->has_learned;
+	return exchange->known_since_us;
 }
 
 void peer_exchange_each_peer(struct peer_exchange *exchange,
@@ -717,9 +717,10 @@
 	peer_exchange_add_named(exchange, address, instance, zone);
 }
 
-void peer_exchange_note_delegated_read(struct peer_exchange *exchange)
+void peer_exchange_note_read(struct peer_exchange *exchange)
 {
-	exchange->has_learned = true;
+	if (exchange->known_since_us == 0)
+		exchange->known_since_us = env_now_us();
 }
 
 void peer_exchange_check_rows(struct peer_exchange *exchange)
@@ -842,6 +843,7 @@
 	}
 	exchange->read_failures = 0;
 	exchange->has_read = true;
+	peer_exchange_note_read(exchange);
 	g_hash_table_iter_init(&iter, exchange->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
 		peer->listed = false;
--- a/src/serve/peer_exchange.h
+++ b/src/serve/peer_exchange.h
@@ -105,11 +105,11 @@
 			     void (*zone)(void *ctx, const char *name), void *ctx);
 /** Returns true once the rows of the instances were read. */
 bool peer_exchange_has_read(const struct peer_exchange *exchange);
-/** Records that a delegate passed on the instances that it read. */
-void peer_exchange_note_delegated_read(struct peer_exchange *exchange);
-/** Returns true once the instances in the store's table are known, by an own read or that of a
- * delegate. */
-bool peer_exchange_knows_peers(const struct peer_exchange *exchange);
+/** Records that all rows of the instances were read, here or by a delegate that passed them on. */
+void peer_exchange_note_read(struct peer_exchange *exchange);
+/** Returns since when the instances in the store's table are known, by an own read or that of a
+ * delegate; 0: they are not. */
+uint64_t peer_exchange_known_since_us(const struct peer_exchange *exchange);
 /** Reports to the peers that this instance stops and removes it from the store. */
 void peer_exchange_leave(struct peer_exchange *exchange);
 
