--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -83,7 +83,7 @@
 					      const struct dispatch_need *need,
 					      const struct fleet_upstream *main);
 /** Tells whether an upstream that a request may go to gets none now because of the limit that it
- * names. */
+ * names or that it has while it is cold. */
 bool dispatch_is_limited(struct dispatch *dispatch, const struct dispatch_need *need);
 /** Returns the time until the first upstream that a request may go to can be asked again, in us,
  * when all of them asked to be left alone; otherwise 0. */
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -112,9 +112,10 @@
 	uint32_t announce_failures; /* in a row */
 	uint32_t read_failures;	    /* in a row */
 	uint32_t open_handles;
-	uint64_t announced_us; /* when the row of this instance was last written; 0 before */
-	bool announced;	       /* the store has the row of this instance */
-	bool has_read;	       /* the rows were read at least once */
+	uint64_t announced_us;	 /* when the row of this instance was last written; 0 before */
+	bool announced;		 /* the store has the row of this instance */
+	bool has_read;		 /* the rows were read at least once */
+	uint64_t known_since_us; /* when the rows were first known, also from a delegate */
 	bool delegated;
 	bool leaving;
 	struct {
@@ -595,6 +596,11 @@
 	return exchange->has_read;
 }
 
+uint64_t peer_exchange_known_since_us(const struct peer_exchange *exchange)
+{
+	return exchange->known_since_us;
+}
+
 void peer_exchange_each_peer(struct peer_exchange *exchange,
 			     void (*each)(void *ctx, const char *address, const char *instance,
 					  const char *zone, bool listed),
@@ -711,6 +717,12 @@
 	peer_exchange_add_named(exchange, address, instance, zone);
 }
 
+void peer_exchange_note_read(struct peer_exchange *exchange)
+{
+	if (exchange->known_since_us == 0)
+		exchange->known_since_us = env_now_us();
+}
+
 void peer_exchange_check_rows(struct peer_exchange *exchange)
 {
 	uint64_t delay_ms =
@@ -831,6 +843,7 @@
 	}
 	exchange->read_failures = 0;
 	exchange->has_read = true;
+	peer_exchange_note_read(exchange);
 	g_hash_table_iter_init(&iter, exchange->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
 		peer->listed = false;
