Evacuation: upstreams of a returning zone count as cold

Cause: upstreams may turn cold just before the end of an evacuation, and their entries say so with a heartbeat's delay; the instances would send at once. Change: fleet_set_evacuated() starts the slow start of a zone that returns. After: /fleet/returned-cold passes; it fails without the change (phase warm).

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -94,9 +94,11 @@
  * that has ended is removed before.
  */
 void fleet_distrust_entries(struct fleet *fleet, uint64_t now_us);
-/** Replaces the set of evacuated zones, to whose upstreams nothing is sent.
+/** Replaces the set of evacuated zones, to whose upstreams nothing is sent. The upstreams of a zone
+ * that returns may have become cold meanwhile, and their entries say so late, so they count as
+ * started now.
  * @param zones strings; the fleet takes a reference and expects no later change */
-void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones);
+void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones, uint64_t now_us);
 /** Tells whether fleet_set_evacuated() was called: before, nothing may be sent to any upstream. */
 bool fleet_knows_evacuated(const struct fleet *fleet);
 /** Marks upstreams whose lapse has ended as leaving, removes those that are gone, and makes those
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -258,8 +258,22 @@
 	fleet->distrust_until_us = now_us + FLEET_DISTRUST_US;
 }
 
-void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones)
+static bool fleet_zones_have(GPtrArray *zones, const char *zone)
 {
+	return zones && g_ptr_array_find_with_equal_func(zones, zone, g_str_equal, NULL);
+}
+
+void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones, uint64_t now_us)
+{
+	GHashTableIter iter;
+	struct fleet_upstream *up;
+
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
+		if (fleet_zones_have(fleet->evacuated, up->zone) &&
+		    !fleet_zones_have(zones, up->zone))
+			warm_up_return(&up->cold_limit, now_us);
+	}
 	g_ptr_array_ref(zones);
 	g_clear_pointer(&fleet->evacuated, g_ptr_array_unref);
 	fleet->evacuated = zones;
@@ -609,9 +623,7 @@
 
 bool fleet_upstream_is_evacuated(const struct fleet_upstream *up)
 {
-	GPtrArray *zones = up->fleet->evacuated;
-
-	return zones && g_ptr_array_find_with_equal_func(zones, up->zone, g_str_equal, NULL);
+	return fleet_zones_have(up->fleet->evacuated, up->zone);
 }
 
 struct fleet_upstream *fleet_find(struct fleet *fleet, const char *id)
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -373,7 +373,7 @@
 	if (!evacuation_is_known(watch->evacuation) ||
 	    (!changed && fleet_knows_evacuated(watch->env->fleet)))
 		return;
-	fleet_set_evacuated(watch->env->fleet, zones);
+	fleet_set_evacuated(watch->env->fleet, zones, env_now_us());
 	metric_set(watch->env->metric, METRIC_EVACUATED_ZONES, zones->len);
 	if (!changed)
 		return;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -926,10 +926,10 @@
 	fleet_put_entry(fleet, &entry, 1 * S);
 	up = fleet_upstream_ref(fleet_find(fleet, "a"));
 	g_assert_false(fleet_knows_evacuated(fleet));
-	fleet_set_evacuated(fleet, none);
+	fleet_set_evacuated(fleet, none, 4 * S);
 	g_assert_true(fleet_knows_evacuated(fleet));
 	g_assert_false(fleet_upstream_is_evacuated(up));
-	fleet_set_evacuated(fleet, zones);
+	fleet_set_evacuated(fleet, zones, 4 * S);
 	entry = engine_entry("b", "10.0.0.2:80", 5);
 	fleet_put_entry(fleet, &entry, 2 * S);
 	entry = engine_entry("c", "10.0.0.3:80", 5);
@@ -942,17 +942,45 @@
 	g_assert_true(fleet_upstream_is_evacuated(up));
 	g_assert_true(fleet_upstream_is_evacuated(fleet_find(fleet, "b")));
 	g_assert_false(fleet_upstream_is_evacuated(fleet_find(fleet, "c")));
-	fleet_set_evacuated(fleet, none);
+	fleet_set_evacuated(fleet, none, 4 * S);
 	g_assert_false(fleet_upstream_is_evacuated(up));
 	fleet_upstream_unref(up);
 	fleet_destroy(fleet);
 }
 
+/* Guards against a zone that returns from an evacuation and gets requests as if it were warm,
+ * before the entries of its upstreams say that they are cold. */
+static void test_returned_cold(void)
+{
+	const struct warm_up_terms terms = {
+		.cold_per_s = 22.0, .overage = 1.5, .slack = 5.0, .cold_start_ms = 1000
+	};
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry entry = engine_entry("a", "10.0.0.1:80", 5);
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+	struct warm_up *limit;
+
+	g_ptr_array_add(zones, (gpointer) "n2");
+	entry.age_ms = 1000000;
+	fleet_put_entry(fleet, &entry, 2000 * S);
+	limit = fleet_upstream_cold_limit(fleet_find(fleet, "a"));
+	warm_up_set_terms(limit, &terms);
+	fleet_set_evacuated(fleet, none, 2000 * S);
+	g_assert_cmpint(warm_up_phase(limit, 2000 * S), ==, WARM_UP_WARM);
+	fleet_set_evacuated(fleet, zones, 2001 * S);
+	g_assert_cmpint(warm_up_phase(limit, 2001 * S), ==, WARM_UP_WARM);
+	fleet_set_evacuated(fleet, none, 2009 * S);
+	g_assert_cmpint(warm_up_phase(limit, 2009 * S), ==, WARM_UP_COLD);
+	fleet_destroy(fleet);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/fleet/join-and-leave", test_join_and_leave);
 	g_test_add_func("/fleet/evacuated", test_evacuated);
+	g_test_add_func("/fleet/returned-cold", test_returned_cold);
 	g_test_add_func("/fleet/removed", test_removed);
 	g_test_add_func("/fleet/lapse", test_lapsed);
 	g_test_add_func("/fleet/may-end", test_may_shut_down);
