Admission: reserve, queue order and waits for services with urgent routes

Generations with an objective of 1.5 s waited behind others with 4 s for memory and in the queues of engines. Where the objectives of a service's stream routes differ by two or more, other generations now leave free what urgent ones need by their measured demand (bus message 13), the queue is ordered by priority and slack, waits depend on the objective, and refused callers return one after another. Other services are served as before.

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -66,6 +66,11 @@
 	X(METRIC_LIMIT_REFUSED, "limit_refused_total", "Requests refused because the upstreams of the service take no more, by the limits that they name.") \
 	X(METRIC_ENGINE_ORDERS, "orders_total", "Orders sent to engines.") \
 	X(METRIC_CONNECTION_CLOSE_ANSWERS, "closing_answers_total", "Generation answers after which the engine closes the connection.") \
+	X(METRIC_ADMISSION_LATE, "admission_late_refused_total", "Generations refused because their first event would be late, for services with urgent routes.") \
+	X(METRIC_ADMISSION_WAITED, "admission_waited_refused_total", "Generations refused because no engine had room while they waited, for services with urgent routes.") \
+	X(METRIC_ADMISSION_FULL, "admission_full_refused_total", "Generations refused because the queue was full, for services with urgent routes.") \
+	X(METRIC_QUEUE_OVERTAKES, "queue_overtakes_total", "Queued generations placed before one that had no room.") \
+	X(METRIC_BUS_ADMISSION_BYTES, "bus_admission_bytes_total", "Bytes of messages on the demand of urgent generations.") \
 	X(METRIC_GENERATIONS_SPILLED, "spilled_total", "Generations sent to another availability zone.")
 #define METRIC_GAUGES(X) \
 	X(METRIC_OPEN_REQUESTS, "open_requests", "Requests whose answer is not complete yet.") \
@@ -76,6 +81,7 @@
 	X(METRIC_QUARANTINED, "quarantined", "Prompt parts and requests that are not sent to upstreams.") \
 	X(METRIC_CONFIG_REVISION, "config_revision", "Configuration revision in force here.") \
 	X(METRIC_CONFIG_CONFIRMED_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as the newest.") \
+	X(METRIC_OTHER_FILL, "other_fill_permille", "Share of each KV cache that other than urgent generations may fill, in thousandths; 0 without urgent routes.") \
 	X(METRIC_TABLE_REACHABLE, "table_reachable", "1 when the last table call was answered.")
 #define METRIC_HISTOGRAMS(X) \
 	X(METRIC_FIRST_TOKEN_US, "first_token_us", "Time from request to first token.") \
--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -116,6 +116,10 @@
 /** Returns the service of that name, or NULL. */
 const struct route_service *route_config_find_service(const struct route_config *config,
 						      const char *name);
+/** Returns the shortest and the longest objective of the stream routes of a service, 0 for both
+ * when none has an objective. */
+void route_config_stream_objectives(const struct route_config *config, const char *service,
+				    uint32_t *shortest_ms, uint32_t *longest_ms);
 /** Returns the customer that an API key belongs to, or NULL. */
 const struct route_customer *route_config_find_customer(const struct route_config *config,
 							const char *key);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -205,6 +205,33 @@
 	return g_hash_table_lookup(config->services, name);
 }
 
+static bool route_has_target(const struct route *route, const char *service)
+{
+	for (guint i = 0; i < route->targets->len; i++) {
+		if (strcmp(g_array_index(route->targets, struct route_target, i).service,
+			   service) == 0)
+			return true;
+	}
+	return false;
+}
+
+void route_config_stream_objectives(const struct route_config *config, const char *service,
+				    uint32_t *shortest_ms, uint32_t *longest_ms)
+{
+	*shortest_ms = 0;
+	*longest_ms = 0;
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route = config->routes->pdata[i];
+
+		if (route->kind != ROUTE_STREAM || route->latency_slo_ms == 0 ||
+		    !route_has_target(route, service))
+			continue;
+		*shortest_ms = *shortest_ms ? MIN(*shortest_ms, route->latency_slo_ms)
+					    : route->latency_slo_ms;
+		*longest_ms = MAX(*longest_ms, route->latency_slo_ms);
+	}
+}
+
 const struct route_customer *route_config_find_customer(const struct route_config *config,
 							const char *key)
 {
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -1,7 +1,11 @@
 #include "dispatch.h"
 
+#include "admission_exchange.h"
+
 #include "flamingolatch/call_queue.h"
 
+#include <string.h>
+
 /* An upstream that has open requests of this instance and is silent for longer is suspect: ten
  * times the duration of a call, and twice the prefill of a long prompt on an idle engine. */
 #define DISPATCH_PLAIN_SILENT_US  (250ULL * 1000)
@@ -13,10 +17,15 @@
 
 /* Requests that an upstream of a plain service works on at once when it does not say. */
 #define DISPATCH_PLAIN_SLOTS 6
+/* Queued generations for which an engine is looked for at one time. An instance with a tenth of a
+ * core cannot compare all engines for each of a long queue every 20 ms. */
+#define DISPATCH_MAX_TRIES 8
 
 struct dispatch {
 	struct env *env;
 	GQueue queue;	     /* struct dispatch_queued, the next to be granted first */
+	GQueue admission;    /* struct dispatch_queued of services where admission.h applies */
+	uint32_t round;	     /* of granting engines to the latter */
 	GHashTable *calls;   /* name of a plain service to its struct call_queue */
 	uint32_t call_count; /* queued calls of all services */
 	bool granting;	     /* dispatch_grant_queued() is running */
@@ -27,6 +36,8 @@
 	struct call_queue *calls; /* NULL for a generation */
 	struct call_queue_item *item;
 	uint32_t priority;
+	uint32_t round;	    /* in which it was last considered */
+	uint64_t queued_us; /* of a generation where admission.h applies */
 	dispatch_granted_cb granted;
 	void *ctx;
 };
@@ -44,6 +55,7 @@
 
 	dispatch->env = env;
 	g_queue_init(&dispatch->queue);
+	g_queue_init(&dispatch->admission);
 	dispatch->calls =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, dispatch_destroy_call_queue);
 	return dispatch;
@@ -150,7 +162,7 @@
 static void dispatch_count_queued(const struct dispatch *dispatch)
 {
 	metric_set(dispatch->env->metric, METRIC_QUEUED_REQUESTS,
-		   dispatch->queue.length + dispatch->call_count);
+		   dispatch_queue_length(dispatch) + dispatch->call_count);
 }
 
 /* Returns when a queued call is answered at the latest: before the process exits. */
@@ -194,6 +206,12 @@
 	queued->priority = priority;
 	queued->granted = granted;
 	queued->ctx = ctx;
+	if (need->admission.class != ADMISSION_NONE) {
+		queued->queued_us = env_now_us();
+		g_queue_push_tail(&dispatch->admission, queued);
+		dispatch_count_queued(dispatch);
+		return queued;
+	}
 	/* Generations of equal priority are granted in the order of their arrival. */
 	while (before && ((struct dispatch_queued *)before->data)->priority > priority)
 		before = before->prev;
@@ -231,6 +249,8 @@
 	if (queued->calls) {
 		call_queue_remove(queued->calls, queued->item);
 		dispatch->call_count--;
+	} else if (queued->need.admission.class != ADMISSION_NONE) {
+		g_queue_remove(&dispatch->admission, queued);
 	} else {
 		g_queue_remove(&dispatch->queue, queued);
 	}
@@ -284,6 +304,111 @@
 	}
 }
 
+/* Returns the queued generations of a service in the order in which they are granted, as an array
+ * of struct admission_item. */
+static GPtrArray *dispatch_sorted(const struct dispatch *dispatch, const char *service)
+{
+	GPtrArray *items = g_ptr_array_new();
+
+	for (GList *link = dispatch->admission.head; link; link = link->next) {
+		struct dispatch_queued *queued = link->data;
+
+		if (strcmp(queued->need.service, service) == 0)
+			g_ptr_array_add(items, &queued->need.admission);
+	}
+	admission_sort((struct admission_item **)items->pdata, items->len);
+	return items;
+}
+
+/* Returns the need of a queued generation, whose time until the first event has become shorter. */
+static struct dispatch_need dispatch_need_now(const struct dispatch_queued *queued, uint64_t now_us)
+{
+	struct dispatch_need need = queued->need;
+	uint64_t waited_ms = (now_us - queued->queued_us) / 1000;
+
+	if (need.place.first_event_left_ms > 0)
+		need.place.first_event_left_ms =
+			need.place.first_event_left_ms > waited_ms
+				? need.place.first_event_left_ms - (uint32_t)waited_ms
+				: 1;
+	return need;
+}
+
+/* Tells whether a generation may be granted before those that precede it and have no room.
+ * @param blocked struct admission_item */
+static bool dispatch_may_pass(const struct admission_item *item, const GArray *blocked,
+			      uint64_t now_us)
+{
+	for (guint i = 0; i < blocked->len; i++) {
+		if (!admission_may_overtake(item, &g_array_index(blocked, struct admission_item, i),
+					    now_us))
+			return false;
+	}
+	return true;
+}
+
+/* Returns the entry of an item, or NULL when it has left the queue since the round began. */
+static struct dispatch_queued *dispatch_find_item(const struct dispatch *dispatch,
+						  const struct admission_item *item)
+{
+	for (GList *link = dispatch->admission.head; link; link = link->next) {
+		struct dispatch_queued *queued = link->data;
+
+		if (&queued->need.admission == item && queued->round == dispatch->round)
+			return queued;
+	}
+	return NULL;
+}
+
+/* Grants engines to the queued generations of a service, or refuses those that would be late. */
+static void dispatch_grant_service(struct dispatch *dispatch, const char *service)
+{
+	g_autoptr(GPtrArray) items = dispatch_sorted(dispatch, service);
+	g_autoptr(GArray) blocked = g_array_new(FALSE, FALSE, sizeof(struct admission_item));
+	uint64_t now_us = env_now_us();
+	uint32_t tries = 0;
+
+	for (guint i = 0; i < items->len && tries < DISPATCH_MAX_TRIES; i++) {
+		struct dispatch_queued *queued = dispatch_find_item(dispatch, items->pdata[i]);
+		struct dispatch_decision decision = { 0 };
+		struct dispatch_need need;
+		struct fleet_upstream *up;
+
+		if (!queued || !dispatch_may_pass(items->pdata[i], blocked, now_us))
+			continue;
+		tries++;
+		need = dispatch_need_now(queued, now_us);
+		up = dispatch_select_engine(dispatch, &need, &decision);
+		if (up || decision.late_ms > 0) {
+			if (up && blocked->len > 0)
+				metric_add(dispatch->env->metric, METRIC_QUEUE_OVERTAKES, 1);
+			dispatch_end_wait(dispatch, queued, up, &decision);
+			continue;
+		}
+		if (queued->need.admission.blocked_us == 0)
+			queued->need.admission.blocked_us = now_us;
+		g_array_append_val(blocked, queued->need.admission);
+	}
+}
+
+/* Grants engines to queued generations where admission.h applies, service by service. */
+static void dispatch_grant_admitted(struct dispatch *dispatch)
+{
+	g_autoptr(GPtrArray) services = g_ptr_array_new_with_free_func(g_free);
+
+	dispatch->round++;
+	for (GList *link = dispatch->admission.head; link; link = link->next) {
+		struct dispatch_queued *queued = link->data;
+
+		queued->round = dispatch->round;
+		if (!g_ptr_array_find_with_equal_func(services, queued->need.service, g_str_equal,
+						      NULL))
+			g_ptr_array_add(services, g_strdup(queued->need.service));
+	}
+	for (guint i = 0; i < services->len; i++)
+		dispatch_grant_service(dispatch, services->pdata[i]);
+}
+
 void dispatch_grant_queued(struct dispatch *dispatch)
 {
 	GHashTableIter services;
@@ -307,6 +432,7 @@
 		queued->granted(queued->ctx, up, &decision);
 		g_free(queued);
 	}
+	dispatch_grant_admitted(dispatch);
 	if (dispatch->call_count > 0) {
 		g_hash_table_iter_init(&services, dispatch->calls);
 		while (g_hash_table_iter_next(&services, NULL, &calls))
@@ -320,7 +446,63 @@
 
 uint32_t dispatch_queue_length(const struct dispatch *dispatch)
 {
-	return dispatch->queue.length;
+	return dispatch->queue.length + dispatch->admission.length;
+}
+
+bool dispatch_has_queued_before(const struct dispatch *dispatch, const struct dispatch_need *need)
+{
+	if (need->admission.class == ADMISSION_NONE)
+		return dispatch->queue.length > 0;
+	for (GList *link = dispatch->admission.head; link; link = link->next) {
+		const struct dispatch_queued *queued = link->data;
+
+		if (strcmp(queued->need.service, need->service) == 0 &&
+		    !admission_is_before(&need->admission, &queued->need.admission))
+			return true;
+	}
+	return false;
+}
+
+/* Returns the number of engines of a service that may get new requests. */
+static uint32_t dispatch_engine_count(const struct dispatch *dispatch, const char *service)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	uint32_t count = 0;
+
+	for (guint i = 0; i < ups->len; i++)
+		count += fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED;
+	return count;
+}
+
+double dispatch_other_fill(struct dispatch *dispatch, const char *service,
+			   const struct route_engine *engine)
+{
+	double kv_tokens = (double)engine->kv_tokens * dispatch_engine_count(dispatch, service);
+	double urgent_tokens =
+		admission_exchange_tokens(dispatch->env->admission_exchange, service);
+
+	return MAX(dispatch->env->settings->load.fill - admission_reserve(urgent_tokens, kv_tokens),
+		   0.0);
+}
+
+struct admission_room dispatch_room(struct dispatch *dispatch, const struct dispatch_need *need)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
+	struct admission_room room = { .instances = dispatch->env->live_instances };
+	double used_tokens = 0.0;
+
+	for (guint i = 0; i < ups->len; i++)
+		used_tokens += (double)(fleet_upstream_own_load(ups->pdata[i])->kv_used_tokens +
+					fleet_upstream_peer_load(ups->pdata[i]).kv_used_tokens);
+	room.freed_tokens_per_s =
+		used_tokens * placement_default_params.freed_share_per_ms * 1000.0;
+	for (GList *link = dispatch->admission.head; link; link = link->next) {
+		const struct dispatch_queued *queued = link->data;
+
+		if (strcmp(queued->need.service, need->service) == 0)
+			room.queued_tokens += queued->need.admission.tokens;
+	}
+	return room;
 }
 
 uint32_t dispatch_queued_calls(const struct dispatch *dispatch, const char *service)
@@ -412,6 +594,22 @@
 	};
 }
 
+/* Returns the engine to use instead of the best one if the first event would be late there: the
+ * best of those where it would be in time, if there is any. */
+static int32_t dispatch_select_in_time(const struct placement_params *params,
+				       const struct placement_request *place,
+				       struct placement_engine *views, uint32_t count, int32_t best)
+{
+	int32_t in_time;
+
+	if (best == PLACEMENT_NONE || placement_late_ms(params, place, &views[best]) == 0)
+		return best;
+	for (uint32_t i = 0; i < count; i++)
+		views[i].usable &= placement_late_ms(params, place, &views[i]) == 0;
+	in_time = placement_select_engine(params, place, views, count);
+	return in_time == PLACEMENT_NONE ? best : in_time;
+}
+
 struct fleet_upstream *dispatch_select_engine(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      struct dispatch_decision *decision)
@@ -434,7 +632,14 @@
 		views[i].usable &=
 			need->place.needs_kv_copy || dispatch_is_load_known(ups->pdata[i], now_us);
 	}
+	if (need->admission.class == ADMISSION_OTHER) {
+		params.max_kv_share = dispatch_other_fill(dispatch, need->service, need->engine);
+		metric_set(dispatch->env->metric, METRIC_OTHER_FILL,
+			   (int64_t)(params.max_kv_share * 1000.0));
+	}
 	best = placement_select_engine(&params, &need->place, views, ups->len);
+	if (need->admission.class != ADMISSION_NONE)
+		best = dispatch_select_in_time(&params, &need->place, views, ups->len, best);
 	decision->candidates = ups->len;
 	if (best == PLACEMENT_NONE)
 		return NULL;
@@ -503,6 +708,8 @@
 	double fill;
 
 	other.avoid = main;
+	/* A copy that saves a running generation may use the reserve. */
+	other.admission.class = ADMISSION_NONE;
 	up = dispatch_select_engine(dispatch, &other, &decision);
 	if (!up)
 		return NULL;
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -16,6 +16,7 @@
 
 #include "env.h"
 
+#include "flamingolatch/admission.h"
 #include "flamingolatch/placement.h"
 
 struct dispatch;
@@ -36,6 +37,8 @@
 	const char *service;
 	const struct route_engine *engine; /**< NULL for a plain service */
 	struct placement_request place;
+	struct admission_item admission; /**< its class is ADMISSION_NONE where admission.h does
+					  * not apply; then the others are unset */
 	bool run_once; /**< may run only once: avoids upstreams that might lose it, if possible */
 	bool queued;   /**< a call that waited, see call_queue_allows() */
 	const GPtrArray *excluded; /**< upstreams not to be selected; may be NULL */
@@ -55,8 +58,9 @@
 	uint32_t late_ms;
 };
 
-/** Called when a queued request gets an upstream. @param up NULL when a call can no longer be
- * answered in its time and is refused; @p decision is then all zeros */
+/** Called when a queued request gets an upstream. @param up NULL when it can no longer be answered
+ * in its time and is refused; for a call @p decision is then all zeros, for a generation
+ * dispatch_decision::late_ms is set */
 typedef void (*dispatch_granted_cb)(void *ctx, struct fleet_upstream *up,
 				    const struct dispatch_decision *decision);
 
@@ -103,7 +107,8 @@
 void dispatch_load_remove(struct dispatch_load *load);
 
 /**
- * Queues a generation.
+ * Queues a generation. Where admission.h applies, its rules determine the order, and a generation
+ * that would be late is refused; others are granted in the order of their arrival.
  * @param need copied; what it points to must stay valid while the generation is queued
  * @param priority 0 is first; among equal priorities the one queued first
  * @param granted called once from dispatch_grant_queued(), unless dispatch_dequeue() comes first
@@ -129,6 +134,14 @@
 void dispatch_grant_queued(struct dispatch *dispatch);
 /** Returns the number of queued generations. */
 uint32_t dispatch_queue_length(const struct dispatch *dispatch);
+/** Tells whether a generation that arrives has to queue behind others. */
+bool dispatch_has_queued_before(const struct dispatch *dispatch, const struct dispatch_need *need);
+/** Returns what is known of the memory that a refused generation waits for.
+ * admission_room::late_ms and admission_room::left_ms are 0. */
+struct admission_room dispatch_room(struct dispatch *dispatch, const struct dispatch_need *need);
+/** Returns the share of a KV cache that others than urgent generations may fill. */
+double dispatch_other_fill(struct dispatch *dispatch, const char *service,
+			   const struct route_engine *engine);
 /** Returns the number of queued calls of a service. */
 uint32_t dispatch_queued_calls(const struct dispatch *dispatch, const char *service);
 /** Tells whether a call that is queued now is expected to be answered in time, and there is room
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -23,6 +23,7 @@
 
 #include <uv.h>
 
+struct admission_exchange;
 struct crash_guard;
 struct limit_exchange;
 
@@ -36,9 +37,10 @@
 	const struct protocol_ops *protocol;
 	struct crash_guard *crash_guard;
 	struct limit_exchange *limit_exchange;
-	struct route_config *config; /**< in force; NULL before the first */
-	struct freshness freshness;  /**< age of the configuration */
-	GHashTable *retry_budgets;   /**< name of a service to struct retry_budget */
+	struct admission_exchange *admission_exchange; /**< NULL in tests without peers */
+	struct route_config *config;		       /**< in force; NULL before the first */
+	struct freshness freshness;		       /**< age of the configuration */
+	GHashTable *retry_budgets; /**< name of a service to struct retry_budget */
 	GRand *rand;
 	uint32_t live_instances;     /**< this one included, at least 1 */
 	bool placed_generation;	     /**< a generation or KV copy was placed since the last
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "admission_exchange.h"
 #include "crash_guard.h"
 #include "delegation.h"
 #include "dispatch.h"
@@ -154,6 +155,8 @@
 	gateway->env.crash_guard = crash_guard_create(&gateway->env, gateway->peer_exchange);
 	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->env.limit_exchange = limit_exchange_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.admission_exchange =
+		admission_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -175,6 +178,8 @@
 		return;
 	delegation_destroy(gateway->delegation);
 	store_watch_destroy(gateway->store_watch);
+	admission_exchange_destroy(gateway->env.admission_exchange);
+	gateway->env.admission_exchange = NULL;
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -149,6 +149,23 @@
 		  request->backup.up ? fleet_upstream_id(request->backup.up) : "-", NULL);
 }
 
+static void relay_count_admission_refusal(const struct relay_request *request,
+					  enum metric_counter reason)
+{
+	if (request->admission != ADMISSION_NONE)
+		metric_add(request->relay->env->metric, reason, 1);
+}
+
+/* Refuses a generation whose first event would be late. */
+static void relay_refuse_late(struct relay_request *request, uint32_t late_ms)
+{
+	relay_count_admission_refusal(request, METRIC_ADMISSION_LATE);
+	relay_reply_error(
+		request, ERR_OVERLOADED,
+		relay_room_retry_after_ms(request, MIN(late_ms, RELAY_MAX_EXTRA_RETRY_AFTER_MS)),
+		"would-be-late");
+}
+
 /* Queues a generation until an engine has room, or refuses it when the queue is full, its deadline
  * is too near or its first event would be late. */
 static void relay_enqueue(struct relay_request *request, const struct dispatch_need *need,
@@ -162,20 +179,19 @@
 
 	if (queue_length >= load->wait_limit ||
 	    relay_time_left_ms(request) < RELAY_MIN_ATTEMPT_MS) {
-		relay_reply_error(request, ERR_OVERLOADED, relay_retry_after_ms(request),
+		relay_count_admission_refusal(request, METRIC_ADMISSION_FULL);
+		relay_reply_error(request, ERR_OVERLOADED, relay_room_retry_after_ms(request, 0),
 				  "queue-full");
 		return;
 	}
 	/* Queueing does not help when all engines have too much prefill work. */
 	if (late_ms) {
-		relay_reply_error(request, ERR_OVERLOADED,
-				  relay_retry_after_ms(request) +
-					  MIN(late_ms, RELAY_MAX_EXTRA_RETRY_AFTER_MS),
-				  "would-be-late");
+		relay_refuse_late(request, late_ms);
 		return;
 	}
 	request->phase = RELAY_QUEUED;
-	request->queue_deadline_us = MIN(since_us + load->wait_ms * 1000, request->deadline_us);
+	request->queue_deadline_us =
+		MIN(since_us + relay_queue_wait_ms(request) * 1000ULL, request->deadline_us);
 	log_event(LOG_REQUEST_QUEUED, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "ahead", ahead, NULL);
 	request->queued = dispatch_enqueue(request->relay->dispatch, need, relay_priority(request),
@@ -300,7 +316,7 @@
 	}
 	if (relay_is_generation(request)) {
 		/* Queued generations go first. */
-		up = dispatch_queue_length(dispatch)
+		up = dispatch_has_queued_before(dispatch, &need)
 			     ? NULL
 			     : dispatch_select_engine(dispatch, &need, &decision);
 		if (!up && dispatch_has_upstream(dispatch, request->service_name)) {
@@ -340,6 +356,10 @@
 	struct relay_request *request = ctx;
 
 	request->queued = NULL;
+	if (!up && decision->late_ms > 0) {
+		relay_refuse_late(request, decision->late_ms);
+		return;
+	}
 	if (!up) {
 		relay_refuse_quiet(request, dispatch_quiet_us(request->relay->dispatch,
 							      request->service_name));
@@ -494,7 +514,7 @@
 	struct dispatch_need need = relay_dispatch_need(request);
 	struct dispatch_decision decision = { 0 };
 	bool available = relay_is_generation(request)
-				 ? dispatch_queue_length(dispatch) == 0 &&
+				 ? !dispatch_has_queued_before(dispatch, &need) &&
 					   dispatch_select_engine(dispatch, &need, &decision)
 				 : dispatch_select_plain(dispatch, &need, &decision) != NULL;
 	struct attempt_summary summary = relay_summarize(request, ATTEMPT_SILENT, available);
@@ -566,6 +586,13 @@
 	return false;
 }
 
+/* Refuses a generation that found no room in its time. */
+static void relay_refuse_waited(struct relay_request *request)
+{
+	relay_count_admission_refusal(request, METRIC_ADMISSION_WAITED);
+	relay_reply_error(request, ERR_OVERLOADED, relay_room_retry_after_ms(request, 0), "waited");
+}
+
 static void relay_check_timers(struct relay_request *request, uint64_t now_us)
 {
 	if (now_us >= request->deadline_us && request->phase != RELAY_QUEUED) {
@@ -583,8 +610,7 @@
 		if (request->may_have_run)
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "waited");
 		else
-			relay_reply_error(request, ERR_OVERLOADED, relay_retry_after_ms(request),
-					  "waited");
+			relay_refuse_waited(request);
 	} else if (relay_should_migrate(request, now_us)) {
 		relay_migrate(request);
 	} else if (relay_has_unneeded_copy(request)) {
@@ -626,6 +652,7 @@
 	request->fingerprint = relay_compute_fingerprint(request);
 	if (relay_is_generation(request))
 		relay_update_estimate(request);
+	relay_classify(request);
 	if (relay_refuse_if_stopping(request))
 		return;
 	limit_exchange_on_request(relay->env->limit_exchange, request->service_name);
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -74,7 +74,10 @@
 		.from_handle = from_handle,
 		.last_event_id = request->last_event_id ? request->last_event_id
 							: request->decoded.last_event_id,
-		.priority = relay_is_generation(request) ? (int32_t)relay_priority(request) : -1,
+		.priority = relay_is_generation(request)
+				    ? (int32_t)admission_engine_priority(request->admission,
+									 relay_priority(request))
+				    : -1,
 	};
 	struct http_call_request req = {
 		.address = fleet_upstream_address(up),
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -85,6 +85,8 @@
 	need.excluded = request->migrate_tried;
 	need.place.resumes = true;
 	need.place.needs_kv_copy = true;
+	/* A running generation may use the reserve for urgent ones. */
+	need.admission.class = ADMISSION_NONE;
 	need.distance_from = request->attempt.up;
 	if (request->kv_copy.up &&
 	    fleet_upstream_state(request->kv_copy.up) == FLEET_UPSTREAM_READY) {
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -1,5 +1,7 @@
 #include "relay_state.h"
 
+#include "admission_exchange.h"
+
 #include "flamingolatch/length_lognormal.h"
 #include "flamingolatch/reply.h"
 
@@ -61,8 +63,18 @@
 	return request;
 }
 
+/* Records how long an urgent generation was on its engine. */
+static void relay_record_hold(const struct relay_request *request)
+{
+	if (request->admission == ADMISSION_URGENT && request->attempt.up)
+		admission_exchange_on_end(request->relay->env->admission_exchange,
+					  request->service_name,
+					  (uint32_t)((env_now_us() - request->sent_us) / 1000));
+}
+
 void relay_cancel_attempt(struct relay_request *request)
 {
+	relay_record_hold(request);
 	if (request->call)
 		http_call_cancel(request->call);
 	request->call = NULL;
@@ -196,6 +208,23 @@
 
 /* commands */
 
+void relay_classify(struct relay_request *request)
+{
+	uint32_t shortest_ms;
+	uint32_t longest_ms;
+
+	if (!relay_is_generation(request) || request->route->kind != ROUTE_STREAM)
+		return;
+	route_config_stream_objectives(request->config, request->service_name, &shortest_ms,
+				       &longest_ms);
+	request->admission =
+		admission_classify(request->route->latency_slo_ms, shortest_ms, longest_ms);
+	if (request->admission == ADMISSION_URGENT)
+		admission_exchange_on_arrival(
+			request->relay->env->admission_exchange, request->service_name,
+			request->decoded.prompt_tokens + request->expected_output_tokens);
+}
+
 void relay_count_buffered(struct relay_request *request)
 {
 	uint64_t bytes = request->response_body->len;
@@ -511,6 +540,52 @@
 	return spent_ms < wanted_ms ? (uint32_t)(wanted_ms - spent_ms) : 1;
 }
 
+/* Returns the expected time from the placement of a generation to its first event, in ms. */
+static uint32_t relay_expected_first_event_ms(const struct relay_request *request)
+{
+	return (uint32_t)((double)request->decoded.prompt_tokens /
+			  request->relay->env->settings->load.prefill_tokens_per_ms);
+}
+
+/* Returns for how long the caller was refused before, by its deadline, in ms. */
+static uint32_t relay_spent_before_ms(const struct relay_request *request)
+{
+	uint32_t timeout_ms = request->route->queue_timeout_ms;
+
+	if (request->decoded.wait_ms == 0 ||
+	    request->decoded.wait_ms + RELAY_RETURNED_MARGIN_MS >= timeout_ms)
+		return 0;
+	return timeout_ms - (uint32_t)request->decoded.wait_ms;
+}
+
+/* Returns what the queue of a service with urgent routes has to know of a generation. */
+static struct admission_item relay_admission_item(const struct relay_request *request)
+{
+	struct admission_item item = { .class = request->admission };
+
+	if (item.class == ADMISSION_NONE)
+		return item;
+	item.priority = relay_priority(request);
+	item.objective_ms = request->route->latency_slo_ms;
+	item.tokens = request->decoded.prompt_tokens + request->expected_output_tokens;
+	item.customer = request->customer;
+	item.due_us = admission_due_us(request->arrived_us, relay_spent_before_ms(request),
+				       item.objective_ms, relay_expected_first_event_ms(request));
+	return item;
+}
+
+uint32_t relay_queue_wait_ms(const struct relay_request *request)
+{
+	uint32_t wait_ms = (uint32_t)request->relay->env->settings->load.wait_ms;
+	uint32_t first_ms = relay_expected_first_event_ms(request);
+	uint32_t objective_ms = request->route->latency_slo_ms;
+
+	if (request->admission == ADMISSION_NONE)
+		return wait_ms;
+	return admission_wait_ms(objective_ms,
+				 objective_ms > first_ms ? objective_ms - first_ms : 0, wait_ms);
+}
+
 struct dispatch_need relay_dispatch_need(const struct relay_request *request)
 {
 	return (struct dispatch_need){
@@ -522,6 +597,7 @@
 			   .stale_ms = request->relay->env->remote_load_age_ms,
 			   .jitter_seed = g_rand_int(request->relay->env->rand),
 			   .resumes = request->resumed },
+		.admission = relay_admission_item(request),
 		.run_once = !route_allows_rerun(request->route),
 		.excluded = request->tried,
 	};
@@ -537,6 +613,24 @@
 	return RELAY_MIN_RETRY_AFTER_MS + spread + 20 * MIN(queue_length, 100);
 }
 
+uint32_t relay_room_retry_after_ms(const struct relay_request *request, uint32_t late_ms)
+{
+	struct env *env = request->relay->env;
+	struct dispatch_need need;
+	struct admission_room room;
+
+	if (request->admission == ADMISSION_NONE)
+		return relay_retry_after_ms(request) + late_ms;
+	need = relay_dispatch_need(request);
+	room = dispatch_room(request->relay->dispatch, &need);
+	room.late_ms = late_ms;
+	room.left_ms = (uint32_t)relay_time_left_ms(request);
+	return admission_return_ms(
+		admission_exchange_returns(env->admission_exchange, request->service_name,
+					   request->admission),
+		&room, need.admission.tokens, g_rand_double(env->rand), env_now_us());
+}
+
 bool relay_is_quiet(struct fleet_upstream *up)
 {
 	return upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0;
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -65,6 +65,7 @@
 	const struct route_service *service;
 	const struct route_customer *customer; /* NULL if the route needs no API key */
 	const char *service_name;
+	enum admission_class admission; /* ADMISSION_NONE for calls */
 	/** Hash of the customer, the method, the host, the target and the body: the same for a
 	 * request that comes again under another id. */
 	uint64_t fingerprint;
@@ -141,6 +142,8 @@
 void relay_cancel_releases(struct relay *relay);
 /** Cancels the open migration, if any, and releases its KV copy at the engine that made it. */
 void relay_cancel_migration(struct relay_request *request);
+/** Determines the class by which the request is admitted, and counts its demand. */
+void relay_classify(struct relay_request *request);
 /** Counts what is buffered for a request: of the response, and of what its caller has not read. */
 void relay_count_buffered(struct relay_request *request);
 /** Reads the rest of the response without passing it on: its caller left. */
@@ -192,6 +195,11 @@
 bool relay_is_generation(const struct relay_request *request);
 /** Returns the priority, 0 (first) to 9: the customer's if set, or else the route's. */
 uint32_t relay_priority(const struct relay_request *request);
+/** Returns how long the request may be queued for an engine, in ms. */
+uint32_t relay_queue_wait_ms(const struct relay_request *request);
+/** Returns the delay after which the caller of a generation that found no room may retry, in ms.
+ * @param late_ms by how much its first event would have been late; 0 when there was no room */
+uint32_t relay_room_retry_after_ms(const struct relay_request *request, uint32_t late_ms);
 /** Returns the requirements by which an upstream is selected. */
 struct dispatch_need relay_dispatch_need(const struct relay_request *request);
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
