--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -565,10 +565,15 @@
 
 	if (item.class == ADMISSION_NONE)
 		return item;
+	/* A generation that may have run cannot be refused any more, so it may use the reserve. */
+	if (request->may_have_run)
+		item.class = ADMISSION_URGENT;
 	item.priority = relay_priority(request);
 	item.objective_ms = request->route->latency_slo_ms;
 	item.tokens = request->decoded.prompt_tokens + request->expected_output_tokens;
-	item.customer = request->customer;
+	/* By its name: another configuration has another structure for the same customer. */
+	item.customer =
+		request->customer ? GUINT_TO_POINTER(g_str_hash(request->customer->name)) : NULL;
 	item.due_us = admission_due_us(request->arrived_us, relay_spent_before_ms(request),
 				       item.objective_ms, relay_expected_first_event_ms(request));
 	return item;
