Admission: cases of the queue, the reserve and the messages

Guards against a changed order for other services, large generations that are overtaken without end, late ones that wait, and a reserve that copies of running generations can't use. The exchange runs without peers in tests.

--- a/src/serve/admission_exchange.c
+++ b/src/serve/admission_exchange.c
@@ -67,8 +67,9 @@
 						   admission_exchange_source_free);
 	admission->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						 admission_exchange_source_free);
-	peer_exchange_set_message_cb(exchange, ADMISSION_EXCHANGE_MSG,
-				     admission_exchange_on_message, admission);
+	if (exchange)
+		peer_exchange_set_message_cb(exchange, ADMISSION_EXCHANGE_MSG,
+					     admission_exchange_on_message, admission);
 	uv_timer_init(env->loop, &admission->tick);
 	admission->tick.data = admission;
 	admission->ticked_us = env_now_us();
@@ -91,7 +92,9 @@
 {
 	if (!admission)
 		return;
-	peer_exchange_set_message_cb(admission->exchange, ADMISSION_EXCHANGE_MSG, NULL, NULL);
+	if (admission->exchange)
+		peer_exchange_set_message_cb(admission->exchange, ADMISSION_EXCHANGE_MSG, NULL,
+					     NULL);
 	uv_close((uv_handle_t *)&admission->tick, admission_exchange_on_closed);
 }
 
@@ -296,7 +299,7 @@
 		admission_demand_update(&service->demand, elapsed_ms);
 	g_hash_table_foreach_remove(admission->members, admission_exchange_is_old, &now_us);
 	g_hash_table_foreach_remove(admission->zones, admission_exchange_is_old, &now_us);
-	if (now_us < admission->active_until_us)
+	if (admission->exchange && now_us < admission->active_until_us)
 		admission_exchange_send(admission, now_us);
 }
 
--- a/src/serve/admission_exchange.h
+++ b/src/serve/admission_exchange.h
@@ -21,7 +21,8 @@
 
 struct admission_exchange;
 
-/** @p env and @p exchange are borrowed and must outlive the result. */
+/** @p env and @p exchange are borrowed and must outlive the result. @p exchange may be NULL: then
+ * there are no peers. */
 struct admission_exchange *admission_exchange_create(struct env *env,
 						     struct peer_exchange *exchange);
 /** Frees the exchange; NULL is allowed. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -733,15 +733,17 @@
 	     item = item->next) {
 		const struct relay_request *request = item->data;
 
-		json_array_append_new(out, json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b}",
-						     "id", relay_request_id(request), "route",
-						     relay_route_name(request), "upstream",
-						     relay_upstream_id(request), "phase",
-						     relay_phase_name(request->phase), "age_ms",
-						     (json_int_t)relay_age_ms(request), "events",
-						     (json_int_t)request->event_count, "runs",
-						     (int)request->attempt_count, "moving",
-						     request->migrate_call != NULL));
+		json_array_append_new(out,
+				      json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b}",
+						"id", relay_request_id(request), "route",
+						relay_route_name(request), "class",
+						admission_class_name(request->admission),
+						"upstream", relay_upstream_id(request), "phase",
+						relay_phase_name(request->phase), "age_ms",
+						(json_int_t)relay_age_ms(request), "events",
+						(json_int_t)request->event_count, "runs",
+						(int)request->attempt_count, "moving",
+						request->migrate_call != NULL));
 	}
 	return out;
 }
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -3,6 +3,7 @@
  * Queue of generations: the order in which they are granted, and what an instance
  * takes for the load of a new engine.
  */
+#include "../src/serve/admission_exchange.h"
 #include "../src/serve/dispatch.h"
 
 #include <string.h>
@@ -15,6 +16,7 @@
 	struct dispatch *dispatch;
 	struct route_engine engine;
 	GString *granted; /* names in the order of their grants */
+	GString *refused;
 };
 
 struct waiter {
@@ -60,6 +62,7 @@
 	f->env.fleet = fleet_create("near", region_of, on_changed, NULL);
 	f->dispatch = dispatch_create(&f->env);
 	f->granted = g_string_new(NULL);
+	f->refused = g_string_new(NULL);
 }
 
 static void teardown(struct fixture *f)
@@ -69,6 +72,7 @@
 	g_rand_free(f->env.rand);
 	metric_destroy(f->env.metric);
 	g_string_free(f->granted, TRUE);
+	g_string_free(f->refused, TRUE);
 }
 
 static struct dispatch_need need(const struct fixture *f)
@@ -83,9 +87,8 @@
 {
 	struct waiter *waiter = ctx;
 
-	(void)up;
-	(void)decision;
-	g_string_append_c(waiter->fixture->granted, waiter->name);
+	g_assert_true(up || decision->late_ms > 0);
+	g_string_append_c(up ? waiter->fixture->granted : waiter->fixture->refused, waiter->name);
 }
 
 /* Priorities go first; among equal ones the order is that of the arrivals. */
@@ -134,10 +137,172 @@
 	teardown(&f);
 }
 
+static struct dispatch_need admission_need(const struct fixture *f, enum admission_class class,
+					   uint32_t objective_ms, uint64_t tokens)
+{
+	struct dispatch_need wanted = need(f);
+
+	wanted.place.prompt_tokens = tokens / 2;
+	wanted.place.output_tokens = tokens - tokens / 2;
+	wanted.admission = (struct admission_item){ .class = class,
+						    .objective_ms = objective_ms,
+						    .tokens = tokens,
+						    .due_us = objective_ms * 1000ULL };
+	return wanted;
+}
+
+static void enqueue(struct fixture *f, struct waiter *waiter, char name,
+		    const struct dispatch_need *wanted)
+{
+	*waiter = (struct waiter){ f, name };
+	dispatch_enqueue(f->dispatch, wanted, wanted->admission.priority, on_granted, waiter);
+}
+
+/* Where admission.h applies, the order is that of priority and slack; it is not mixed with that of
+ * other services, and a customer that holds most of the queue waits behind the others. */
+static void test_admission_order(void)
+{
+	static const uint32_t priorities[] = { 0, 0, 1, 0, 0 };
+	static const uint32_t objectives[] = { 4000, 4000, 1500, 1500, 3000 };
+	static const char customers[] = { 'y', 'x', 'x', 'x', 'y' };
+	struct waiter waiters[6];
+	struct fixture f;
+	struct dispatch_need wanted;
+
+	setup(&f);
+	for (uint32_t i = 0; i < 5; i++) {
+		wanted = admission_need(&f, ADMISSION_OTHER, objectives[i], 1000);
+		wanted.admission.priority = priorities[i];
+		wanted.admission.customer = GUINT_TO_POINTER(customers[i]);
+		enqueue(&f, &waiters[i], (char)('a' + i), &wanted);
+	}
+	wanted = need(&f);
+	g_assert_false(dispatch_has_queued_before(f.dispatch, &wanted));
+	enqueue(&f, &waiters[5], 'f', &wanted);
+	g_assert_true(dispatch_has_queued_before(f.dispatch, &wanted));
+	g_assert_cmpuint(dispatch_queue_length(f.dispatch), ==, 6);
+	/* An urgent one that arrives precedes those that are queued, a less urgent one does not. */
+	wanted = admission_need(&f, ADMISSION_URGENT, 1000, 1000);
+	g_assert_false(dispatch_has_queued_before(f.dispatch, &wanted));
+	wanted = admission_need(&f, ADMISSION_OTHER, 5000, 1000);
+	g_assert_true(dispatch_has_queued_before(f.dispatch, &wanted));
+	add_engine(&f, "e-1:1", "near", env_now_us());
+	dispatch_grant_queued(f.dispatch);
+	g_assert_cmpstr(f.granted->str, ==, "feadbc");
+	g_assert_cmpuint(dispatch_queue_length(f.dispatch), ==, 0);
+	teardown(&f);
+}
+
+/* A large generation without room is overtaken for a part of its objective only, or it would
+ * starve; one without an objective is not overtaken. */
+static void test_admission_overtaking(void)
+{
+	static const uint32_t objectives[] = { 3600000, 0 };
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS(objectives); i++) {
+		struct waiter waiters[3];
+		struct dispatch_load load = { 0 };
+		struct fixture f;
+		struct dispatch_need wanted;
+
+		setup(&f);
+		add_engine(&f, "e-1:1", "near", env_now_us());
+		dispatch_load_add(&load, fleet_find(f.env.fleet, "e-1:1"), 6000, 0);
+		wanted = admission_need(&f, ADMISSION_OTHER, objectives[i], 5000);
+		wanted.admission.due_us = 1;
+		enqueue(&f, &waiters[0], 'a', &wanted);
+		wanted = admission_need(&f, ADMISSION_OTHER, 4000, 1000);
+		enqueue(&f, &waiters[1], 'b', &wanted);
+		/* As large as the first: it may not pass. */
+		wanted = admission_need(&f, ADMISSION_OTHER, 4000, 5000);
+		enqueue(&f, &waiters[2], 'c', &wanted);
+		dispatch_grant_queued(f.dispatch);
+		g_assert_cmpstr(f.granted->str, ==, objectives[i] ? "b" : "");
+		g_assert_cmpuint(metric_get(f.env.metric, METRIC_QUEUE_OVERTAKES), ==,
+				 objectives[i] ? 1 : 0);
+		dispatch_load_remove(&load);
+		dispatch_grant_queued(f.dispatch);
+		g_assert_true(g_str_has_suffix(f.granted->str, objectives[i] ? "bac" : "abc"));
+		teardown(&f);
+	}
+}
+
+/* A queued generation whose first event would be late on all engines is refused at once; one that
+ * would be in time on any of them goes there. */
+static void test_admission_late(void)
+{
+	struct waiter waiters[2];
+	struct dispatch_load load = { 0 };
+	struct fixture f;
+	struct dispatch_need wanted;
+
+	setup(&f);
+	add_engine(&f, "e-1:1", "near", env_now_us());
+	dispatch_load_add(&load, fleet_find(f.env.fleet, "e-1:1"), 1000, 80000);
+	wanted = admission_need(&f, ADMISSION_URGENT, 1500, 1000);
+	wanted.place.first_event_left_ms = 1000;
+	enqueue(&f, &waiters[0], 'a', &wanted);
+	/* Back after a refusal: it has no limit. */
+	wanted.place.first_event_left_ms = 0;
+	wanted.admission.due_us++;
+	enqueue(&f, &waiters[1], 'b', &wanted);
+	dispatch_grant_queued(f.dispatch);
+	g_assert_cmpstr(f.refused->str, ==, "a");
+	g_assert_cmpstr(f.granted->str, ==, "b");
+	add_engine(&f, "e-2:1", "near", env_now_us());
+	wanted.place.first_event_left_ms = 1000;
+	enqueue(&f, &waiters[0], 'c', &wanted);
+	dispatch_grant_queued(f.dispatch);
+	g_assert_cmpstr(f.granted->str, ==, "bc");
+	dispatch_load_remove(&load);
+	teardown(&f);
+}
+
+/* Others leave room for urgent generations while there is a demand for them; copies of running
+ * generations and services without urgent routes are not restricted. */
+static void test_admission_reserve(void)
+{
+	struct dispatch_load load = { 0 };
+	struct dispatch_decision decision = { 0 };
+	struct fixture f;
+	struct dispatch_need other;
+	struct dispatch_need urgent;
+	struct dispatch_need none;
+
+	setup(&f);
+	f.env.loop = uv_default_loop();
+	f.env.admission_exchange = admission_exchange_create(&f.env, NULL);
+	add_engine(&f, "e-1:1", "near", env_now_us());
+	dispatch_load_add(&load, fleet_find(f.env.fleet, "e-1:1"), 7000, 0);
+	other = admission_need(&f, ADMISSION_OTHER, 4000, 1000);
+	urgent = admission_need(&f, ADMISSION_URGENT, 1500, 1000);
+	none = admission_need(&f, ADMISSION_NONE, 0, 1000);
+	g_assert_nonnull(dispatch_select_engine(f.dispatch, &other, &decision));
+	/* More than the largest reserve can hold. */
+	admission_exchange_on_end(f.env.admission_exchange, "engines", 1000);
+	admission_exchange_on_arrival(f.env.admission_exchange, "engines", 10000000);
+	uv_run(f.env.loop, UV_RUN_ONCE);
+	g_assert_cmpfloat_with_epsilon(dispatch_other_fill(f.dispatch, "engines", &f.engine), 0.62,
+				       1e-6);
+	g_assert_null(dispatch_select_engine(f.dispatch, &other, &decision));
+	g_assert_nonnull(dispatch_select_engine(f.dispatch, &urgent, &decision));
+	g_assert_nonnull(dispatch_select_engine(f.dispatch, &none, &decision));
+	/* A demand for another service reserves nothing here. */
+	g_assert_cmpfloat(admission_exchange_tokens(f.env.admission_exchange, "others"), ==, 0.0);
+	dispatch_load_remove(&load);
+	admission_exchange_destroy(f.env.admission_exchange);
+	uv_run(f.env.loop, UV_RUN_NOWAIT);
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/order", test_order);
 	g_test_add_func("/dispatch/new-engine", test_new_engine);
+	g_test_add_func("/dispatch/admission-order", test_admission_order);
+	g_test_add_func("/dispatch/admission-overtaking", test_admission_overtaking);
+	g_test_add_func("/dispatch/admission-late", test_admission_late);
+	g_test_add_func("/dispatch/admission-reserve", test_admission_reserve);
 	return g_test_run();
 }
