Admission: replay with a known zone, objectives of a service's streams

The scene 'known zone' has views of the own zone that are 0.1 s old, as the gateway has. It guards against urgent generations that go to the nearest engine where they would be late although another one is in time.

--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -19,6 +19,7 @@
 #define SNAPSHOT_MS	  100
 #define SNAPSHOTS	  8
 #define STALE_SNAPSHOTS	  6 /* views of other instances are 0.6 s old */
+#define ZONES		  6
 #define DURATION_MS	  26000
 #define ARRIVALS_END_MS	  20000
 #define INSTANCES	  60
@@ -60,16 +61,18 @@
 	const char *name;
 	double load[KINDS]; /* factors of the demand */
 	uint32_t rank[KINDS];
+	bool knows_zone;  /* views of engines in the own zone are at most 0.1 s old */
 	double max_late;  /* urgent generations that are late, to those in arrival order */
 	double min_other; /* others that are served, to those in arrival order */
 };
 
 /* With the ranks of the deployment, arrival order already serves the short ones first. */
 static const struct scene scenes[] = {
-	{ "equal ranks", { 1.0, 1.0 }, { 0, 0 }, 0.5, 1.0 },
-	{ "deployment", { 1.0, 1.0 }, { 2, 0 }, 1.2, 1.0 },
-	{ "full memory", { 2.3, 0.4 }, { 0, 0 }, 0.5, 0.95 },
-	{ "overload", { 4.0, 0.5 }, { 0, 0 }, 0.7, 0.85 },
+	{ "equal ranks", { 1.0, 1.0 }, { 0, 0 }, false, 0.5, 1.0 },
+	{ "deployment", { 1.0, 1.0 }, { 2, 0 }, false, 1.2, 1.0 },
+	{ "known zone", { 1.25, 1.25 }, { 2, 0 }, true, 0.95, 1.0 },
+	{ "full memory", { 2.3, 0.4 }, { 0, 0 }, false, 0.5, 0.95 },
+	{ "overload", { 4.0, 0.5 }, { 0, 0 }, false, 0.7, 0.85 },
 };
 
 enum state {
@@ -382,9 +385,16 @@
 
 /* instances */
 
+static bool is_same_zone(const struct run *run, const struct instance *instance, uint32_t engine)
+{
+	return engine % ZONES == (uint32_t)(instance - run->instances) % ZONES;
+}
+
 static struct load known_load(const struct run *run, const struct instance *instance, uint32_t i)
 {
-	uint32_t past = (run->snapshot + SNAPSHOTS - STALE_SNAPSHOTS) % SNAPSHOTS;
+	uint32_t age =
+		run->scene->knows_zone && is_same_zone(run, instance, i) ? 0 : STALE_SNAPSHOTS;
+	uint32_t past = (run->snapshot + SNAPSHOTS - age) % SNAPSHOTS;
 	const struct load *total = &run->totals[past][i];
 	const struct load *mine = &instance->past[past][i];
 	const struct load *own = &instance->own[i];
@@ -438,7 +448,7 @@
 			.prefill_tokens = load.unread,
 			.slots = SLOTS,
 			.open = load.open,
-			.distance = i % 6 != gen->instance % 6,
+			.distance = !is_same_zone(run, instance, i),
 			.usable = !run->engines[i].gone_ms,
 		};
 		usable += views[i].usable;
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -88,6 +88,37 @@
 	g_assert_false(route_allows_rerun(&route));
 }
 
+static void add_stream(struct route_config *config, const char *prefix, const char *service,
+		       uint32_t objective_ms, enum route_kind kind)
+{
+	struct route *route = route_config_add_route(config, "s.example", prefix);
+
+	route->kind = kind;
+	route->latency_slo_ms = objective_ms;
+	route_add_target(route, service, 1);
+}
+
+/* Only the streams of a service count, and only those that have an objective. */
+static void test_objectives(void)
+{
+	struct route_config *config = sample_config();
+	uint32_t shortest_ms = 1;
+	uint32_t longest_ms = 1;
+
+	add_stream(config, "/a/", "engines", 4000, ROUTE_STREAM);
+	add_stream(config, "/b/", "engines", 1500, ROUTE_STREAM);
+	add_stream(config, "/c/", "engines", 0, ROUTE_STREAM);
+	add_stream(config, "/d/", "engines", 300, ROUTE_IDEMPOTENT);
+	add_stream(config, "/e/", "others", 9000, ROUTE_STREAM);
+	route_config_stream_objectives(config, "engines", &shortest_ms, &longest_ms);
+	g_assert_cmpuint(shortest_ms, ==, 1500);
+	g_assert_cmpuint(longest_ms, ==, 4000);
+	route_config_stream_objectives(config, "none", &shortest_ms, &longest_ms);
+	g_assert_cmpuint(shortest_ms, ==, 0);
+	g_assert_cmpuint(longest_ms, ==, 0);
+	route_config_unref(config);
+}
+
 /* A reference keeps the configuration alive, as a request needs that outlives a change. */
 static void test_reference(void)
 {
@@ -107,6 +138,7 @@
 	g_test_add_func("/route/targets", test_targets);
 	g_test_add_func("/route/customers", test_customers);
 	g_test_add_func("/route/repeatable", test_allows_rerun);
+	g_test_add_func("/route/objectives", test_objectives);
 	g_test_add_func("/route/reference", test_reference);
 	return g_test_run();
 }
