--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "admission_exchange.h"
 #include "cold_start.h"
 #include "crash_guard.h"
 #include "delegation.h"
@@ -156,6 +157,8 @@
 	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->env.limit_exchange = limit_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->env.cold_start = cold_start_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.admission_exchange =
+		admission_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -178,6 +181,8 @@
 	delegation_destroy(gateway->delegation);
 	store_watch_destroy(gateway->store_watch);
 	cold_start_destroy(gateway->env.cold_start);
+	admission_exchange_destroy(gateway->env.admission_exchange);
+	gateway->env.admission_exchange = NULL;
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
