Admission: end of the process with open urgent streams, tests of the program

An urgent stream that was open at the end of the process recorded its time on the engine after the exchange had been freed, and the process crashed on its way out. The exchange ignores it now.

--- a/src/serve/admission_exchange.c
+++ b/src/serve/admission_exchange.c
@@ -315,6 +315,8 @@
 void admission_exchange_on_end(struct admission_exchange *admission, const char *service,
 			       uint32_t hold_ms)
 {
+	if (!admission)
+		return;
 	admission_demand_end(&admission_exchange_service(admission, service)->demand, hold_ms);
 }
 
--- a/src/serve/admission_exchange.h
+++ b/src/serve/admission_exchange.h
@@ -30,7 +30,8 @@
 /** Counts the arrival of an urgent generation of that size. */
 void admission_exchange_on_arrival(struct admission_exchange *admission, const char *service,
 				   uint64_t tokens);
-/** Records how long an urgent generation was on an engine. */
+/** Records how long an urgent generation was on an engine. @p admission may be NULL: the open
+ * requests are freed after it at the end of the process. */
 void admission_exchange_on_end(struct admission_exchange *admission, const char *service,
 			       uint32_t hold_ms);
 /** Returns when refused callers of a service and class return, to be updated. */
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -711,7 +711,7 @@
 	g_ptr_array_sort(longs, compare_sizes);
 	for (guint i = longs->len - longs->len / 10; i < longs->len; i++)
 		largest_served += was_served(longs->pdata[i]);
-	result->largest_share = (double)largest_served / (longs->len / 10) /
+	result->largest_share = (double)largest_served / (double)(longs->len / 10) /
 				((double)result->served[LONG] / longs->len);
 	result->customer_share = 1.0;
 	for (uint32_t i = 0; i < CUSTOMERS; i++)
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -21,6 +21,7 @@
 	struct http_client *cli;
 	uint32_t unused_routes;
 	uint32_t call_timeout_ms; /* of the routes to the plain service */
+	uint32_t long_slo_ms;	  /* objective of the route /long/ */
 	struct mock_platform *platform;
 	GPtrArray *gateways;
 	char *directory;
@@ -59,6 +60,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	testbed->seed = seed;
 	testbed->call_timeout_ms = 1500;
+	testbed->long_slo_ms = 1800;
 	/* A loopback subnet for each process, so that tests can run in parallel. */
 	testbed->subnet = g_strdup_printf("127.%u.%u", 16 + pid % 200, pid / 200 % 250);
 	testbed->directory = g_dir_make_tmp("site-XXXXXX", NULL);
@@ -201,6 +203,11 @@
 	testbed->call_timeout_ms = timeout_ms;
 }
 
+void testbed_set_long_objective(struct testbed *testbed, uint32_t objective_ms)
+{
+	testbed->long_slo_ms = objective_ms;
+}
+
 /* Returns the further routes, each after a comma. */
 static char *testbed_unused_routes(const struct testbed *testbed)
 {
@@ -228,7 +235,7 @@
 		"\"route_kind\":\"safe\",\"timeout_ms\":%u,\"slo_ms\":200,\"priority\":2,"
 		"\"service\":\"" TESTBED_PLAIN_SERVICE "\",\"max_attempts\":2},"
 		"{\"name\":\"long\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"/long/\","
-		"\"route_kind\":\"streaming\",\"timeout_ms\":20000,\"slo_ms\":1800,\"priority\":1,"
+		"\"route_kind\":\"streaming\",\"timeout_ms\":20000,\"slo_ms\":%u,\"priority\":1,"
 		"\"service\":\"" TESTBED_ENGINE_SERVICE
 		"\",\"max_attempts\":1,\"target_gap_ms\":180},"
 		"{\"name\":\"quick\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"/quick/\","
@@ -246,6 +253,7 @@
 	g_autofree char *unused = testbed_unused_routes(testbed);
 	g_autofree char *text = g_strdup_printf(
 		base, ++testbed->config_version, testbed->call_timeout_ms, testbed->call_timeout_ms,
+		testbed->long_slo_ms,
 		route ? ",{\"name\":\"more\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"" : "",
 		route ? route : "",
 		route ? "\",\"route_kind\":\"safe\",\"timeout_ms\":1500,\"slo_ms\":200,"
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -97,6 +97,9 @@
 void testbed_set_unused_routes(struct testbed *testbed, uint32_t count);
 /** Sets the timeout of the routes /once/ and /safe/ in the next configurations, in ms. */
 void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms);
+/** Sets the objective of the route /long/ in the next configurations, in ms; that of /quick/ is
+ * 1,500. */
+void testbed_set_long_objective(struct testbed *testbed, uint32_t objective_ms);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
