Zone evacuation: nothing is sent on outdated zones after a pause

A process that is paused for longer than half of bounds.evacuate_ms may have missed an evacuation. When it goes on, sockets are read before the peers' messages: 15 and 16 of 30 calls to a public route went to the evacuated zone (requests with keys were refused, as their configuration is not confirmed). The instance now sends nothing until the store or a delegate has stated the zones again, or for 1.5 s when neither answers, and is not ready meanwhile. Without bounds.evacuate_ms nothing changes.

An attempt that is not sent because of an evacuation no longer counts as a failure of its upstream.

--- a/include/flamingolatch/gateway_settings.h
+++ b/include/flamingolatch/gateway_settings.h
@@ -23,6 +23,8 @@
 	double grace_s;	       /**< time from the stop signal until the process is killed */
 	double recheck_s;      /**< time after the store answers again in which a lapsed
 				* entry of the instance list may be listed again */
+	double evacuate_ms;    /**< an evacuated zone gets no requests after this time; 0: no such
+				* term */
 	double retry_ratio;    /**< retries for each request of a service */
 	double retry_slack;    /**< retries in a window beyond the ratio, over all instances */
 	double retry_window_s; /**< length of the window that requests and retries are counted in */
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -24,6 +24,7 @@
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, revoke_ms, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, grace_s, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, recheck_s, CONF_F64),
+	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, evacuate_ms, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_ratio, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_slack, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_bounds_settings, retry_window_s, CONF_F64),
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -299,6 +299,7 @@
 			       reply->state, now_us) ||
 	    reply->state != DELEGATE_HEALTHY)
 		return;
+	store_watch_confirm_zones(delegation->watch, reply->query_sent_us);
 	behind = reply->config_version > config_version;
 	if (!behind && config_version && reply->query_sent_us > reply->age_us)
 		store_watch_confirm(delegation->watch, reply->query_sent_us - reply->age_us,
--- a/src/serve/env.c
+++ b/src/serve/env.c
@@ -3,6 +3,11 @@
 #include <time.h>
 
 #define ENV_US_PER_S 1000000ULL
+/* Share of the time in which an evacuation takes effect that a pause of the process may use up: the
+ * rest is for the death of a delegate. */
+#define ENV_PAUSE_SHARE 0.5
+/* An instance that hears from nobody after a pause goes on with the zones that it knows. */
+#define ENV_ZONES_DOUBT_US (1500ULL * 1000)
 
 static uint64_t env_clock_us(clockid_t clock)
 {
@@ -64,3 +69,30 @@
 {
 	return freshness_is_current(&env->freshness, env_boot_us());
 }
+
+/* Tells whether the loop has not run for so long that the evacuated zones may be outdated. */
+static bool env_was_paused(const struct env *env, uint64_t now_us)
+{
+	double limit_us = env->settings->bounds.evacuate_ms * 1000 * ENV_PAUSE_SHARE;
+
+	return limit_us > 0 && env->waited_us && (double)(now_us - env->waited_us) > limit_us;
+}
+
+bool env_note_running(struct env *env)
+{
+	uint64_t now_us = env_boot_us();
+	bool paused = env_was_paused(env, now_us);
+
+	env->waited_us = now_us;
+	if (paused)
+		env->zones_doubted_us = now_us;
+	return paused;
+}
+
+bool env_doubts_zones(const struct env *env)
+{
+	uint64_t now_us = env_boot_us();
+
+	return env_was_paused(env, now_us) ||
+	       (env->zones_doubted_us && now_us < env->zones_doubted_us + ENV_ZONES_DOUBT_US);
+}
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -46,6 +46,10 @@
 	uint32_t remote_load_age_ms; /**< age of the load known from the region's other zones,
 				      * taken to be our own interval of reports to them */
 	struct planned_stop stop;
+	uint64_t waited_us;	   /**< when the loop last began to wait for events, by
+				    * env_boot_us() */
+	uint64_t zones_doubted_us; /**< since when the evacuated zones may be outdated, as the
+				    * process was paused; 0: they are not */
 };
 
 /** Returns the monotonic time in us. */
@@ -61,5 +65,12 @@
 uint64_t env_config_age_limit_us(const struct env *env, double share);
 /** Tells whether the configuration was confirmed recently enough to trust its API keys. */
 bool env_keys_fresh(const struct env *env);
+/** Records that the loop runs. A pause of the process in which a zone could have been evacuated,
+ * beyond the time that the operator is promised, puts the evacuated zones in doubt.
+ * @return true when they are in doubt from now on */
+bool env_note_running(struct env *env);
+/** Tells whether the evacuated zones are in doubt, so that nothing may be sent. This ends with the
+ * next word of the store or of a delegate, or after a time in which neither can be reached. */
+bool env_doubts_zones(const struct env *env);
 
 #endif
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -370,10 +370,18 @@
 	log_event(fresh ? LOG_API_KEYS_CONFIRMED : LOG_API_KEYS_STALE, "age_ms", age, NULL);
 }
 
+/* Asks for the evacuated zones again after a pause of the process. */
+static void gateway_check_pause(struct gateway *gateway)
+{
+	if (env_note_running(&gateway->env) && gateway->store_watch)
+		store_watch_recheck_zones(gateway->store_watch);
+}
+
 static void gateway_on_prepare(uv_prepare_t *prepare)
 {
 	struct gateway *gateway = prepare->data;
 
+	gateway_check_pause(gateway);
 	relay_grant_queued(gateway->relay);
 	if (gateway->peer_exchange)
 		peer_exchange_report_placement(gateway->peer_exchange);
@@ -384,6 +392,7 @@
 	struct gateway *gateway = timer->data;
 	uint64_t now_ms = uv_now(gateway->env.loop);
 
+	gateway_check_pause(gateway);
 	relay_tick(gateway->relay);
 	gateway_check_keys(gateway);
 	metric_set(gateway->env.metric, METRIC_OPEN_REQUESTS, relay_open_count(gateway->relay));
@@ -403,7 +412,7 @@
 	uint64_t age_us = freshness_age_us(&gateway->env.freshness, env_boot_us());
 	bool ready =
 		gateway->env.config && store_watch_is_synced(gateway->store_watch) &&
-		!planned_stop_has_begun(&gateway->env.stop) &&
+		!env_doubts_zones(&gateway->env) && !planned_stop_has_begun(&gateway->env.stop) &&
 		age_us < gateway->env.freshness.max_age_us &&
 		age_us + GATEWAY_NOT_READY_MARGIN_MS * 1000 < gateway->env.freshness.max_age_us;
 
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -235,16 +235,20 @@
 			  "upstream-limit");
 }
 
-/* Refuses a request that has not run when all upstreams of its service are in evacuated zones: when
- * one of these returns is not known. Returns true when it was refused. */
+/* Refuses a request that has not run when all upstreams of its service are in evacuated zones, as
+ * it is not known when one of these returns, or when the zones are in doubt. Returns true when it
+ * was refused. */
 static bool relay_refuse_if_evacuated(struct relay_request *request)
 {
 	struct relay *relay = request->relay;
+	bool doubted = env_doubts_zones(relay->env);
 
-	if (request->may_have_run || !dispatch_is_evacuated(relay->dispatch, request->service_name))
+	if (request->may_have_run ||
+	    (!doubted && !dispatch_is_evacuated(relay->dispatch, request->service_name)))
 		return false;
 	metric_add(relay->env->metric, METRIC_EVACUATION_REFUSED, 1);
-	relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request), "evacuated");
+	relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request),
+			  doubted ? "zones-unconfirmed" : "evacuated");
 	return true;
 }
 
@@ -373,7 +377,8 @@
 				  "unconfirmed");
 		return;
 	}
-	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
+	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request) ||
+	    relay_refuse_if_evacuated(request))
 		return;
 	relay_start_attempt(request, up, NULL, NULL);
 	relay_log_placed(request, up, decision);
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -113,6 +113,7 @@
 	request->discard = false;
 	request->discarded_bytes = 0;
 	request->invalid_response = false;
+	request->withheld = false;
 	request->not_run = false;
 	request->stream = false;
 	request->unframed = false;
@@ -146,10 +147,12 @@
 
 static bool relay_on_connected(void *ctx)
 {
-	const struct relay_request *request = ctx;
+	struct relay_request *request = ctx;
 
-	/* Its zone may have been evacuated while the connection was made. */
-	if (fleet_upstream_is_evacuated(request->attempt.up))
+	/* Its zone may have been evacuated while the connection was made, or the process paused. */
+	request->withheld = fleet_upstream_is_evacuated(request->attempt.up) ||
+			    env_doubts_zones(request->relay->env);
+	if (request->withheld)
 		return false;
 	/* Another upstream may have got the address in the meantime, or this one has said that it
 	 * leaves or wants to be left alone. An engine that leaves still continues from its own
@@ -410,9 +413,10 @@
 		request->closed_in_stop = complete;
 		return;
 	}
-	fleet_upstream_record_outcome(
-		up, complete && (request->not_run || !relay_is_server_error(request)),
-		result == HTTP_CALL_OK || !sent ? result == HTTP_CALL_OK : false, now_us);
+	if (!request->withheld)
+		fleet_upstream_record_outcome(
+			up, complete && (request->not_run || !relay_is_server_error(request)),
+			result == HTTP_CALL_OK || !sent ? result == HTTP_CALL_OK : false, now_us);
 	if (!sent) {
 		request->relay->on_attempt_end(request, ATTEMPT_NOT_SENT);
 		return;
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -117,6 +117,7 @@
 	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
 	bool closed_in_stop;   /* the unframed stream was closed properly while it was to stop */
 	bool migrate_last;     /* the latest migration call stops the generation */
+	bool withheld;	       /* the current attempt was not sent because of an evacuation */
 	bool not_run;	       /* the upstream states that it did not run the request */
 };
 
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -394,6 +394,26 @@
 	store_watch_apply_evacuated(watch, previous, changed);
 }
 
+void store_watch_confirm_zones(struct store_watch *watch, uint64_t as_of_us)
+{
+	if (as_of_us >= watch->env->zones_doubted_us)
+		watch->env->zones_doubted_us = 0;
+}
+
+void store_watch_recheck_zones(struct store_watch *watch)
+{
+	struct store_watch_table *table = &watch->tables[0];
+
+	if (!watch->watching)
+		return;
+	/* The answer to the open call may be from the time before. */
+	if (table->call)
+		watch->env->store_client->ops->cancel(table->call);
+	table->call = NULL;
+	table->immediate = true;
+	store_watch_send_after(table, 0);
+}
+
 void store_watch_read_now(struct store_watch *watch, bool config, bool list)
 {
 	const bool wanted[] = { config, list };
@@ -778,6 +798,7 @@
 			       : evacuation_change(watch->evacuation, table->asked,
 						   answer->position, rows);
 	store_watch_apply_evacuated(watch, previous, changed);
+	store_watch_confirm_zones(watch, table->sent_boot_us);
 }
 
 /* Starts to decode the configuration of an answer. @return false when it has none */
--- a/src/serve/store_watch.h
+++ b/src/serve/store_watch.h
@@ -94,6 +94,11 @@
  * @param zones strings */
 void store_watch_adopt_evacuated(struct store_watch *watch, struct store_position position,
 				 const GPtrArray *zones);
+/** Records that all evacuated zones as of a time are known, which ends a doubt about them.
+ * @param as_of_us by env_boot_us() */
+void store_watch_confirm_zones(struct store_watch *watch, uint64_t as_of_us);
+/** Asks the store at once for the evacuated zones if this instance watches it. */
+void store_watch_recheck_zones(struct store_watch *watch);
 /** Reads from the store at once what a delegate knows and did not pass on. */
 void store_watch_read_now(struct store_watch *watch, bool config, bool list);
 
--- a/test/test_gateway_evacuation.c
+++ b/test/test_gateway_evacuation.c
@@ -43,6 +43,9 @@
 	.path = "/long/", .key = TESTBED_KEY, .prompt_tokens = FULL_TOKENS, .output_tokens = TOKENS
 };
 
+/* Whether the settings state the bound. */
+static bool with_bound;
+
 static struct mock_upstream *create_upstream(const struct fixture *f, bool engine, uint32_t zone)
 {
 	g_autofree char *id = g_strdup_printf("%s-%u", engine ? "engine" : "shop", zone);
@@ -60,6 +63,17 @@
 	return mock_upstream_create(f->platform, &conf);
 }
 
+/* Adds the bound to the settings, which end with the others. */
+static void set_bound(const struct testbed_gateway *gateway)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *with = NULL;
+
+	g_assert_true(g_file_get_contents(gateway->settings_file, &text, NULL, NULL));
+	with = g_strdup_printf("%s  evacuate_ms: %d\n", text, BOUND_MS);
+	g_assert_true(g_file_set_contents(gateway->settings_file, with, -1, NULL));
+}
+
 static void start_gateway(struct fixture *f)
 {
 	uint32_t number = f->gateway_count++;
@@ -69,6 +83,8 @@
 	f->proxies[number] =
 		proxy_create(testbed_loop(f->testbed), ip, mock_platform_address(f->platform));
 	f->gateways[number] = testbed_gateway(f->testbed, name, proxy_address(f->proxies[number]));
+	if (with_bound)
+		set_bound(f->gateways[number]);
 	testbed_start(f->gateways[number]);
 }
 
@@ -90,6 +106,17 @@
 	g_assert_cmpuint(delegated + 1, ==, f->gateway_count);
 }
 
+/* Makes the route of the calls public: what is not known to be fresh refuses requests with keys. */
+static void make_public(const struct fixture *f)
+{
+	g_auto(GStrv) parts =
+		g_strsplit(mock_store_text(f->platform, "op", "config"), "\"name\":\"once\",", 2);
+	g_autofree char *text =
+		g_strdup_printf("%s\"name\":\"once\",\"public\":true,%s", parts[0], parts[1]);
+
+	mock_store_put(f->platform, "op", "config", text);
+}
+
 static void fixture_open(struct fixture *f, uint32_t gateway_count)
 {
 	*f = (struct fixture){ .testbed = testbed_create(61) };
@@ -101,10 +128,13 @@
 	}
 	mock_upstream_list(f->engines[0]);
 	testbed_configure(f->testbed, NULL, NULL);
-	for (uint32_t g = 0; g < gateway_count; g++)
+	if (with_bound)
+		make_public(f);
+	/* One after the other: those that start at the same moment find one another late. */
+	for (uint32_t g = 0; g < gateway_count; g++) {
 		start_gateway(f);
-	for (uint32_t g = 0; g < gateway_count; g++)
 		g_assert_true(testbed_wait_ready(f->gateways[g], READY_TIMEOUT_MS));
+	}
 	wait_delegated(f);
 }
 
@@ -498,6 +528,42 @@
 	fixture_close(&f);
 }
 
+/* An instance that was paused while the zone was evacuated, as one that watches the store or has a
+ * delegate, sends nothing there when it goes on: neither the requests that came meanwhile nor those
+ * that were queued before. Then it serves again, also when it hears from nobody. */
+static void test_paused(void)
+{
+	struct testbed_answer answers[CALL_COUNT];
+	struct fixture f;
+	uint32_t before;
+
+	with_bound = true;
+	fixture_open(&f, GATEWAY_COUNT);
+	for (uint32_t g = 0; g < GATEWAY_COUNT; g++) {
+		testbed_signal(f.gateways[g], SIGSTOP);
+		evacuate(&f, "z1", true);
+		for (uint32_t i = 0; i < CALL_COUNT; i++)
+			testbed_begin(f.gateways[g], &call, &answers[i]);
+		testbed_run(f.testbed, BOUND_MS);
+		before = arrivals(f.shops[0]);
+		testbed_signal(f.gateways[g], SIGCONT);
+		for (uint32_t i = 0; i < CALL_COUNT; i++) {
+			g_assert_true(testbed_wait(f.testbed, &answers[i], READY_TIMEOUT_MS));
+			/* The pause may have begun after some were sent, which then are late. */
+			testbed_answer_clear(&answers[i]);
+		}
+		g_assert_cmpuint(arrivals(f.shops[0]), ==, before);
+		wait_zones_everywhere(&f, "[\"z1\"]", BOUND_MS);
+		g_assert_true(testbed_wait_ready(f.gateways[g], READY_TIMEOUT_MS));
+		check_spared(&f, f.gateways[g], 0);
+		g_test_message("%u refused", count_log_lines(f.gateways[g], "zones-unconfirmed"));
+		evacuate(&f, "z1", false);
+		wait_zones_everywhere(&f, "[]", BOUND_MS);
+	}
+	fixture_close(&f);
+	with_bound = false;
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -511,5 +577,6 @@
 	g_test_add_func("/gateway-evacuation/refused-by-store", test_refused_by_store);
 	g_test_add_func("/gateway-evacuation/malformed", test_malformed);
 	g_test_add_func("/gateway-evacuation/restored", test_restored);
+	g_test_add_func("/gateway-evacuation/paused", test_paused);
 	return g_test_run();
 }
