--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -134,10 +134,51 @@
 	teardown(&f);
 }
 
+/* An engine of an evacuated zone is not selected, whatever for, and a queued generation is not
+ * granted to it; what is said of the service as a whole does not count it. */
+static void test_evacuated(void)
+{
+	struct fixture f;
+	struct waiter waiter = { &f, 'a' };
+	struct dispatch_need wanted;
+	struct dispatch_decision decision = { 0 };
+	g_autoptr(GPtrArray) zones = g_ptr_array_new();
+	g_autoptr(GPtrArray) none = g_ptr_array_new();
+
+	setup(&f);
+	g_ptr_array_add(zones, (gpointer) "near");
+	wanted = need(&f);
+	add_engine(&f, "near-1:1", "near", env_now_us());
+	fleet_set_evacuated(f.env.fleet, zones);
+	g_assert_null(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	wanted.place.needs_kv_copy = true;
+	g_assert_null(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	wanted.place.needs_kv_copy = false;
+	g_assert_null(dispatch_select_backup(f.dispatch, &wanted, NULL));
+	g_assert_false(dispatch_has_upstream(f.dispatch, "engines"));
+	g_assert_true(dispatch_is_evacuated(f.dispatch, "engines"));
+	g_assert_false(dispatch_is_evacuated(f.dispatch, "others"));
+	dispatch_enqueue(f.dispatch, &wanted, 0, on_granted, &waiter);
+	dispatch_grant_queued(f.dispatch);
+	g_assert_cmpstr(f.granted->str, ==, "");
+	upstream_quiet_ask(fleet_upstream_quiet(fleet_find(f.env.fleet, "near-1:1")), 1000000,
+			   env_now_us());
+	g_assert_cmpuint(dispatch_quiet_us(f.dispatch, "engines"), ==, 0);
+	add_engine(&f, "far-1:1", "other", env_now_us() - 2000 * 1000);
+	g_assert_true(dispatch_has_upstream(f.dispatch, "engines"));
+	g_assert_false(dispatch_is_evacuated(f.dispatch, "engines"));
+	dispatch_grant_queued(f.dispatch);
+	g_assert_cmpstr(f.granted->str, ==, "a");
+	fleet_set_evacuated(f.env.fleet, none);
+	g_assert_false(dispatch_is_evacuated(f.dispatch, "engines"));
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/order", test_order);
 	g_test_add_func("/dispatch/new-engine", test_new_engine);
+	g_test_add_func("/dispatch/evacuated", test_evacuated);
 	return g_test_run();
 }
