Zone evacuation: no confirmation by an answer of another era

An answer to a watch that is of a later era than the one asked for leaves the set as it is, so it must not end a doubt about it either. The test of a copy into an evacuated zone now also checks that the copy is not waited for: without relay_has_unneeded_copy() it passed before and fails now.

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -64,7 +64,7 @@
 	X(METRIC_CRASHED_STARTS, "crashed_starts_total", "Attempts whose connection to the upstream broke before the answer made progress.") \
 	X(METRIC_QUARANTINE_REFUSED, "quarantine_refused_total", "Requests refused because they or a part of their prompt are quarantined or held back.") \
 	X(METRIC_LIMIT_REFUSED, "limit_refused_total", "Requests refused because the upstreams of the service take no more, by the limits that they name.") \
-	X(METRIC_EVACUATION_REFUSED, "evacuation_refused_total", "Requests refused because all upstreams of the service are in evacuated zones.") \
+	X(METRIC_EVACUATION_REFUSED, "evacuation_refused_total", "Requests refused because all upstreams of the service are in evacuated zones, or may be.") \
 	X(METRIC_ENGINE_ORDERS, "orders_total", "Orders sent to engines.") \
 	X(METRIC_CONNECTION_CLOSE_ANSWERS, "closing_answers_total", "Generation answers after which the engine closes the connection.") \
 	X(METRIC_GENERATIONS_SPILLED, "spilled_total", "Generations sent to another availability zone.")
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -798,7 +798,9 @@
 			       : evacuation_change(watch->evacuation, table->asked,
 						   answer->position, rows);
 	store_watch_apply_evacuated(watch, previous, changed);
-	store_watch_confirm_zones(watch, table->sent_boot_us);
+	/* Not after an answer of another era than the one that was asked for. */
+	if (!store_position_is_after(answer->position, evacuation_position(watch->evacuation)))
+		store_watch_confirm_zones(watch, table->sent_boot_us);
 }
 
 /* Starts to decode the configuration of an answer. @return false when it has none */
--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -525,7 +525,8 @@
 static struct engine *evacuate_during_copy(struct fixture *f, struct testbed_answer *answer,
 					   bool last, const char *const *zones)
 {
-	struct script script = { .copy_answer_ms = 20 * STEP_MS, .release = "204 No Content" };
+	struct script script = { .copy_answer_ms = (last ? 20 : 150) * STEP_MS,
+				 .release = "204 No Content" };
 	struct engine *source;
 
 	fixture_open(f, false);
@@ -559,7 +560,9 @@
 
 	source = evacuate_during_copy(&f, &answer, false, zones);
 	copy_calls = source->copy_calls;
-	fixture_run(&f, 100 * STEP_MS);
+	fixture_run(&f, 150 * STEP_MS);
+	/* It was not waited for. */
+	g_assert_cmpuint(count_log_lines(&f, "target-evacuated"), ==, 0);
 	g_assert_cmpuint(source->copy_calls, ==, copy_calls);
 	g_assert_null(find_taken_over(&f));
 	check_complete(&f, &answer);
