--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -74,6 +74,7 @@
 	GArray *arrivals_ms;	/* guint64 */
 	GArray *arrivals;	/* struct mock_arrival */
 	uint64_t started_ms;	/* wall clock */
+	uint64_t cold_until_ms; /* loop clock; 0: it never was cold */
 	uint64_t leaving_ms;	/* when it began to leave; 0 before */
 	uint64_t crashed_ms;	/* when it crashed; 0 before */
 	uint32_t working_count; /* jobs that do not wait for a slot */
@@ -608,12 +609,25 @@
 
 /* commands: upstreams */
 
+static uint32_t mock_upstream_cold_left_ms(const struct mock_upstream *upstream)
+{
+	uint64_t now_ms = uv_now(upstream->platform->loop);
+
+	return now_ms < upstream->cold_until_ms ? (uint32_t)(upstream->cold_until_ms - now_ms) : 0;
+}
+
+void mock_upstream_set_cold(struct mock_upstream *upstream, uint32_t cold_ms)
+{
+	upstream->cold_until_ms = uv_now(upstream->platform->loop) + cold_ms;
+}
+
 void mock_upstream_list(struct mock_upstream *upstream)
 {
 	json_t *root = json_pack(
 		"{s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:I}", "service", upstream->service, "address",
 		upstream->listed_address, "zone", upstream->zone, "slots", 8, "state",
-		upstream->leaving_ms ? "draining" : "ready", "cold_left_ms", 0, "seq_no",
+		upstream->leaving_ms ? "draining" : "ready", "cold_left_ms",
+		(int)mock_upstream_cold_left_ms(upstream), "seq_no",
 		(json_int_t)upstream->platform->version, "born", (json_int_t)upstream->started_ms);
 	char *text = json_dumps(root, JSON_COMPACT);
 
@@ -751,10 +765,19 @@
 		http_req_add_response_header(req, "Server-Limit", limit);
 }
 
+static void mock_upstream_name_cold(const struct mock_upstream *upstream, struct http_req *req)
+{
+	g_autofree char *left = g_strdup_printf("%u", mock_upstream_cold_left_ms(upstream));
+
+	if (upstream->cold_until_ms)
+		http_req_add_response_header(req, "X-Flamingolatch-Cold-Start-Ms", left);
+}
+
 static void mock_upstream_sign(const struct mock_upstream *upstream, struct http_req *req,
 			       const char *id)
 {
 	mock_upstream_name_limit(upstream, req);
+	mock_upstream_name_cold(upstream, req);
 	mock_upstream_name_leaving(upstream, req);
 	http_req_add_response_header(req, "X-Flamingolatch-Attempt-Id", id);
 	http_req_add_response_header(req, "X-Flamingolatch-Replica-Signature", "stand");
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -138,6 +138,9 @@
 void mock_upstream_list(struct mock_upstream *upstream);
 /** Changes the behaviour; id, service, zone and address stay. */
 void mock_upstream_configure(struct mock_upstream *upstream, const struct mock_upstream_conf *conf);
+/** Makes the upstream cold for a time, which its answers state from now on, and its entry from the
+ * next mock_upstream_list() on. */
+void mock_upstream_set_cold(struct mock_upstream *upstream, uint32_t cold_ms);
 /** Sets the address in the entry, for a proxy in front of the upstream. */
 void mock_upstream_set_listed_address(struct mock_upstream *upstream, const char *address);
 /** Returns the address that the upstream listens on, "IP:port". */
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -29,6 +29,7 @@
 	uint32_t config_version;
 	uint32_t seed;
 	bool first_start;
+	double cold_per_s; /* 0: no limit of cold upstreams */
 };
 
 struct testbed_call {
@@ -139,10 +140,11 @@
 		"callers: \"%s\"\nready: \"%s\"\nmetrics: \"%s\"\n"
 		"bus: \"%s:8750\"\nstore: \"%s\"\nfirst_start: %s\nconfig_wait_ms: 500\n"
 		"bounds:\n  revoke_ms: %d\n  grace_s: %d\n  recheck_s: 1.0\n"
-		"  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window_s: 10\n",
+		"  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window_s: 10\n%s",
 		name, zone, gateway->address, gateway->ready_address, gateway->metrics_address, ip,
 		gateway->store_address, testbed->first_start ? "true" : "false", TESTBED_REVOKE_MS,
-		TESTBED_GRACE_S);
+		TESTBED_GRACE_S,
+		testbed->cold_per_s > 0.0 ? "  cold_overage: 1.5\n  cold_start_slack: 3\n" : "");
 	g_assert_true(g_file_set_contents(gateway->settings_file, text, -1, NULL));
 	g_ptr_array_add(testbed->gateways, gateway);
 	return gateway;
@@ -150,6 +152,11 @@
 
 /* commands */
 
+void testbed_set_cold_per_s(struct testbed *testbed, double cold_per_s)
+{
+	testbed->cold_per_s = cold_per_s;
+}
+
 void testbed_set_first_start(struct testbed *testbed, bool first_start)
 {
 	testbed->first_start = first_start;
@@ -236,7 +243,7 @@
 		"\"service\":\"" TESTBED_ENGINE_SERVICE "\",\"max_attempts\":2,\"resumable\":true,"
 		"\"target_gap_ms\":180}%s%s%s%s],"
 		"\"services\":[{\"name\":\"" TESTBED_PLAIN_SERVICE
-		"\",\"health_path\":\"/healthz\"},"
+		"\",\"health_path\":\"/healthz\"%s},"
 		"{\"name\":\"" TESTBED_ENGINE_SERVICE "\",\"health_path\":\"/healthz\",\"engine\":"
 		"{\"slots\":48,\"kv_capacity\":34403,\"kv_bytes\":163840,\"link_mbps\":24000,"
 		"\"moves\":true,\"backups\":true,\"stride\":4,\"kv_handle_s\":5}}],"
@@ -244,6 +251,10 @@
 		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
 		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[%s%s]}]}";
 	g_autofree char *unused = testbed_unused_routes(testbed);
+	g_autofree char *cold = testbed->cold_per_s > 0.0
+					? g_strdup_printf(",\"cold_per_s\":%g,\"cold_start_s\":1.0",
+							  testbed->cold_per_s)
+					: g_strdup("");
 	g_autofree char *text = g_strdup_printf(
 		base, ++testbed->config_version, testbed->call_timeout_ms, testbed->call_timeout_ms,
 		route ? ",{\"name\":\"more\",\"host\":\"" TESTBED_HOST "\",\"prefix\":\"" : "",
@@ -252,7 +263,7 @@
 			"\"priority\":2,\"service\":\"" TESTBED_PLAIN_SERVICE
 			"\",\"max_attempts\":2}"
 		      : "",
-		unused, "\"" TESTBED_KEY "\"", keys ? keys : "");
+		unused, cold, "\"" TESTBED_KEY "\"", keys ? keys : "");
 
 	mock_store_put(testbed->platform, "op", "config", text);
 }
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -97,6 +97,10 @@
 void testbed_set_unused_routes(struct testbed *testbed, uint32_t count);
 /** Sets the timeout of the routes /once/ and /safe/ in the next configurations, in ms. */
 void testbed_set_call_timeout(struct testbed *testbed, uint32_t timeout_ms);
+/** Sets how many requests a second a cold upstream of the plain service takes, in configurations
+ * and for gateways that follow: it is cold for a second after its start, and 1.5 times the rate
+ * plus 3 are tolerated. 0, the default: no such limit. */
+void testbed_set_cold_per_s(struct testbed *testbed, double cold_per_s);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
