--- a/src/serve/cold_start.c
+++ b/src/serve/cold_start.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Callers that were refused come back over this time, in which the limit grows by 16. */
+#define COLD_START_RETURN_SPREAD_MS 1000
 /* A fifth of the time in which the limit of a warm upstream doubles. */
 #define COLD_START_TICK_MS 50
 
@@ -185,3 +187,24 @@
 	if (cold->has_terms)
 		cold_start_update(cold, up);
 }
+
+/* queries */
+
+uint32_t cold_start_return_ms(const struct cold_start *cold, const char *service)
+{
+	const GPtrArray *ups = fleet_service_upstreams(cold->env->fleet, service);
+	uint64_t now_us = env_now_us();
+	uint32_t first_ms = G_MAXUINT32;
+
+	for (guint i = 0; i < ups->len; i++) {
+		const struct warm_up *limit = fleet_upstream_cold_limit(ups->pdata[i]);
+
+		if (fleet_upstream_state(ups->pdata[i]) <= FLEET_UPSTREAM_LAPSED &&
+		    warm_up_phase(limit, now_us) != WARM_UP_WARM)
+			first_ms = MIN(first_ms, warm_up_cold_ms(limit, now_us));
+	}
+	if (first_ms == G_MAXUINT32)
+		return first_ms;
+	return first_ms +
+	       (uint32_t)g_rand_int_range(cold->env->rand, 1, COLD_START_RETURN_SPREAD_MS);
+}
--- a/src/serve/cold_start.h
+++ b/src/serve/cold_start.h
@@ -31,6 +31,10 @@
 void cold_start_on_upstream(struct cold_start *cold, struct fleet_upstream *up);
 /** Counts a request that is sent to an upstream. */
 void cold_start_on_request(struct cold_start *cold, struct fleet_upstream *up);
+/** Returns when a caller that no upstream takes now should come back, in ms: once the first cold
+ * upstream of a service is warm, spread over the time in which its limit grows. G_MAXUINT32 when no
+ * upstream of the service is cold or warms up. */
+uint32_t cold_start_return_ms(const struct cold_start *cold, const char *service);
 /** Records how long an upstream is cold, as an answer says. @param cold_ms 0: it says nothing */
 void cold_start_on_answer(struct cold_start *cold, struct fleet_upstream *up, uint32_t cold_ms);
 
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -1,5 +1,6 @@
 #include "relay.h"
 
+#include "cold_start.h"
 #include "crash_guard.h"
 #include "limit_exchange.h"
 #include "relay_migrate.h"
@@ -219,15 +220,17 @@
 	return held_ms > 0;
 }
 
-/* Refuses a request that no upstream takes now because of the limits that they name. */
+/* Refuses a request that no upstream takes now because of the limits that they name, or have while
+ * they are cold. */
 static void relay_refuse_limited(struct relay_request *request)
 {
 	struct env *env = request->relay->env;
+	uint32_t return_ms =
+		MIN(limit_exchange_return_ms(env->limit_exchange, request->service_name),
+		    cold_start_return_ms(env->cold_start, request->service_name));
 
 	metric_add(env->metric, METRIC_LIMIT_REFUSED, 1);
-	relay_reply_error(request, ERR_OVERLOADED,
-			  MAX(limit_exchange_return_ms(env->limit_exchange, request->service_name),
-			      relay_retry_after_ms(request)),
+	relay_reply_error(request, ERR_OVERLOADED, MAX(return_ms, relay_retry_after_ms(request)),
 			  "upstream-limit");
 }
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -443,6 +443,58 @@
 	fleet_destroy(fleet);
 }
 
+static void note_cold_ms(void *ctx, const struct fleet_entry *entry)
+{
+	*(uint32_t *)ctx = entry->cold_ms;
+}
+
+/* How long an upstream is cold is passed on, less the time elapsed, and a change of only that is
+ * one, but for a service without terms. */
+static void test_cold_time(void)
+{
+	struct warm_up_terms terms = { 22, 1.5, 5, 1000 };
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry entry = engine_entry("a", "10.0.0.1:80", 5);
+	struct warm_up *limit;
+	uint32_t cold_ms;
+
+	entry.age_ms = 60000;
+	g_assert_true(fleet_has_cold_time(fleet, &entry, 1 * S));
+	entry.cold_ms = 700;
+	fleet_put_entry(fleet, &entry, 100 * S);
+	limit = fleet_upstream_cold_limit(fleet_find(fleet, "a"));
+	/* without terms */
+	fleet_foreach_entry(fleet, 100 * S, note_cold_ms, &cold_ms);
+	g_assert_cmpuint(cold_ms, ==, 0);
+	g_assert_cmpint((int)warm_up_phase(limit, 100 * S), ==, WARM_UP_WARM);
+	entry.cold_ms = 0;
+	g_assert_true(fleet_has_cold_time(fleet, &entry, 100 * S));
+	/* with terms */
+	warm_up_set_terms(limit, &terms);
+	g_assert_false(fleet_has_cold_time(fleet, &entry, 100 * S));
+	fleet_foreach_entry(fleet, 100 * S + S / 2, note_cold_ms, &cold_ms);
+	g_assert_cmpuint(cold_ms, ==, 200);
+	entry.cold_ms = 200;
+	g_assert_true(fleet_has_cold_time(fleet, &entry, 100 * S + S / 2));
+	entry.cold_ms = 900;
+	g_assert_false(fleet_has_cold_time(fleet, &entry, 100 * S + S / 2));
+	/* it comes back from a shutdown that it did not make, to instances that all see it empty */
+	entry.cold_ms = 0;
+	fleet_put_entry(fleet, &entry, 110 * S);
+	g_assert_cmpint((int)warm_up_phase(limit, 110 * S), ==, WARM_UP_WARM);
+	fleet_upstream_set_leaving(fleet_find(fleet, "a"), 111 * S);
+	fleet_put_entry(fleet, &entry, 112 * S);
+	g_assert_cmpuint(warm_up_cold_ms(limit, 112 * S), ==, 1000);
+	/* a new start is a new upstream, also when its entry says that it is warm */
+	entry.started_ms = 6;
+	entry.age_ms = 100;
+	fleet_put_entry(fleet, &entry, 120 * S);
+	limit = fleet_upstream_cold_limit(fleet_find(fleet, "a"));
+	warm_up_set_terms(limit, &terms);
+	g_assert_cmpuint(warm_up_cold_ms(limit, 120 * S), ==, 900);
+	fleet_destroy(fleet);
+}
+
 /* A peer's notice is wrong: the entry stays, and nothing brings it again. */
 static void test_wrong_notice(void)
 {
@@ -926,6 +978,7 @@
 	g_test_add_func("/fleet/zones", test_zones);
 	g_test_add_func("/fleet/load-sums", test_load_sums);
 	g_test_add_func("/fleet/known-entry", test_known_entry);
+	g_test_add_func("/fleet/cold-time", test_cold_time);
 	g_test_add_func("/fleet/wrong-notice", test_wrong_notice);
 	g_test_add_func("/fleet/circuit", test_suspension);
 	g_test_add_func("/fleet/silent", test_silent);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -422,6 +422,38 @@
 		g_assert_cmpfloat(platform_parse_limit(malformed[i]), <, 0.0);
 }
 
+/* Terms for cold upstreams and the time that an answer states; what is none sets no limit and makes
+ * no upstream cold. */
+static void test_cold(void)
+{
+	static const char format[] = "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
+				     "\"cold_per_s\":%s,\"cold_start_s\":%s}]}";
+	static const char *const malformed[] = { "-1",	 "0",	 "1e300", "\"22\"", "null",
+						 "true", "[22]", "{}",	  "1e7" };
+	static const char *const odd_ms[] = { "",	"-1",	   "x",		 "1.5",
+					      "900 ms", "3600001", "99999999999" };
+	g_autofree char *text = g_strdup_printf(format, "22", "1.5");
+	struct route_config *config = platform_decode_config(text, strlen(text));
+	const struct route_service *service = route_config_find_service(config, "s");
+
+	g_assert_cmpfloat(service->cold_per_s, ==, 22.0);
+	g_assert_cmpuint(service->cold_start_ms, ==, 1500);
+	route_config_unref(config);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		g_autofree char *odd = g_strdup_printf(format, malformed[i], malformed[i]);
+
+		config = platform_decode_config(odd, strlen(odd));
+		service = route_config_find_service(config, "s");
+		g_assert_cmpfloat(service->cold_per_s, ==, 0.0);
+		g_assert_cmpuint(service->cold_start_ms, ==, 0);
+		route_config_unref(config);
+	}
+	g_assert_cmpuint(platform_parse_cold_ms("900"), ==, 900);
+	g_assert_cmpuint(platform_parse_cold_ms("0"), ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_ms); i++)
+		g_assert_cmpuint(platform_parse_cold_ms(odd_ms[i]), ==, 0);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -435,6 +467,7 @@
 	g_test_add_func("/platform/forged", test_reserved_headers);
 	g_test_add_func("/platform/move", test_migration);
 	g_test_add_func("/platform/limit", test_limit);
+	g_test_add_func("/platform/cold", test_cold);
 	g_test_add_func("/platform/odd-entries", test_odd_entries);
 	return g_test_run();
 }
