Cold upstreams: contradicting news do not fill what may be saved up again

Cause: an entry that says warm and an answer that says cold, in turns, began a cold time each, and each allowed the requests that an instance may have saved up.

Change: a cold time that begins during the ramp-up of another starts without any. Tests of that, and of the engines that generations and KV copies get while one is cold.

--- a/src/core/warm_up.c
+++ b/src/core/warm_up.c
@@ -52,12 +52,16 @@
 	warm_up->refilled_us = MAX(now_us, warm_up->refilled_us);
 }
 
-/* Starts a cold time unless it is one already. What is saved up from an earlier one is void. */
+/* Starts a cold time unless it is one already. What is saved up from before is void. One that
+ * starts soon after another starts without requests saved up: an entry and an answer that
+ * contradict each other would fill them again and again. */
 static void warm_up_begin(struct warm_up *warm_up, uint64_t now_us)
 {
-	if (warm_up_phase(warm_up, now_us) == WARM_UP_COLD)
+	enum warm_up_phase phase = warm_up_phase(warm_up, now_us);
+
+	if (phase == WARM_UP_COLD)
 		return;
-	warm_up->primed = false;
+	warm_up->primed &= phase == WARM_UP_RAMP;
 	warm_up->senders = 0;
 	warm_up->tokens = 0.0;
 	warm_up->refilled_us = now_us;
@@ -231,7 +235,7 @@
 	if (warm_up_phase(warm_up, now_us) == WARM_UP_COLD &&
 	    now_us < view->known_us + WARM_UP_SETTLE_MS * 1000ULL)
 		return 0;
-	senders = MIN((uint32_t)warm_up_burst(warm_up, limit_per_s), view->count);
+	senders = (uint32_t)MIN(warm_up_burst(warm_up, limit_per_s), view->count);
 	for (uint32_t i = 0; i < view->count; i++) {
 		in_zone += view->members[i].in_zone;
 		rank += i != view->own && view->members[i].in_zone == own->in_zone &&
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -134,10 +134,47 @@
 	teardown(&f);
 }
 
+/* A cold engine gets what the part of this instance allows, and a KV copy only when no other engine
+ * has room. */
+static void test_cold_engine(void)
+{
+	struct warm_up_terms terms = { 22, 1.5, 5, 60000 };
+	struct fixture f;
+	struct dispatch_need wanted;
+	struct dispatch_decision decision = { 0 };
+	struct warm_up *limit;
+
+	setup(&f);
+	wanted = need(&f);
+	add_engine(&f, "cold:1", "near", env_now_us());
+	limit = fleet_upstream_cold_limit(fleet_find(f.env.fleet, "cold:1"));
+	warm_up_set_terms(limit, &terms);
+	g_assert_null(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	g_assert_true(dispatch_is_limited(f.dispatch, "engines"));
+	/* 22 instances, each of which may send a request at once */
+	warm_up_set_part(limit, 22, env_now_us());
+	g_assert_nonnull(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	wanted.place.needs_kv_copy = true;
+	g_assert_nonnull(dispatch_select_engine(f.dispatch, &wanted, &decision));
+	add_engine(&f, "warm:1", "near", env_now_us());
+	fleet_upstream_own_load(fleet_find(f.env.fleet, "warm:1"))->kv_tokens =
+		KV_CAPACITY_TOKENS / 2;
+	g_assert_cmpstr(fleet_upstream_id(dispatch_select_engine(f.dispatch, &wanted, &decision)),
+			==, "warm:1");
+	wanted.place.needs_kv_copy = false;
+	g_assert_cmpstr(fleet_upstream_id(dispatch_select_engine(f.dispatch, &wanted, &decision)),
+			==, "cold:1");
+	warm_up_take(limit, env_now_us());
+	g_assert_cmpstr(fleet_upstream_id(dispatch_select_engine(f.dispatch, &wanted, &decision)),
+			==, "warm:1");
+	teardown(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/dispatch/order", test_order);
 	g_test_add_func("/dispatch/new-engine", test_new_engine);
+	g_test_add_func("/dispatch/cold-engine", test_cold_engine);
 	return g_test_run();
 }
--- a/test/test_warm_up.c
+++ b/test/test_warm_up.c
@@ -505,6 +505,31 @@
 	g_assert_cmpint((int)warm_up_phase(&limit, now_us + 200 * MS), ==, WARM_UP_RAMP);
 }
 
+/* Guards against contradicting news, each of which would allow what was saved up once more. */
+static void test_contradiction(void)
+{
+	struct warm_up_terms terms = { 22, 1.5, 5, 1000 };
+	struct warm_up limit = { 0 };
+	struct warm_up_member self = { "a:1", true };
+	struct warm_up_view view = { &self, 1, 0, 7, 1 };
+	uint32_t sent = 0;
+
+	warm_up_set_terms(&limit, &terms);
+	warm_up_appear(&limit, 3600 * 1000, BEGIN_US);
+	for (uint64_t now_us = BEGIN_US; now_us < BEGIN_US + SECOND; now_us += STEP_US) {
+		if (now_us % (20 * MS) == 0) {
+			warm_up_hear(&limit, 0, now_us);
+			warm_up_hear_answer(&limit, 1500, now_us);
+			warm_up_set_part(&limit, warm_up_senders(&limit, &view, now_us), now_us);
+		}
+		if (!warm_up_allows(&limit, now_us))
+			continue;
+		warm_up_take(&limit, now_us);
+		sent++;
+	}
+	g_assert_cmpuint(sent, <=, 38);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -512,6 +537,7 @@
 	g_test_set_nonfatal_assertions();
 	g_test_add_func("/warm-up/bound", test_bound);
 	g_test_add_func("/warm-up/phases", test_phases);
+	g_test_add_func("/warm-up/contradiction", test_contradiction);
 	g_test_add_func("/warm-up/returning-zone", test_returning_zone);
 	return g_test_run();
 }
