--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -103,6 +103,10 @@
 /** Sets the objective of the route /long/ in the next configurations, in ms; that of /quick/ is
  * 1,500. */
 void testbed_set_long_objective(struct testbed *testbed, uint32_t objective_ms);
+/** Sets how many requests a second a cold upstream of the plain service takes, in configurations
+ * and for gateways that follow: it is cold for a second after its start, and 1.5 times the rate
+ * plus 3 are tolerated. 0, the default: no such limit. */
+void testbed_set_cold_per_s(struct testbed *testbed, double cold_per_s);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
