Relay: a request is not sent with a key that was withdrawn meanwhile

The key of a request was looked up when it arrived, and after a wait in the queue only the age of the configuration was checked. A request that waited in the queue, for its next attempt or for a connection was sent although the configuration in force had withdrawn its key since.

The key is now looked up again in a newer configuration before a queued request is granted, before each attempt, and when the connection of an attempt is there, just before the bytes are written. There the age of the configuration is checked too, unless an earlier attempt may have run. The caller gets 401 or 503, or 502 after an attempt that may have run; the upstream does not count as failing for it. Streams that have begun go on.

/gateway-raw/key-withdrawn withdraws the key while the first attempt is open. Waiting in the queue and for a connection use the same function and have no test of their own.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -291,6 +291,11 @@
 	struct fleet_upstream *up;
 	uint64_t quiet_us = dispatch_quiet_us(dispatch, request->service_name);
 
+	/* The key may have been revoked since an earlier attempt. */
+	if (!relay_may_send(request)) {
+		relay_refuse_key(request);
+		return;
+	}
 	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
 		return;
 	if (quiet_us && relay_is_generation(request) && !request->may_have_run &&
@@ -348,9 +353,8 @@
 	metric_observe(request->relay->env->metric, METRIC_QUEUE_US,
 		       env_now_us() - request->arrived_us);
 	/* The key may have been revoked while the request was queued. */
-	if (request->customer && !env_keys_fresh(request->relay->env)) {
-		relay_reply_error(request, ERR_UNCONFIRMED, relay_retry_after_ms(request),
-				  "unconfirmed");
+	if (!relay_may_send(request)) {
+		relay_refuse_key(request);
 		return;
 	}
 	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request))
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -148,6 +148,8 @@
 {
 	const struct relay_request *request = ctx;
 
+	if (!relay_may_send(request))
+		return false;
 	/* Another upstream may have got the address in the meantime, or this one has said that it
 	 * leaves or wants to be left alone. An engine that leaves still continues from its own
 	 * copy. */
@@ -407,6 +409,10 @@
 		request->closed_in_stop = complete;
 		return;
 	}
+	if (!sent && request->caller && !relay_may_send(request)) {
+		relay_refuse_key(request);
+		return;
+	}
 	fleet_upstream_record_outcome(
 		up, complete && (request->not_run || !relay_is_server_error(request)),
 		result == HTTP_CALL_OK || !sent ? result == HTTP_CALL_OK : false, now_us);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -69,6 +69,38 @@
 	dispatch_load_remove(&request->attempt);
 }
 
+/* Tells whether a newer configuration than that of the request has withdrawn its key. */
+static bool relay_is_key_withdrawn(const struct relay_request *request)
+{
+	const struct route_config *config = request->relay->env->config;
+	const struct route_customer *customer;
+
+	if (config == request->config || !route_config_has_customers(config))
+		return false;
+	customer = route_config_find_customer(config, request->decoded.key);
+	return !customer || strcmp(customer->name, request->customer->name) != 0;
+}
+
+bool relay_may_send(const struct relay_request *request)
+{
+	if (!request->customer || request->response_started || request->from_copy)
+		return true;
+	if (!request->may_have_run && !env_keys_fresh(request->relay->env))
+		return false;
+	return !relay_is_key_withdrawn(request);
+}
+
+void relay_refuse_key(struct relay_request *request)
+{
+	if (request->may_have_run)
+		relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "key-withdrawn");
+	else if (relay_is_key_withdrawn(request))
+		relay_reply_error(request, ERR_UNAUTHENTICATED, 0, "key-withdrawn");
+	else
+		relay_reply_error(request, ERR_UNCONFIRMED, relay_retry_after_ms(request),
+				  "unconfirmed");
+}
+
 void relay_note_broken_call(struct fleet_upstream *up, const struct fetch_response *answer)
 {
 	if (up && answer->sent && answer->result == HTTP_CALL_BROKEN)
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -153,6 +153,12 @@
 /** Counts the upstream as failing if it broke a call about a KV copy off, or answered it with what
  * is no answer. */
 void relay_note_broken_call(struct fleet_upstream *up, const struct fetch_response *answer);
+/** Tells whether the request may be sent to an upstream: the key of its caller was not withdrawn
+ * since it arrived, while it waited for an upstream, an attempt or a connection. A stream that has
+ * begun goes on. */
+bool relay_may_send(const struct relay_request *request);
+/** Answers a request that may not be sent, and frees it. */
+void relay_refuse_key(struct relay_request *request);
 /** Counts the KV cache that the generation occupies now on the engines. */
 void relay_update_used(struct relay_request *request);
 /** Logs the end of a request. @param reason without blanks */
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -669,6 +669,93 @@
 	}
 }
 
+/* keys that are withdrawn while a request waits for its next attempt */
+
+/* The first request that upstreams get together, whose answer is held back. */
+struct held_request {
+	const struct raw_upstream *upstream; /* NULL before */
+	uint64_t conn;
+	uint32_t arrivals; /* of all requests */
+};
+
+struct holding_upstream {
+	struct raw_upstream *raw;
+	struct held_request *held;
+};
+
+static void hold_first(void *ctx, struct raw_conn *conn, const char *id)
+{
+	const struct holding_upstream *upstream = ctx;
+	struct held_request *held = upstream->held;
+	g_auto(GStrv) parts = g_strsplit(SOUND_CALL, "%ID%", 2);
+	g_autofree char *sound = g_strjoinv(id, parts);
+
+	if (held->arrivals++ > 0) {
+		raw_conn_write(conn, sound);
+		return;
+	}
+	held->upstream = upstream->raw;
+	held->conn = raw_conn_number(conn);
+}
+
+/* A request that an upstream refused, or whose attempt broke, after the key of its caller was
+ * withdrawn is not sent again. */
+static void test_key_withdrawn(void)
+{
+	static const struct {
+		const char *path;
+		const char *service;
+		const char *answer;
+		uint16_t status;
+	} cases[] = {
+		{ "/once/", TESTBED_PLAIN_SERVICE, REFUSAL, 401 },
+		{ "/quick/", TESTBED_ENGINE_SERVICE, "no answer\r\n\r\n", 502 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct testbed_request request = { .path = cases[i].path,
+						   .key = TESTBED_OTHER_KEY,
+						   .output_tokens = i ? QUICK_TOKENS : 0,
+						   .wait_ms = QUICK_TIMEOUT_MS };
+		struct held_request held = { 0 };
+		struct holding_upstream upstreams[2] = { { .held = &held }, { .held = &held } };
+		struct testbed_answer answer;
+		struct raw_conn *conn;
+		g_autofree char *applied = NULL;
+		struct fixture f;
+
+		fixture_open(&f);
+		testbed_configure(f.testbed, ",\"" TESTBED_OTHER_KEY "\"", NULL);
+		for (uint32_t n = 0; n < G_N_ELEMENTS(upstreams); n++)
+			upstreams[n].raw =
+				start_raw(&f, n ? "raw-2" : "raw", RAW_HOST_NUMBER + n, "z1",
+					  cases[i].service, hold_first, &upstreams[n]);
+		testbed_run(f.testbed, NEW_ENGINE_MS);
+		testbed_begin(f.gateway, &request, &answer);
+		while (held.arrivals == 0 && !answer.ended)
+			testbed_run(f.testbed, 5);
+		g_assert_cmpuint(held.arrivals, ==, 1);
+		testbed_configure(f.testbed, NULL, NULL);
+		while (!applied || !*applied) {
+			testbed_run(f.testbed, 5);
+			g_free(applied);
+			applied = testbed_log_lines(f.gateway, "\"revision\":\"3\"");
+		}
+		conn = raw_upstream_find_conn(held.upstream, held.conn);
+		g_assert_nonnull(conn);
+		raw_conn_write(conn, cases[i].answer);
+		g_assert_true(testbed_wait(f.testbed, &answer, QUICK_TIMEOUT_MS));
+		g_test_message("%s: status %u, %u arrivals", request.path, answer.status,
+			       held.arrivals);
+		g_assert_cmpuint(held.arrivals, ==, 1);
+		g_assert_cmpuint(answer.status, ==, cases[i].status);
+		testbed_answer_clear(&answer);
+		raw_upstream_destroy(upstreams[0].raw);
+		raw_upstream_destroy(upstreams[1].raw);
+		fixture_close(&f);
+	}
+}
+
 /* What an upstream answers that says that it leaves. */
 struct departure {
 	const char *answer; /* with a place for the id */
@@ -1377,6 +1464,7 @@
 	g_test_add_func("/gateway-raw/invalid-status-long", test_invalid_status_long);
 	g_test_add_func("/gateway-raw/invalid-status-quick", test_invalid_status_quick);
 	g_test_add_func("/gateway-raw/invalid-status-suspends", test_invalid_status_suspends);
+	g_test_add_func("/gateway-raw/key-withdrawn", test_key_withdrawn);
 	g_test_add_func("/gateway-raw/late-refusal", test_late_refusal);
 	g_test_add_func("/gateway-raw/departure", test_departure);
 	g_test_add_func("/gateway-raw/departure-caller-left", test_departure_caller_left);
