--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -106,6 +106,7 @@
 	uint64_t sigterm_log_bytes;   /* size of its log then */
 	uint64_t sigterm_cpu_ms;      /* processor time that it had got by then */
 	uint64_t sigterm_own_cpu_ms;  /* that this program had got by then */
+	uint64_t sigterm_gap_ms;      /* longest time since then between two checks */
 	uint64_t harmed_ms;	      /* last SIGKILL, SIGSTOP, SIGCONT or start */
 	GArray *harms_ms;	      /* guint64: all of them */
 	uint64_t stop_at_ms;	      /* when SIGTERM is sent; 0: not planned */
@@ -178,6 +179,8 @@
 	uint32_t failed;		/* another status or no answer; it may have run */
 	uint32_t truncated;		/* status 200, but the connection broke */
 	uint64_t longest_stop_ms;	/* from SIGTERM to the end of the process */
+	uint64_t updated_ms;		/* time of the last soak_update() */
+	uint64_t longest_gap_ms;	/* between two of them */
 	GHashTable *faults;		/* fault name to count */
 	uint64_t crash_part_from_ms;	/* when callers begin to send it; 0: never */
 	GArray *crashes_ms;		/* guint64: engines that crashed under it */
@@ -505,10 +508,11 @@
 	violation(soak,
 		  "%s did not exit within its grace period; %" G_GUINT64_FORMAT
 		  " ms after SIGTERM it has got %" G_GUINT64_FORMAT
-		  " ms of processor time since, and this program %" G_GUINT64_FORMAT,
+		  " ms of processor time since, and this program %" G_GUINT64_FORMAT
+		  "; longest time between two checks %" G_GUINT64_FORMAT " ms",
 		  instance->gateway->name, now_ms() - instance->sigterm_sent_ms,
 		  testbed_cpu_ms(instance->gateway) - instance->sigterm_cpu_ms,
-		  own_cpu_ms() - instance->sigterm_own_cpu_ms);
+		  own_cpu_ms() - instance->sigterm_own_cpu_ms, instance->sigterm_gap_ms);
 	print_log(instance->gateway, instance->sigterm_log_bytes);
 }
 
@@ -521,6 +525,7 @@
 	instance->sigterm_log_bytes = testbed_log_size(instance->gateway);
 	instance->sigterm_cpu_ms = testbed_cpu_ms(instance->gateway);
 	instance->sigterm_own_cpu_ms = own_cpu_ms();
+	instance->sigterm_gap_ms = 0;
 	testbed_signal(instance->gateway, SIGTERM);
 	instance->sigterm_sent_ms = now;
 	instance->disturbed_until_ms = now + TESTBED_GRACE_S * 1000 + 1000;
@@ -795,6 +800,9 @@
 static void end_store_fault(struct soak *soak)
 {
 	if (soak->restoring) {
+		/* What the restoration before lost, if this program is late. */
+		if (soak->rewrite_at_ms)
+			mock_store_rewrite(soak->mock_platform);
 		soak->restoring = false;
 		mock_store_restore(soak->mock_platform);
 		soak->rewrite_at_ms = now_ms() + random_below(soak, SOAK_REWRITE_MAX_MS);
@@ -1036,10 +1044,26 @@
 		soak->next_fault_at_ms = now_ms() + random_below(soak, SOAK_STOP_GAP_MS);
 }
 
+/* Notes for how long this program has not run: a machine that stands still keeps the processes that
+ * it tests from running too. */
+static void note_gap(struct soak *soak, uint64_t now)
+{
+	uint64_t gap_ms = soak->updated_ms ? now - soak->updated_ms : 0;
+
+	soak->updated_ms = now;
+	soak->longest_gap_ms = MAX(soak->longest_gap_ms, gap_ms);
+	for (guint i = 0; i < soak->instances->len; i++) {
+		struct instance *instance = soak->instances->pdata[i];
+
+		instance->sigterm_gap_ms = MAX(instance->sigterm_gap_ms, gap_ms);
+	}
+}
+
 static void soak_update(struct soak *soak)
 {
 	uint64_t now = now_ms();
 
+	note_gap(soak, now);
 	if (soak->store_heal_at_ms && now >= soak->store_heal_at_ms)
 		end_store_fault(soak);
 	update_copy(soak);
@@ -1392,9 +1416,10 @@
 			  testbed_malformed_count(soak.testbed));
 	printf("seed %d: %u requests: %u succeeded, %u refused, %u failed, %u truncated; "
 	       "%u more after SIGTERM; longest stop %" G_GUINT64_FORMAT
-	       " ms; %u violations; faults:",
+	       " ms, longest gap %" G_GUINT64_FORMAT " ms; %u violations; faults:",
 	       options->seed, soak.completed, soak.succeeded, soak.refused, soak.failed,
-	       soak.truncated, late_requests, soak.longest_stop_ms, soak.violations);
+	       soak.truncated, late_requests, soak.longest_stop_ms, soak.longest_gap_ms,
+	       soak.violations);
 	g_hash_table_iter_init(&iter, soak.faults);
 	while (g_hash_table_iter_next(&iter, &name, &count))
 		printf(" %s %u", (const char *)name, GPOINTER_TO_UINT(count));
--- a/test/test_gateway_store.c
+++ b/test/test_gateway_store.c
@@ -488,6 +488,72 @@
 	scene_close(&scene);
 }
 
+#define REWRITE_MS 300 /* until the operator has written again what a restoration lost */
+
+/* Sends requests with a revoked key from the return of the store until the revocation, which is
+ * written again meanwhile, is in force. @return how many ran */
+static uint32_t count_revoked_runs(struct scene *scene, struct testbed_gateway *gateway,
+				   const struct testbed_request *revoked)
+{
+	uint64_t returned_ns = uv_hrtime();
+	uint32_t runs = 0;
+
+	for (bool written = false; uv_hrtime() < returned_ns + APPLY_MS * 1000000ULL;) {
+		struct testbed_answer answer = testbed_call(gateway, revoked);
+
+		runs += mock_request_record(scene->platform, answer.id).executions;
+		testbed_answer_clear(&answer);
+		if (!written && uv_hrtime() >= returned_ns + REWRITE_MS * 1000000ULL) {
+			written = true;
+			mock_store_rewrite(scene->platform);
+		}
+		testbed_run(scene->testbed, 5);
+	}
+	return runs;
+}
+
+/* An instance that starts about when the store comes back from a copy that lacks the revocation of
+ * a key accepts the key until it is written again. */
+static void test_revoked_key_after_start(void)
+{
+	/* From the start of the instance to the return of the store. */
+	static const int32_t leads_ms[] = { 300, 200, 100, -60 };
+	struct testbed_request revoked = once;
+	uint32_t runs = 0;
+
+	revoked.key = TESTBED_OTHER_KEY;
+	for (size_t i = 0; i < G_N_ELEMENTS(leads_ms); i++) {
+		struct scene scene;
+
+		scene_open(&scene);
+		for (uint32_t n = 0; n < MAX_GATEWAY_COUNT; n++)
+			scene_start_gateway(&scene, NULL);
+		g_assert_cmpuint(scene_status(scene.gateways[0], &revoked), ==, 200);
+		mock_store_backup(scene.platform);
+		testbed_configure(scene.testbed, NULL, NULL);
+		testbed_run(scene.testbed, APPLY_MS);
+		g_assert_cmpuint(scene_status(scene.gateways[0], &revoked), ==, 401);
+		testbed_signal(scene.gateways[0], SIGKILL);
+		g_assert_true(testbed_wait_exit(scene.gateways[0], 2000));
+		mock_store_set_mode(scene.platform, MOCK_STORE_RESET);
+		testbed_run(scene.testbed, OUTAGE_MS);
+		if (leads_ms[i] >= 0) {
+			testbed_start(scene.gateways[0]);
+			testbed_run(scene.testbed, (uint32_t)leads_ms[i]);
+		}
+		mock_store_restore(scene.platform);
+		mock_store_set_mode(scene.platform, MOCK_STORE_HEALTHY);
+		if (leads_ms[i] < 0) {
+			testbed_run(scene.testbed, (uint32_t)-leads_ms[i]);
+			testbed_start(scene.gateways[0]);
+		}
+		runs += count_revoked_runs(&scene, scene.gateways[0], &revoked);
+		g_test_message("started %d ms before: %u requests ran so far", leads_ms[i], runs);
+		scene_close(&scene);
+	}
+	g_assert_cmpuint(runs, ==, 0);
+}
+
 /* A second copy of an answer, which the next call on the connection may take for its own, neither
  * confirms a configuration that has a revoked key nor empties the instance list. */
 static void test_answers_twice(void)
@@ -587,6 +653,7 @@
 	g_test_add_func("/gateway-store/difference-not-applicable", test_difference_not_applicable);
 	g_test_add_func("/gateway-store/left-upstream-used", test_left_upstream_used);
 	g_test_add_func("/gateway-store/revoked-key-accepted", test_revoked_key_accepted);
+	g_test_add_func("/gateway-store/revoked-key-after-start", test_revoked_key_after_start);
 	g_test_add_func("/gateway-store/answers-twice", test_answers_twice);
 	g_test_add_func("/gateway-store/odd-entries", test_odd_entries);
 	return g_test_run();
