--- a/src/main/main.c
+++ b/src/main/main.c
@@ -13,7 +13,7 @@
 static const struct command commands[] = {
 	{ "serve", cmd_serve, "Run an entry instance" },
 	{ "gateway", cmd_gateway, "Run a gateway instance on the platform" },
-	{ "check", cmd_check, "Check a settings file" },
+	{ "check", cmd_check, "Check a settings file or a configuration" },
 	{ "profile", cmd_profile, "Plan, apply, publish, change, retire and show profiles" },
 	{ "state", cmd_state, "Dump the state of an instance" },
 	{ "usage", cmd_usage, "Report busy and idle time of engines by owner" },
--- a/src/main/serve.c
+++ b/src/main/serve.c
@@ -1,3 +1,4 @@
+#include "check_config.h"
 #include "cli.h"
 #include "flamingolatch/entry.h"
 #include "flamingolatch/log.h"
@@ -45,13 +46,26 @@
 int cmd_check(int argc, char **argv)
 {
 	g_autoptr(GError) error = NULL;
-	const GOptionEntry options[] = { { 0 } };
-	int code = cli_parse_options("Checks a settings file and the secrets that it names.",
-				     "FILE", options, &argc, &argv);
+	g_autofree char *config = NULL;
+	g_autofree char *against = NULL;
+	gboolean as_json = FALSE;
+	const GOptionEntry options[] = {
+		{ "config", 0, 0, G_OPTION_ARG_FILENAME, &config,
+		  "Check a configuration of the platform instead of settings", "FILE" },
+		{ "against", 0, 0, G_OPTION_ARG_FILENAME, &against,
+		  "Show the differences from the configuration in force", "FILE" },
+		{ "json", 0, 0, G_OPTION_ARG_NONE, &as_json, "Print JSON", NULL },
+		{ 0 }
+	};
+	int code = cli_parse_options("Checks a settings file and the secrets that it names, or a "
+				     "configuration.",
+				     "[FILE]", options, &argc, &argv);
 	struct settings *set;
 
 	if (code >= 0)
 		return code;
+	if (config)
+		return check_config(config, against, as_json);
 	set = serve_load_settings(argc == 2 ? argv[1] : NULL, &error);
 	if (!set)
 		return cli_report_error(error);
