--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -154,6 +154,8 @@
 {
 	struct relay_request *request = ctx;
 
+	if (!relay_key_is_valid(request))
+		return false;
 	/* Its zone may have been evacuated, or the allowed regions changed, while the connection
 	 * was opened or the process paused. */
 	request->withheld = !relay_may_send_to(request, request->attempt.up) ||
@@ -422,6 +424,10 @@
 		request->closed_in_stop = complete;
 		return;
 	}
+	if (!sent && request->caller && !relay_key_is_valid(request)) {
+		relay_refuse_key(request);
+		return;
+	}
 	if (!request->withheld)
 		fleet_upstream_record_outcome(
 			up, complete && (request->not_run || !relay_is_server_error(request)),
