Admission: late callers return as prompts are read; zones in the replay

Callers refused for being late were spread at the rate at which memory becomes free, although they wait for prompts.

The replay also guards against a zone that starves.

--- a/include/flamingolatch/admission.h
+++ b/include/flamingolatch/admission.h
@@ -60,6 +60,7 @@
 /** What an instance knows of the memory of a service's engines. */
 struct admission_room {
 	double freed_tokens_per_s; /**< freed by all engines */
+	double read_tokens_per_s;  /**< prompt tokens that all engines read */
 	uint32_t instances;	   /**< that share it, at least 1 */
 	uint64_t queued_tokens;	   /**< of generations queued at this instance */
 	uint32_t late_ms;	   /**< by how much the first event would have been late */
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -165,7 +165,10 @@
 uint32_t admission_return_ms(struct admission_returns *returns, const struct admission_room *room,
 			     uint64_t tokens, double draw, uint64_t now_us)
 {
-	double own_per_ms = room->freed_tokens_per_s / 1000.0 / MAX(room->instances, 1);
+	/* What was refused for being late waits for prompts to be read. */
+	double per_s = room->late_ms > 0 ? MAX(room->freed_tokens_per_s, room->read_tokens_per_s)
+					 : room->freed_tokens_per_s;
+	double own_per_ms = per_s / 1000.0 / MAX(room->instances, 1);
 	uint32_t max_ms =
 		CLAMP(room->left_ms / 2, ADMISSION_MIN_RETURN_MS, ADMISSION_MAX_RETURN_MS);
 	double room_ms = room->late_ms;
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -496,6 +496,8 @@
 					fleet_upstream_peer_load(ups->pdata[i]).kv_used_tokens);
 	room.freed_tokens_per_s =
 		used_tokens * placement_default_params.freed_share_per_ms * 1000.0;
+	room.read_tokens_per_s = dispatch->env->settings->load.prefill_tokens_per_ms * 1000.0 *
+				 dispatch_engine_count(dispatch, need->service);
 	for (GList *link = dispatch->admission.head; link; link = link->next) {
 		const struct dispatch_queued *queued = link->data;
 
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -151,6 +151,7 @@
 	uint32_t p99_ms[KINDS];
 	double largest_share;	    /* served of the largest tenth, to that of all long ones */
 	double customer_share;	    /* of the customer served least, to that of all */
+	double zone_share;	    /* of the zone whose callers are served least */
 	uint32_t refused_back_late; /* refused for being late after an earlier refusal */
 };
 
@@ -485,6 +486,7 @@
 	struct instance *instance = &run->instances[gen->instance];
 	uint32_t deadline_ms = gen->born_ms + kinds[gen->kind].deadline_ms;
 	struct admission_room room = { .instances = INSTANCES,
+				       .read_tokens_per_s = PREFILL_BESIDE * 1000 * ENGINES,
 				       .late_ms = MIN(late_ms, 3000),
 				       .left_ms = deadline_ms > run->now_ms
 							  ? deadline_ms - run->now_ms
@@ -675,12 +677,26 @@
 	return gen->first_ms && gen->first_ms <= gen->born_ms + kinds[gen->kind].deadline_ms;
 }
 
+/* Returns the share served of the group served least, to that of all. */
+static double least_share(const uint32_t *sent, const uint32_t *served, uint32_t count,
+			  double all_share)
+{
+	double least = 1.0;
+
+	for (uint32_t i = 0; i < count; i++)
+		least = MIN(least, (double)served[i] / MAX(sent[i], 1) / all_share);
+	return least;
+}
+
 static void evaluate(const struct run *run, struct result *result)
 {
 	uint32_t sent_by[CUSTOMERS] = { 0 };
 	uint32_t served_by[CUSTOMERS] = { 0 };
+	uint32_t sent_in[ZONES] = { 0 };
+	uint32_t served_in[ZONES] = { 0 };
 	uint32_t largest_served = 0;
 	uint32_t all_served = 0;
+	double all_share;
 	g_autoptr(GPtrArray) longs = g_ptr_array_new();
 	GArray *times[KINDS] = { g_array_new(FALSE, FALSE, sizeof(uint32_t)),
 				 g_array_new(FALSE, FALSE, sizeof(uint32_t)) };
@@ -698,6 +714,8 @@
 		g_array_append_val(times[gen->kind], first_ms);
 		sent_by[gen->customer]++;
 		served_by[gen->customer] += was_served(gen);
+		sent_in[gen->instance % ZONES]++;
+		served_in[gen->instance % ZONES] += was_served(gen);
 		all_served += was_served(gen);
 		if (gen->kind == LONG)
 			g_ptr_array_add(longs, gen);
@@ -713,11 +731,9 @@
 		largest_served += was_served(longs->pdata[i]);
 	result->largest_share = (double)largest_served / (double)(longs->len / 10) /
 				((double)result->served[LONG] / longs->len);
-	result->customer_share = 1.0;
-	for (uint32_t i = 0; i < CUSTOMERS; i++)
-		result->customer_share = MIN(result->customer_share,
-					     (double)served_by[i] / MAX(sent_by[i], 1) /
-						     ((double)all_served / run->generations->len));
+	all_share = (double)all_served / run->generations->len;
+	result->customer_share = least_share(sent_by, served_by, CUSTOMERS, all_share);
+	result->zone_share = least_share(sent_in, served_in, ZONES, all_share);
 }
 
 static void run_scene(const struct scene *scene, uint32_t seed, bool admission,
@@ -750,13 +766,13 @@
 	}
 	evaluate(run, result);
 	printf("%-18s seed %u %-14s short late %4u of %4u p99 %5u served %4u | long late %4u of "
-	       "%4u p99 %5u served %4u | largest %.2f customer %.2f overtakes %u "
+	       "%4u p99 %5u served %4u | largest %.2f customer %.2f zone %.2f overtakes %u "
 	       "preemptions %u refusals %u\n",
 	       scene->name, seed, admission ? "admission" : "arrival order", result->late[SHORT],
 	       result->count[SHORT], result->p99_ms[SHORT], result->served[SHORT],
 	       result->late[LONG], result->count[LONG], result->p99_ms[LONG], result->served[LONG],
-	       result->largest_share, result->customer_share, run->overtakes, run->preemptions,
-	       run->refusals);
+	       result->largest_share, result->customer_share, result->zone_share, run->overtakes,
+	       run->preemptions, run->refusals);
 	for (uint32_t i = 0; i < ENGINES; i++)
 		g_ptr_array_free(run->engines[i].generations, TRUE);
 	for (uint32_t i = 0; i < INSTANCES; i++)
@@ -781,6 +797,8 @@
 		violation(seed, scene->name, "large generations starve");
 	if (ours.customer_share < 0.5)
 		violation(seed, scene->name, "a customer starves");
+	if (ours.zone_share < 0.5)
+		violation(seed, scene->name, "a zone starves");
 	if (ours.refused_back_late > 0)
 		violation(seed, scene->name, "a caller that is back is refused for being late");
 }
@@ -791,7 +809,6 @@
 		for (uint32_t seed = 1; seed <= 3; seed++)
 			check(&scenes[i], seed);
 	}
-	g_assert_false(violated);
 }
 
 /* rules */
@@ -839,7 +856,6 @@
 	/* A generation that an overloaded engine holds for a minute does not fill the reserve. */
 	admission_demand_end(&demand, 60000);
 	g_assert_cmpfloat(demand.hold_ms, <, 1000);
-	g_assert_false(violated);
 }
 
 static void sort_names(struct admission_item *items, uint32_t count, char *names)
@@ -911,7 +927,6 @@
 	}
 	if (ms > 1500)
 		violation(0, "overtaking", "a large generation starves");
-	g_assert_false(violated);
 }
 
 static void test_wait(void)
@@ -950,6 +965,15 @@
 	g_assert_cmpuint(admission_return_ms(&returns, &room, 2000, 0.0, 9000000), ==, 500);
 	room.left_ms = 1200;
 	g_assert_cmpuint(admission_return_ms(&returns, &room, 2000, 0.9, 9000000), <=, 600);
+	/* Late ones return at the rate at which prompts are read, 100 ms for each. */
+	room.left_ms = 6000;
+	room.late_ms = 700;
+	room.read_tokens_per_s = 1200000;
+	room.queued_tokens = 0;
+	before_ms = admission_return_ms(&returns, &room, 2000, 0.0, 15000000);
+	g_assert_cmpuint(before_ms, ==, 700);
+	g_assert_cmpuint(admission_return_ms(&returns, &room, 2000, 0.0, 15000000), ==, 800);
+	room.late_ms = 0;
 	/* Nothing is known to become free. */
 	room.freed_tokens_per_s = 0;
 	room.left_ms = 60000;
@@ -966,5 +990,5 @@
 	g_test_add_func("/admission/wait", test_wait);
 	g_test_add_func("/admission/return", test_return);
 	g_test_add_func("/admission/replay", test_replay);
-	return g_test_run();
+	return g_test_run() || violated;
 }
