Placement: learn the speeds of upstreams and place by them

Placement assumed that all engines read prompts at the same speed and that plain upstreams are equal per slot. Where they are not, slow ones got as much work as fast ones. upstream_speed.h learns a factor for each upstream from times to first events, times of eight events and times of calls; placement divides its expected times by it while the spread of a service's factors exceeds load.speed_spread. Without the setting, nothing is learned and placement computes what it did before: dividing by 1.0 and adding 0.0 changes no figure.

test_placement, test_fleet, test_dispatch and test_catalogue pass; no load was measured yet.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -17,6 +17,7 @@
 
 #include "flamingolatch/upstream_limit.h"
 #include "flamingolatch/upstream_quiet.h"
+#include "flamingolatch/upstream_speed.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -177,6 +178,9 @@
 struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up);
 /** Returns the time for which it asked to be left alone, to be read and updated. */
 struct upstream_quiet *fleet_upstream_quiet(struct fleet_upstream *up);
+/** Returns its speed as far as it is learned, to be read and updated; a new incarnation starts
+ * without any. */
+struct upstream_speed *fleet_upstream_speed(struct fleet_upstream *up);
 /** Makes fleet_foreach_active() visit the upstream while it has open requests of this instance. */
 void fleet_upstream_mark_active(struct fleet_upstream *up);
 /** Returns the sum of the loads reported by peers and of other zones. */
--- a/include/flamingolatch/gateway_settings.h
+++ b/include/flamingolatch/gateway_settings.h
@@ -40,6 +40,8 @@
 	uint64_t quarantine_s; /**< how long a prompt part or a request that crashed upstreams is
 				* refused, the first time; 0: never */
 	bool backups;	       /**< keeps a KV copy of running generations at a second engine */
+	double speed_spread; /**< ratio of the 90th to the 10th percentile of the learned speeds of
+			      * a service beyond which placement uses them; 0: never */
 };
 
 struct gateway_settings {
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -68,6 +68,7 @@
 	X(LOG_UPSTREAM_DEPARTURE, 623, INFO, "upstream-departure", "An upstream says in an answer that it leaves; it gets no new requests until its next start.") \
 	X(LOG_UPSTREAM_QUIET, 624, INFO, "upstream-quiet", "An upstream asks to be left alone for a time; it gets nothing that can wait until then.") \
 	X(LOG_UPSTREAM_QUIET_INVALID, 625, WARNING, "upstream-quiet-invalid", "An upstream sent a time to be left alone that is none, or not in a refusal; it is ignored. At most once a minute.") \
+	X(LOG_UPSTREAM_SPEED, 627, INFO, "upstream-speed", "The learned speed of an upstream that placement uses has changed much. At most once in 30 s for an upstream.") \
 	X(LOG_STORE_DOWN, 630, WARNING, "source-lost", "The store does not answer.") \
 	X(LOG_STORE_UP, 631, INFO, "source-regained", "The store answers again.") \
 	X(LOG_STORE_HISTORY_GONE, 632, INFO, "source-gap", "The store no longer has all changes since the last read; the whole table is read again.") \
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -74,6 +74,7 @@
 	X(METRIC_MEMBERS, "members", "Instances considered alive, this one included.") \
 	X(METRIC_UPSTREAMS, "upstreams", "Upstream instances known.") \
 	X(METRIC_QUARANTINED, "quarantined", "Prompt parts and requests that are not sent to upstreams.") \
+	X(METRIC_SERVICES_UNEVEN, "uneven_services", "Services whose upstreams are placed by their learned speeds.") \
 	X(METRIC_CONFIG_REVISION, "config_revision", "Configuration revision in force here.") \
 	X(METRIC_CONFIG_CONFIRMED_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as the newest.") \
 	X(METRIC_TABLE_REACHABLE, "table_reachable", "1 when the last table call was answered.")
--- a/include/flamingolatch/placement.h
+++ b/include/flamingolatch/placement.h
@@ -36,6 +36,7 @@
 	uint32_t incoming_copies;    /**< KV caches being copied to it */
 	uint32_t distance;	     /**< 0 same zone, 1 same region, 2 other region */
 	double failure_share;	     /**< share of recent requests that failed, 0 to 1 */
+	double speed;		     /**< relative to the median of the service; 0 counts as 1 */
 	bool usable;		     /**< may get new work */
 };
 
@@ -94,6 +95,7 @@
 	uint32_t open;	      /**< requests sent and not finished */
 	uint32_t distance;    /**< 0 same zone, 1 same region, 2 other region */
 	double failure_share; /**< share of recent requests that failed, 0 to 1 */
+	double speed;	      /**< relative to the median of the service; 0 counts as 1 */
 	bool connected;	      /**< there is an idle connection to it */
 	bool usable;	      /**< may get new work */
 };
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -39,6 +39,7 @@
 	struct fleet_load own_load;
 	struct upstream_limit limit;
 	struct upstream_quiet quiet;
+	struct upstream_speed speed;
 	struct fleet_load peer_load; /* the sum over the peers of the own zone */
 	struct fleet_load zone_load; /* the sum over the other zones */
 	double failure_share;
@@ -675,6 +676,11 @@
 	return &up->quiet;
 }
 
+struct upstream_speed *fleet_upstream_speed(struct fleet_upstream *up)
+{
+	return &up->speed;
+}
+
 struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up)
 {
 	return &up->limit;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -38,6 +38,12 @@
 	.freed_share_per_ms = 1.0 / 8000.0,
 };
 
+/* Returns a factor of speed by which a time may be divided. */
+static double placement_speed(double speed)
+{
+	return speed > 0.0 ? speed : 1.0;
+}
+
 /* Returns how long the unread prompts of an engine wait until generations have freed the memory for
  * them, in ms. */
 static double placement_memory_wait_ms(const struct placement_params *params, double unread_tokens,
@@ -57,8 +63,9 @@
 {
 	double unread_tokens = (double)engine->prefill_tokens + (double)request->prompt_tokens;
 
-	return (uint32_t)(unread_tokens / params->prefill_tokens_per_ms +
-			  placement_memory_wait_ms(params, unread_tokens, engine) +
+	return (uint32_t)((unread_tokens / params->prefill_tokens_per_ms +
+			   placement_memory_wait_ms(params, unread_tokens, engine)) /
+				  placement_speed(engine->speed) +
 			  PLACEMENT_OPEN_REQUEST_MS * engine->open);
 }
 
@@ -152,7 +159,10 @@
 		uint32_t i = (draw + n) % count;
 		const struct placement_upstream *up = &ups[i];
 		uint32_t slots = up->slots ? up->slots : PLACEMENT_DEFAULT_SLOT_COUNT;
-		double score = (double)up->open / slots +
+		double speed = placement_speed(up->speed);
+		/* The second part makes an idle fast upstream better than an idle slow one: it is
+		 * the time that this request takes itself, relative to the median. */
+		double score = (double)up->open / slots / speed + (1.0 / speed - 1.0) / slots +
 			       PLACEMENT_FAILURE_SHARE_COST *
 				       placement_excess_failure_share(up->failure_share);
 
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -44,6 +44,7 @@
 			       .max = 600000),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, quarantine_s, CONF_U64, .max = 3600),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, backups, CONF_BOOL),
+	GATEWAY_SETTINGS_FIELD(gateway_load_settings, speed_spread, CONF_F64),
 	{ 0 },
 };
 static const struct conf_schema gateway_load_settings_schema = {
@@ -173,6 +174,11 @@
 			    addresses[i].key);
 		return false;
 	}
+	if (settings->load.speed_spread > 0.0 && settings->load.speed_spread < 1.0) {
+		g_set_error(error, ERR_DOMAIN, ERR_SETTINGS,
+			    "%s: key \"load.speed_spread\": expected 0 or at least 1", file);
+		return false;
+	}
 	if (!gateway_settings_region_of(settings, settings->zone)) {
 		g_set_error(error, ERR_DOMAIN, ERR_SETTINGS,
 			    "%s: key \"zones\": expected an entry for the instance's zone \"%s\"",
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -408,10 +408,31 @@
 				    ? fleet_upstream_distance_between(up, need->distance_from)
 				    : fleet_upstream_distance(up),
 		.failure_share = fleet_upstream_failure_share(up),
+		.speed = upstream_speed_factor(fleet_upstream_speed((struct fleet_upstream *)up)),
 		.usable = dispatch_is_usable(up, need, now_us),
 	};
 }
 
+static struct placement_params dispatch_placement_params(const struct dispatch *dispatch)
+{
+	return (struct placement_params){
+		.max_kv_share = dispatch->env->settings->load.fill,
+		.prefill_tokens_per_ms = dispatch->env->settings->load.prefill_tokens_per_ms,
+		.freed_share_per_ms = placement_default_params.freed_share_per_ms,
+	};
+}
+
+uint32_t dispatch_nominal_first_event_ms(const struct dispatch *dispatch,
+					 const struct dispatch_need *need,
+					 const struct fleet_upstream *up)
+{
+	struct placement_params params = dispatch_placement_params(dispatch);
+	struct placement_engine view = dispatch_engine_view(up, need, env_now_us());
+
+	view.speed = 1.0;
+	return placement_first_event_ms(&params, &need->place, &view);
+}
+
 struct fleet_upstream *dispatch_select_engine(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      struct dispatch_decision *decision)
@@ -419,11 +440,7 @@
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	g_autofree struct placement_engine *views =
 		g_new(struct placement_engine, MAX(ups->len, 1));
-	struct placement_params params = {
-		.max_kv_share = dispatch->env->settings->load.fill,
-		.prefill_tokens_per_ms = dispatch->env->settings->load.prefill_tokens_per_ms,
-		.freed_share_per_ms = placement_default_params.freed_share_per_ms,
-	};
+	struct placement_params params = dispatch_placement_params(dispatch);
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
@@ -473,6 +490,7 @@
 				fleet_upstream_peer_load(up).open,
 			.distance = fleet_upstream_distance(up),
 			.failure_share = fleet_upstream_failure_share(up),
+			.speed = upstream_speed_factor(fleet_upstream_speed(ups->pdata[i])),
 			.connected = http_client_has_idle(dispatch->env->http_client,
 							  fleet_upstream_address(up),
 							  fleet_upstream_scope(up)),
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -70,6 +70,11 @@
 struct fleet_upstream *dispatch_select_engine(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      struct dispatch_decision *decision);
+/** Returns the time to the first event that is expected of an engine of nominal speed under the
+ * load of @p up, without the load of this generation, in ms. */
+uint32_t dispatch_nominal_first_event_ms(const struct dispatch *dispatch,
+					 const struct dispatch_need *need,
+					 const struct fleet_upstream *up);
 /** Returns an upstream for a call to a plain service, without a reference, or NULL. */
 struct fleet_upstream *dispatch_select_plain(struct dispatch *dispatch,
 					     const struct dispatch_need *need,
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -16,9 +16,11 @@
 {
 	struct fleet_load peers = fleet_upstream_peer_load(up);
 	const struct upstream_limit *limit = fleet_upstream_limit((struct fleet_upstream *)up);
+	const struct upstream_speed *speed = fleet_upstream_speed((struct fleet_upstream *)up);
 	const struct upstream_quiet *quiet = fleet_upstream_quiet((struct fleet_upstream *)up);
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I}",
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I, "
+			 "s:f, s:f, s:b}",
 			 "id", fleet_upstream_id(up), "service", fleet_upstream_service(up),
 			 "address", fleet_upstream_address(up), "zone", fleet_upstream_zone(up),
 			 "state", fleet_upstream_state_name(fleet_upstream_state(up)), "own",
@@ -28,7 +30,9 @@
 			 fleet_upstream_on_probation(up), "silent_ms",
 			 (json_int_t)(fleet_upstream_silent_us(up, now_us) / 1000), "limit_per_s",
 			 limit->limited ? limit->limit_per_s : -1.0, "limit_share", limit->share,
-			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000));
+			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000),
+			 "speed", speed->factor > 0.0 ? speed->factor : 1.0, "speed_confidence",
+			 speed->confidence, "speed_in_effect", speed->in_effect);
 }
 
 static json_t *dump_upstreams(struct env *env)
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -25,6 +25,7 @@
 
 struct crash_guard;
 struct limit_exchange;
+struct speed_exchange;
 
 struct env {
 	uv_loop_t *loop;
@@ -36,9 +37,10 @@
 	const struct protocol_ops *protocol;
 	struct crash_guard *crash_guard;
 	struct limit_exchange *limit_exchange;
-	struct route_config *config; /**< in force; NULL before the first */
-	struct freshness freshness;  /**< age of the configuration */
-	GHashTable *retry_budgets;   /**< name of a service to struct retry_budget */
+	struct speed_exchange *speed_exchange; /**< NULL in tests without it */
+	struct route_config *config;	       /**< in force; NULL before the first */
+	struct freshness freshness;	       /**< age of the configuration */
+	GHashTable *retry_budgets;	       /**< name of a service to struct retry_budget */
 	GRand *rand;
 	uint32_t live_instances;     /**< this one included, at least 1 */
 	bool placed_generation;	     /**< a generation or KV copy was placed since the last
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -6,6 +6,7 @@
 #include "dump.h"
 #include "env.h"
 #include "limit_exchange.h"
+#include "speed_exchange.h"
 #include "store_watch.h"
 #include "peer_exchange.h"
 #include "relay.h"
@@ -154,6 +155,7 @@
 	gateway->env.crash_guard = crash_guard_create(&gateway->env, gateway->peer_exchange);
 	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->env.limit_exchange = limit_exchange_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.speed_exchange = speed_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -175,6 +177,7 @@
 		return;
 	delegation_destroy(gateway->delegation);
 	store_watch_destroy(gateway->store_watch);
+	speed_exchange_destroy(gateway->env.speed_exchange);
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -2,6 +2,7 @@
 
 #include "crash_guard.h"
 #include "limit_exchange.h"
+#include "speed_exchange.h"
 
 #include "flamingolatch/quarantine.h"
 
@@ -19,6 +20,9 @@
 #define RELAY_COMMENTS_MAX_BYTES (16U << 10)
 /* Events between two updates of the expected output length. */
 #define RELAY_ESTIMATE_INTERVAL_EVENTS 16
+/* Events whose time is one sample of the speed of an engine: a third of a second, which evens out
+ * events that are read together. */
+#define RELAY_SPEED_EVENTS 8
 
 static bool relay_on_connected(void *ctx);
 static void relay_on_head(void *ctx, const struct http_response_head *head);
@@ -59,6 +63,47 @@
 	return fleet_upstream_address(backup);
 }
 
+/* Records what the speed of the upstream is measured by. Call it before the load is added. */
+static void relay_expect_speed(struct relay_request *request, const struct fleet_upstream *up,
+			       bool resumed)
+{
+	struct relay *relay = request->relay;
+	struct dispatch_need need;
+
+	request->speed_event_us = 0;
+	request->speed_event_count = 0;
+	request->speed_first_event_ms = 0;
+	request->speed_open = 0;
+	if (!speed_exchange_is_learned(relay->env->speed_exchange, up))
+		return;
+	if (!relay_is_generation(request)) {
+		request->speed_open = fleet_upstream_own_load((struct fleet_upstream *)up)->open +
+				      fleet_upstream_peer_load(up).open + 1;
+	} else if (!resumed) {
+		need = relay_dispatch_need(request);
+		request->speed_first_event_ms =
+			dispatch_nominal_first_event_ms(relay->dispatch, &need, up);
+	}
+}
+
+/* Measures the speed of an engine by an event of the current attempt. */
+static void relay_measure_event(struct relay_request *request, uint64_t now_us)
+{
+	struct speed_exchange *speeds = request->relay->env->speed_exchange;
+
+	if (request->attempt_event_count == 0 && request->phase == RELAY_STREAMING)
+		speed_exchange_on_first_event(speeds, request->attempt.up,
+					      now_us - request->sent_us,
+					      request->speed_first_event_ms);
+	if (request->speed_event_us > 0 && ++request->speed_event_count < RELAY_SPEED_EVENTS)
+		return;
+	if (request->speed_event_us > 0)
+		speed_exchange_on_events(speeds, request->attempt.up,
+					 now_us - request->speed_event_us, RELAY_SPEED_EVENTS);
+	request->speed_event_us = now_us;
+	request->speed_event_count = 0;
+}
+
 void relay_start_attempt(struct relay_request *request, struct fleet_upstream *up,
 			 const char *from_address, const char *from_handle)
 {
@@ -92,6 +137,7 @@
 		dispatch_load_remove(&request->attempt);
 	if (!from_address)
 		g_ptr_array_add(request->tried, fleet_upstream_ref(up));
+	relay_expect_speed(request, up, from_address || request->last_event_id);
 	dispatch_load_add(&request->attempt, up,
 			  relay_is_generation(request)
 				  ? request->decoded.prompt_tokens + request->expected_output_tokens
@@ -284,6 +330,8 @@
 		metric_observe(env->metric, METRIC_TOKEN_GAP_US,
 			       now_us - request->last_progress_us);
 	}
+	if (request->relay->env->settings->load.speed_spread > 0.0)
+		relay_measure_event(request, now_us);
 	if (request->first_event_us == 0)
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
@@ -322,6 +370,13 @@
 	request->relay->on_attempt_end(request, not_run ? ATTEMPT_NOT_RUN : ATTEMPT_BROKEN);
 }
 
+/* Pauses reading. The time until it goes on says nothing of the upstream. */
+static void relay_pause(struct relay_request *request)
+{
+	request->speed_event_us = 0;
+	http_call_pause(request->call);
+}
+
 /* Stops reading from the upstream while the caller has much left to read; relay_on_caller_drained()
  * goes on. */
 static void relay_limit_backlog(struct relay_request *request)
@@ -329,7 +384,7 @@
 	if (request->caller &&
 	    http_req_unsent_bytes(request->caller) >
 		    buffer_budget_limit(&request->relay->buffers, RELAY_BACKLOG_MAX_BYTES))
-		http_call_pause(request->call);
+		relay_pause(request);
 }
 
 /* Collects a response that is no stream, and passes it on as it arrives once it is too long to be
@@ -426,6 +481,9 @@
 			request, result == HTTP_CALL_TIMEOUT ? ATTEMPT_SILENT : ATTEMPT_BROKEN);
 		return;
 	}
+	if (request->speed_open > 0 && request->status / 100 == 2)
+		speed_exchange_on_call(request->relay->env->speed_exchange, up,
+				       now_us - request->sent_us, request->speed_open);
 	/* Also with an error, the upstream got through the request. */
 	if (!relay_is_generation(request))
 		crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -87,20 +87,25 @@
 	char *last_event_id;	   /* of the last event passed on to the caller */
 	uint64_t arrived_us;
 	uint64_t deadline_us;
-	uint64_t queue_deadline_us;   /* end of the queue timeout, at most deadline_us */
-	uint64_t sent_us;	      /* when the current attempt was started */
-	uint64_t last_progress_us;    /* when the upstream of the current attempt last sent data */
-	uint64_t first_event_us;      /* of the current attempt; 0 before */
-	uint64_t migrate_sent_us;     /* when the latest migration call was sent */
-	uint64_t stall_checked_us;    /* when another upstream was last looked for in a stall */
-	uint64_t migrate_checked_us;  /* when relay_migrate() last ran in this attempt; 0 before */
-	uint64_t event_count;	      /* over all attempts */
-	uint64_t attempt_event_count; /* of the current attempt */
-	uint64_t discarded_bytes;     /* of the current response */
-	uint64_t comment_bytes;	      /* since the last event of the current attempt */
-	uint64_t buffered_bytes;      /* counted in relay::buffers */
-	uint32_t first_event_ms;      /* from the arrival of the request to its first event */
-	uint32_t longest_pause_ms;    /* between two events */
+	uint64_t queue_deadline_us;    /* end of the queue timeout, at most deadline_us */
+	uint64_t sent_us;	       /* when the current attempt was started */
+	uint64_t last_progress_us;     /* when the upstream of the current attempt last sent data */
+	uint64_t first_event_us;       /* of the current attempt; 0 before */
+	uint64_t speed_event_us;       /* from when the speed of events is measured; 0: it is not */
+	uint64_t migrate_sent_us;      /* when the latest migration call was sent */
+	uint64_t stall_checked_us;     /* when another upstream was last looked for in a stall */
+	uint64_t migrate_checked_us;   /* when relay_migrate() last ran in this attempt; 0 before */
+	uint64_t event_count;	       /* over all attempts */
+	uint64_t attempt_event_count;  /* of the current attempt */
+	uint64_t discarded_bytes;      /* of the current response */
+	uint64_t comment_bytes;	       /* since the last event of the current attempt */
+	uint64_t buffered_bytes;       /* counted in relay::buffers */
+	uint32_t speed_event_count;    /* events since speed_event_us */
+	uint32_t speed_first_event_ms; /* expected of the current attempt at nominal speed; 0:
+					  unknown */
+	uint32_t speed_open;	       /* requests at the upstream when the attempt was sent */
+	uint32_t first_event_ms;       /* from the arrival of the request to its first event */
+	uint32_t longest_pause_ms;     /* between two events */
 	uint64_t expected_output_tokens;
 	uint32_t attempt_count; /* attempts that ended and may have run */
 	uint16_t status;	/* HTTP status of the current response; 0 before */
