Placement: exchange learned speeds within the zone and between zones

An instance sees one request in sixty and needs many seconds to tell slow upstreams from unlucky ones. Nothing is sent while the speeds of a service are even or the setting is 0. peer_exchange takes one callback for each message type that accompanies its totals; it took one in all.

--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -58,6 +58,7 @@
 	X(METRIC_BUS_LISTS_SENT, "bus_lists_sent_total", "Whole instance lists sent to instances that lacked more than the last changes.") \
 	X(METRIC_BUS_QUARANTINE_BYTES, "bus_quarantine_bytes_total", "Bytes of messages on prompt parts and requests that crash upstreams.") \
 	X(METRIC_BUS_LIMIT_BYTES, "bus_limit_bytes_total", "Bytes of messages on limits that upstreams name.") \
+	X(METRIC_BUS_SPEED_BYTES, "bus_speed_bytes_total", "Bytes of messages on learned speeds of upstreams.") \
 	X(METRIC_BUS_MESSAGES_RECEIVED, "bus_received_total", "Messages received from peers.") \
 	X(METRIC_BUS_MESSAGES_INVALID, "bus_bad_total", "Messages from peers that could not be decoded.") \
 	X(METRIC_CLAIM_ROWS_DELETED, "rows_collected_total", "Claim rows of finished calls deleted after their time to live.") \
--- a/include/flamingolatch/upstream_speed.h
+++ b/include/flamingolatch/upstream_speed.h
@@ -104,6 +104,8 @@
  */
 void upstream_speed_finish(struct upstream_speed_service *service, struct upstream_speed **speeds,
 			   uint32_t count, double min_spread, uint64_t now_us);
+/** Returns the weight of all samples. */
+double upstream_speed_weight(const struct upstream_speed_report *report);
 /** Returns the factor that placement uses: 1 unless the speeds of the service are in effect. */
 double upstream_speed_factor(const struct upstream_speed *speed);
 
--- a/src/core/upstream_speed.c
+++ b/src/core/upstream_speed.c
@@ -35,15 +35,6 @@
 	}
 }
 
-static double upstream_speed_weight(const struct upstream_speed_report *report)
-{
-	double weight = 0.0;
-
-	for (int kind = 0; kind < UPSTREAM_SPEED_KIND_COUNT; kind++)
-		weight += report->sums[kind].weight;
-	return weight;
-}
-
 static void upstream_speed_age_own(struct upstream_speed *speed, uint64_t now_us)
 {
 	if (now_us <= speed->decayed_us)
@@ -233,3 +224,12 @@
 {
 	return speed->in_effect ? speed->factor : 1.0;
 }
+
+double upstream_speed_weight(const struct upstream_speed_report *report)
+{
+	double weight = 0.0;
+
+	for (int kind = 0; kind < UPSTREAM_SPEED_KIND_COUNT; kind++)
+		weight += report->sums[kind].weight;
+	return weight;
+}
--- a/src/serve/limit_exchange.c
+++ b/src/serve/limit_exchange.c
@@ -75,7 +75,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, limit_exchange_source_free);
 	peer_exchange_set_message_cb(exchange, LIMIT_EXCHANGE_MSG, limit_exchange_on_message,
 				     limits);
-	peer_exchange_set_totals_cb(exchange, limit_exchange_on_totals, limits);
+	peer_exchange_set_totals_cb(exchange, LIMIT_EXCHANGE_MSG, limit_exchange_on_totals, limits);
 	uv_timer_init(env->loop, &limits->tick);
 	limits->tick.data = limits;
 	limits->ticked_us = env_now_us();
@@ -99,7 +99,7 @@
 	if (!limits)
 		return;
 	peer_exchange_set_message_cb(limits->exchange, LIMIT_EXCHANGE_MSG, NULL, NULL);
-	peer_exchange_set_totals_cb(limits->exchange, NULL, NULL);
+	peer_exchange_set_totals_cb(limits->exchange, LIMIT_EXCHANGE_MSG, NULL, NULL);
 	uv_close((uv_handle_t *)&limits->tick, limit_exchange_on_closed);
 }
 
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -123,8 +123,10 @@
 	} message_cbs[PEER_EXCHANGE_TYPE_COUNT];
 	void (*joined_cb)(void *ctx, const char *address);
 	void *joined_ctx;
-	void (*totals_cb)(void *ctx, const char *address);
-	void *totals_ctx;
+	struct {
+		void (*cb)(void *ctx, const char *address);
+		void *ctx;
+	} totals_cbs[PEER_EXCHANGE_TYPE_COUNT];
 	void (*row_cb)(void *ctx, const char *id, const char *text);
 	void (*row_end_cb)(void *ctx);
 	void *row_ctx;
@@ -306,11 +308,11 @@
 	exchange->joined_ctx = ctx;
 }
 
-void peer_exchange_set_totals_cb(struct peer_exchange *exchange,
+void peer_exchange_set_totals_cb(struct peer_exchange *exchange, uint8_t type,
 				 void (*cb)(void *ctx, const char *address), void *ctx)
 {
-	exchange->totals_cb = cb;
-	exchange->totals_ctx = ctx;
+	exchange->totals_cbs[type].cb = cb;
+	exchange->totals_cbs[type].ctx = ctx;
 }
 
 void peer_exchange_set_row_cb(struct peer_exchange *exchange,
@@ -545,8 +547,11 @@
 			exchange->totals[class].credit -= 1.0;
 			peer_exchange_send_report(exchange, peer, PEER_EXCHANGE_MSG_TOTALS,
 						  exchange->encoded);
-			if (exchange->totals_cb)
-				exchange->totals_cb(exchange->totals_ctx, peer->address);
+			for (uint32_t type = 0; type < PEER_EXCHANGE_TYPE_COUNT; type++) {
+				if (exchange->totals_cbs[type].cb)
+					exchange->totals_cbs[type].cb(
+						exchange->totals_cbs[type].ctx, peer->address);
+			}
 		}
 	}
 }
--- a/src/serve/peer_exchange.h
+++ b/src/serve/peer_exchange.h
@@ -47,8 +47,9 @@
 /** Sets the callback for the first report of a new incarnation of a peer; @p cb may be NULL. */
 void peer_exchange_set_joined_cb(struct peer_exchange *exchange,
 				 void (*cb)(void *ctx, const char *address), void *ctx);
-/** Sets the callback for each peer of another zone to which totals are sent; @p cb may be NULL. */
-void peer_exchange_set_totals_cb(struct peer_exchange *exchange,
+/** Sets the callback for each peer of another zone to which totals are sent, so that a message of
+ * this type can accompany them; @p cb may be NULL. @param type below PEER_EXCHANGE_TYPE_COUNT */
+void peer_exchange_set_totals_cb(struct peer_exchange *exchange, uint8_t type,
 				 void (*cb)(void *ctx, const char *address), void *ctx);
 /** Sets the callbacks for the system's own rows that are no instances': their keys have a slash.
  * @param cb may be NULL
--- a/src/serve/speed_exchange.h
+++ b/src/serve/speed_exchange.h
@@ -1,10 +1,12 @@
 /**
  * @file speed_exchange.h
- * Learns how fast upstreams are from what this instance observes, and sets the
- * factors that placement uses.
+ * Learns how fast upstreams are from what this instance and its peers observe, and
+ * sets the factors that placement uses.
  *
  * upstream_speed.h computes the factors. Does nothing unless the setting
- * load.speed_spread is set.
+ * load.speed_spread is set, and sends nothing on a service while the speeds of its
+ * upstreams are even. An instance tells its own samples to its zone, and those of its
+ * zone to peers elsewhere in turn, like the load reports of peer_exchange.h.
  *
  * speed_exchange_create() after peer_exchange_create(); speed_exchange_on_first_event(),
  * speed_exchange_on_events() and speed_exchange_on_call() for observations;
@@ -16,6 +18,8 @@
 #include "env.h"
 #include "peer_exchange.h"
 
+#include "flamingolatch/upstream_speed.h"
+
 struct speed_exchange;
 
 /** @p env and @p exchange are borrowed and must outlive the result. */
@@ -37,4 +41,30 @@
 void speed_exchange_on_call(struct speed_exchange *speeds, struct fleet_upstream *up,
 			    uint64_t observed_us, uint32_t open);
 
+/** What an instance tells of speeds. Strings are borrowed. */
+struct speed_exchange_report {
+	const char *address; /**< of the sender's bus */
+	const char *zone;
+	bool is_total;	/**< the samples are those of the zone */
+	GArray *speeds; /**< struct speed_exchange_speed */
+};
+
+/** Samples of one upstream. */
+struct speed_exchange_speed {
+	uint32_t upstream; /**< fleet_upstream_key() */
+	uint32_t age_ms;   /**< time since the newest sample */
+	struct upstream_speed_sum sums[UPSTREAM_SPEED_KIND_COUNT];
+};
+
+/** Appends an encoded report to @p out. */
+void speed_exchange_encode(GByteArray *out, const struct speed_exchange_report *report);
+/**
+ * Decodes a report.
+ * @param out its array is freed with g_array_free()
+ * @param owner owns the strings of @p out; free it with g_variant_unref()
+ * @return false when the bytes are no report
+ */
+bool speed_exchange_decode(const void *buf, size_t len, struct speed_exchange_report *out,
+			   GVariant **owner);
+
 #endif
