--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -32,6 +32,12 @@
 #define PLACEMENT_FAILURE_SHARE_COST 6.0
 #define PLACEMENT_CONNECT_COST	     0.1 /* of opening a connection */
 
+/* How much the time that a request takes itself counts by the speed of the upstream; that of the
+ * requests before it counts in full. With 1, fast engines got 1.25 times the mean work for their
+ * speed and idle slow ones none; with 0, first events were as late as with equal speeds
+ * (bench_policy --uneven). */
+#define PLACEMENT_OWN_SPEED_SHARE 0.5
+
 const struct placement_params placement_default_params = {
 	.max_kv_share = 0.92,
 	.prefill_tokens_per_ms = 8.0,
@@ -44,6 +50,13 @@
 	return speed > 0.0 ? speed : 1.0;
 }
 
+/* Returns by how much the time that a request takes itself differs from that at an upstream of
+ * speed 1, as far as it counts. @param nominal the time at an upstream of speed 1 */
+static double placement_own_time(double nominal, double speed)
+{
+	return PLACEMENT_OWN_SPEED_SHARE * nominal * (1.0 / speed - 1.0);
+}
+
 /* Returns how long the unread prompts of an engine wait until generations have freed the memory for
  * them, in ms. */
 static double placement_memory_wait_ms(const struct placement_params *params, double unread_tokens,
@@ -131,7 +144,10 @@
 		/* An empty engine may get a request that is larger than the limit. */
 		if (needed_kv_tokens > max_kv_tokens && engine->expected_kv_tokens > 0)
 			continue;
-		score = placement_first_event_ms(params, request, engine) +
+		score = placement_first_event_ms(params, request, engine) -
+			placement_own_time((double)request->prompt_tokens /
+						   params->prefill_tokens_per_ms,
+					   placement_speed(engine->speed)) +
 			placement_jitter_ms(request, i, engine->distance) +
 			placement_distance_cost(request, engine->distance) +
 			(request->needs_kv_copy
@@ -160,9 +176,8 @@
 		const struct placement_upstream *up = &ups[i];
 		uint32_t slots = up->slots ? up->slots : PLACEMENT_DEFAULT_SLOT_COUNT;
 		double speed = placement_speed(up->speed);
-		/* The second part makes an idle fast upstream better than an idle slow one: it is
-		 * the time that this request takes itself, relative to the median. */
-		double score = (double)up->open / slots / speed + (1.0 / speed - 1.0) / slots +
+		double score = (double)up->open / slots / speed +
+			       placement_own_time(1.0 / slots, speed) +
 			       PLACEMENT_FAILURE_SHARE_COST *
 				       placement_excess_failure_share(up->failure_share);
 
