--- a/bench/policy.c
+++ b/bench/policy.c
@@ -11,8 +11,14 @@
  * oracle reaches, which is determined first. The runs are distributed over threads.
  * A row of the table is one policy at one load: the median over the seeds, and for
  * some figures the lowest and the highest in brackets.
+ *
+ * With --uneven, two kinds of streams compete for engines of three speeds, beside calls
+ * to a plain service, and placement with learned speeds is compared with the same
+ * placement without them and with least open requests (uneven_world.h). Load is then
+ * relative to the rates of the number porting deployment.
  */
 #include "engine_model.h"
+#include "uneven_world.h"
 #include "flamingolatch/pool.h"
 #include "flamingolatch/wfq.h"
 
@@ -947,6 +953,7 @@
 	gdouble deviations; /* replaces those of the profiles; negative keeps them */
 	gdouble capacity;   /* requests per second; 0 if it is to be determined */
 	gboolean burst;
+	gboolean uneven;
 };
 
 static struct run_config base_config(const struct options *opt, const struct deployment *dep)
@@ -1063,6 +1070,110 @@
 	g_array_free(runs, TRUE);
 }
 
+/* uneven upstreams */
+
+static const char *const uneven_names[UNEVEN_POLICY_COUNT] = { "least-open", "equal", "learned" };
+
+struct uneven_run {
+	struct uneven_config config;
+	struct uneven_result out;
+};
+
+static void run_uneven(gpointer data, gpointer user)
+{
+	struct uneven_run *run = data;
+
+	(void)user;
+	uneven_world_run(&run->config, &run->out);
+}
+
+static double late_percent(const struct uneven_class_result *result)
+{
+	return 100.0 * result->late / MAX(result->count, 1);
+}
+
+/* Prints the means over the seeds. */
+static void print_uneven(const struct uneven_run *runs, guint seeds, json_t *rows)
+{
+	const struct uneven_config *config = &runs->config;
+	double late[3] = { 0 };
+	double p99_ms[3] = { 0 };
+	double engine = 0.0;
+	double upstream = 0.0;
+
+	for (guint i = 0; i < seeds; i++) {
+		const struct uneven_result *out = &runs[i].out;
+		const struct uneven_class_result *kinds[] = { &out->long_streams,
+							      &out->short_streams, &out->calls };
+
+		for (guint k = 0; k < G_N_ELEMENTS(kinds); k++) {
+			late[k] += late_percent(kinds[k]) / seeds;
+			p99_ms[k] += kinds[k]->p99_ms / seeds;
+		}
+		engine += out->busiest_engine / seeds;
+		upstream += out->busiest_upstream / seeds;
+	}
+	printf("%4.2f %-10s %6.2f %7.0f %6.2f %7.0f %6.2f %7.0f %6.3f %6.3f\n", config->load,
+	       uneven_names[config->policy], late[0], p99_ms[0], late[1], p99_ms[1], late[2],
+	       p99_ms[2], engine, upstream);
+	json_array_append_new(
+		rows, json_pack("{s:f, s:s, s:f, s:f, s:f, s:f, s:f}", "load", config->load,
+				"policy", uneven_names[config->policy], "long_late_percent",
+				late[0], "short_late_percent", late[1], "calls_late_percent",
+				late[2], "busiest_engine", engine, "busiest_upstream", upstream));
+}
+
+static void bench_uneven(const struct options *opt, json_t *rows)
+{
+	g_auto(GStrv) loads = g_strsplit(opt->loads, ",", 0);
+	g_autoptr(GArray) runs = g_array_new(FALSE, TRUE, sizeof(struct uneven_run));
+	guint seeds = (guint)CLAMP(opt->seeds, 1, SEEDS_MAX);
+	GThreadPool *pool =
+		g_thread_pool_new(run_uneven, NULL, (gint)g_get_num_processors(), FALSE, NULL);
+
+	for (uint32_t l = 0; loads[l]; l++) {
+		for (int policy = 0; policy < UNEVEN_POLICY_COUNT; policy++) {
+			for (guint seed = 0; seed < seeds; seed++) {
+				struct uneven_run run = {
+					.config = { .policy = (enum uneven_policy)policy,
+						    .seed = seed + 1,
+						    .instances = 59,
+						    .engines = 44,
+						    .plain_upstreams = 6,
+						    .load = g_ascii_strtod(loads[l], NULL),
+						    .speeds = { 0.7, 0.7, 1.7 },
+						    .min_spread = 2.0,
+						    .duration_us =
+							    (uint64_t)opt->seconds * SECOND_US,
+						    .warmup_us =
+							    (uint64_t)opt->seconds * SECOND_US / 4 }
+				};
+
+				g_array_append_val(runs, run);
+			}
+		}
+	}
+	for (guint i = 0; i < runs->len; i++)
+		g_thread_pool_push(pool, &g_array_index(runs, struct uneven_run, i), NULL);
+	g_thread_pool_free(pool, FALSE, TRUE);
+	printf("# load policy long_late%% long_p99_ms short_late%% short_p99_ms calls_late%% "
+	       "calls_p99_ms busiest_engine busiest_upstream\n");
+	for (guint i = 0; i < runs->len; i += seeds)
+		print_uneven(&g_array_index(runs, struct uneven_run, i), seeds, rows);
+}
+
+static void bench_deployments(const struct options *opt, json_t *rows)
+{
+	printf("# deployment load policy stall_p50_s stall_p99_s [low high] stall_max_s "
+	       "preempt_1000 "
+	       "[low high] gap_p50 gap_p95 gap_p999_ms first_p95_s goodput refused%% jain "
+	       "worst_share long_pushed_1000\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+		if (!opt->deployment || strcmp(opt->deployment, deployments[i].name) == 0)
+			bench_deployment(opt, &deployments[i], rows);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	struct options opt = {
@@ -1089,6 +1200,10 @@
 		  "Requests per second at capacity, if known", "RATE" },
 		{ "burst", 0, 0, G_OPTION_ARG_NONE, &opt.burst,
 		  "One customer sends further requests in the middle third of a run", NULL },
+		{ "uneven", 0, 0, G_OPTION_ARG_NONE, &opt.uneven,
+		  "Two kinds of streams on engines of three speeds, with and without learned "
+		  "speeds",
+		  NULL },
 		{ "json", 0, 0, G_OPTION_ARG_FILENAME, &opt.json,
 		  "Write the rows to this file as JSON", "FILE" },
 		{ 0 }
@@ -1103,15 +1218,11 @@
 		return 2;
 	}
 	if (!opt.loads)
-		opt.loads = g_strdup("0.5,0.9,1.0,1.1,1.2");
-	printf("# deployment load policy stall_p50_s stall_p99_s [low high] stall_max_s "
-	       "preempt_1000 "
-	       "[low high] gap_p50 gap_p95 gap_p999_ms first_p95_s goodput refused%% jain "
-	       "worst_share long_pushed_1000\n");
-	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
-		if (!opt.deployment || strcmp(opt.deployment, deployments[i].name) == 0)
-			bench_deployment(&opt, &deployments[i], rows);
-	}
+		opt.loads = g_strdup(opt.uneven ? "0.6,0.8,1.0,1.2,1.4" : "0.5,0.9,1.0,1.1,1.2");
+	if (opt.uneven)
+		bench_uneven(&opt, rows);
+	else
+		bench_deployments(&opt, rows);
 	if (opt.json)
 		json_dump_file(rows, opt.json, JSON_INDENT(1));
 	json_decref(rows);
--- a/include/flamingolatch/upstream_speed.h
+++ b/include/flamingolatch/upstream_speed.h
@@ -31,10 +31,12 @@
 /** Time after which a sample counts 1/e. It covers 13 periods of 600 ms in which an upstream may be
  * slow by chance, which leaves a deviation of 9% in the mean. */
 #define UPSTREAM_SPEED_DECAY_US (8ULL * 1000 * 1000)
-/** Largest weights of one report of a member and of a zone, in samples. They keep one wrong
- * peer from outweighing the others. */
-#define UPSTREAM_SPEED_MEMBER_MAX_WEIGHT 20.0
-#define UPSTREAM_SPEED_ZONE_MAX_WEIGHT	 100.0
+
+/** Who reports. */
+enum upstream_speed_source {
+	UPSTREAM_SPEED_MEMBER, /**< another instance of the zone */
+	UPSTREAM_SPEED_ZONE    /**< another zone, all its instances together */
+};
 
 /** What was observed. */
 enum upstream_speed_kind {
@@ -90,12 +92,13 @@
  * Adds a report of a peer or a zone; one whose samples are too old is ignored, and values beyond
  * the bounds count as the bounds.
  * @param received_us when the report arrived; its weights apply to that time
- * @param max_weight of all kinds together
+ * @param source decides how much the report may weigh: not much more than the samples of this
+ *        instance, or those of its zone, so that a wrong peer does not outweigh the others
  */
 void upstream_speed_add_report(const struct upstream_speed_service *service,
 			       struct upstream_speed *speed,
 			       const struct upstream_speed_report *report, uint64_t received_us,
-			       double max_weight, uint64_t now_us);
+			       enum upstream_speed_source source, uint64_t now_us);
 /** Records that the reports of the own zone are complete. */
 void upstream_speed_end_zone(struct upstream_speed *speed);
 /**
--- a/src/core/upstream_speed.c
+++ b/src/core/upstream_speed.c
@@ -13,8 +13,13 @@
 #define UPSTREAM_SPEED_VARIANCE_MAX_WEIGHT 200.0
 /* Samples that count against a factor are at least this many: those of a slow period are alike. */
 #define UPSTREAM_SPEED_MIN_PRIOR_WEIGHT 1.0
+/* Largest weight of a report: of a member of the zone or another zone when this instance has no
+ * samples, and in addition for each of its own, or of its zone. */
+#define UPSTREAM_SPEED_MEMBER_WEIGHT 4.0
+#define UPSTREAM_SPEED_ZONE_WEIGHT   30.0
+#define UPSTREAM_SPEED_REPORT_SHARE  1.0
 /* An upstream with less weight does not count in medians and percentiles. */
-#define UPSTREAM_SPEED_MIN_WEIGHT 1.5
+#define UPSTREAM_SPEED_MIN_WEIGHT 2.0
 /* Fewer upstreams have no percentiles. */
 #define UPSTREAM_SPEED_MIN_COUNT 3
 /* Speeds that are in effect stay so until the spread is below this share of the setting. */
@@ -81,6 +86,19 @@
 	service->variance[kind] += (square - service->variance[kind]) / *total;
 }
 
+/* Returns the largest weight of a report. Instances of a zone have about as many samples as this
+ * one; another zone may have more than the own one of upstreams that are there. */
+static double upstream_speed_max_weight(const struct upstream_speed *speed,
+					enum upstream_speed_source source)
+{
+	double weight =
+		upstream_speed_weight(source == UPSTREAM_SPEED_ZONE ? &speed->zone : &speed->own);
+
+	return UPSTREAM_SPEED_REPORT_SHARE * weight + (source == UPSTREAM_SPEED_ZONE
+							       ? UPSTREAM_SPEED_ZONE_WEIGHT
+							       : UPSTREAM_SPEED_MEMBER_WEIGHT);
+}
+
 /* Sets the medians of the means of the upstreams, one of each kind. */
 static void upstream_speed_set_medians(struct upstream_speed_service *service,
 				       struct upstream_speed **speeds, uint32_t count,
@@ -164,12 +182,18 @@
 void upstream_speed_add_report(const struct upstream_speed_service *service,
 			       struct upstream_speed *speed,
 			       const struct upstream_speed_report *report, uint64_t received_us,
-			       double max_weight, uint64_t now_us)
+			       enum upstream_speed_source source, uint64_t now_us)
 {
 	double bound = log(UPSTREAM_SPEED_MAX);
+	double max_weight = upstream_speed_max_weight(speed, source);
 	double total = upstream_speed_weight(report);
 	double share;
 
+#if defined(FL_FAULT_TRUST_REPORTS)
+	/* Deliberate defect, which the tests have to detect: a report counts in full. */
+	bound = HUGE_VAL;
+	max_weight = HUGE_VAL;
+#endif
 	if (report->sampled_us + UPSTREAM_SPEED_KEEP_US <= now_us || !(total > 0.0))
 		return;
 	share = upstream_speed_decay(now_us - MIN(received_us, now_us)) *
--- a/src/serve/speed_exchange.c
+++ b/src/serve/speed_exchange.c
@@ -113,16 +113,18 @@
 
 /* helpers */
 
+static void speed_exchange_add_service(struct speed_exchange *speeds, const char *name)
+{
+	if (!g_hash_table_contains(speeds->services, name))
+		g_hash_table_insert(speeds->services, g_strdup(name),
+				    g_new0(struct speed_exchange_service, 1));
+}
+
 static struct speed_exchange_service *speed_exchange_service(struct speed_exchange *speeds,
 							     const char *name)
 {
-	struct speed_exchange_service *service = g_hash_table_lookup(speeds->services, name);
-
-	if (!service) {
-		service = g_new0(struct speed_exchange_service, 1);
-		g_hash_table_insert(speeds->services, g_strdup(name), service);
-	}
-	return service;
+	speed_exchange_add_service(speeds, name);
+	return g_hash_table_lookup(speeds->services, name);
 }
 
 static void speed_exchange_add(struct speed_exchange *speeds, struct fleet_upstream *up,
@@ -158,7 +160,7 @@
 /* Adds what the sources of a table reported of an upstream. */
 static void speed_exchange_add_reports(GHashTable *sources,
 				       const struct upstream_speed_service *model,
-				       struct fleet_upstream *up, double max_weight,
+				       struct fleet_upstream *up, enum upstream_speed_source kind,
 				       uint64_t now_us)
 {
 	GHashTableIter iter;
@@ -171,7 +173,7 @@
 					     GUINT_TO_POINTER(fleet_upstream_key(up)));
 		if (report)
 			upstream_speed_add_report(model, fleet_upstream_speed(up), report,
-						  source->received_us, max_weight, now_us);
+						  source->received_us, kind, now_us);
 	}
 }
 
@@ -191,10 +193,10 @@
 			continue;
 		upstream_speed_begin(speed, now_us);
 		speed_exchange_add_reports(speeds->members, &service->model, up,
-					   UPSTREAM_SPEED_MEMBER_MAX_WEIGHT, now_us);
+					   UPSTREAM_SPEED_MEMBER, now_us);
 		upstream_speed_end_zone(speed);
-		speed_exchange_add_reports(speeds->zones, &service->model, up,
-					   UPSTREAM_SPEED_ZONE_MAX_WEIGHT, now_us);
+		speed_exchange_add_reports(speeds->zones, &service->model, up, UPSTREAM_SPEED_ZONE,
+					   now_us);
 		all[count++] = speed;
 	}
 	upstream_speed_finish(&service->model, all, count, speeds->env->settings->load.speed_spread,
@@ -403,7 +405,7 @@
 		if (!up)
 			continue;
 		/* This instance may have had no request for the service yet. */
-		speed_exchange_service(speeds, fleet_upstream_service(up));
+		speed_exchange_add_service(speeds, fleet_upstream_service(up));
 		memcpy(report.sums, speed->sums, sizeof(report.sums));
 		g_hash_table_replace(source->reports, GUINT_TO_POINTER(speed->upstream),
 				     g_memdup2(&report, sizeof(report)));
