--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -675,6 +675,71 @@
 	limit_scene_close(&scene);
 }
 
+/* Counts the upstreams whose learned speed a gateway uses. */
+static uint32_t speeds_in_effect(const struct limit_scene *scene, uint32_t gateway)
+{
+	g_autofree char *state =
+		testbed_get(scene->f.testbed, scene->gateways[gateway]->metrics_address, "/state");
+	g_auto(GStrv) parts = g_strsplit(state, "\"speed_in_effect\": true", 0);
+	g_auto(GStrv) tight = g_strsplit(state, "\"speed_in_effect\":true", 0);
+
+	return g_strv_length(parts) + g_strv_length(tight) - 2;
+}
+
+static bool has_sent_speeds(const struct limit_scene *scene, uint32_t gateway)
+{
+	g_autofree char *metrics = testbed_get(
+		scene->f.testbed, scene->gateways[gateway]->metrics_address, "/metrics");
+
+	g_assert_nonnull(strstr(metrics, "flamingolatch_bus_speed_bytes_total "));
+	return !strstr(metrics, "flamingolatch_bus_speed_bytes_total 0\n");
+}
+
+/* Upstreams of uneven speed were used alike. Without the setting nothing is learned or sent; with
+ * it, all instances use the speeds, also one of another zone that is told of them. */
+static void test_uneven_upstreams(void)
+{
+	struct limit_scene scene;
+	guint before[LIMIT_UPSTREAM_COUNT];
+	guint slow;
+	guint fast;
+
+	limit_scene_open(&scene);
+	for (uint32_t i = 0; i < LIMIT_UPSTREAM_COUNT; i++)
+		configure_upstream(&scene.f,
+				   &(struct mock_upstream_conf){ .work_ms = i == 0 ? 120 : 20 },
+				   scene.upstreams[i]);
+	limit_scene_send(&scene, 100);
+	for (uint32_t i = 0; i < LIMIT_GATEWAY_COUNT; i++) {
+		g_assert_cmpuint(speeds_in_effect(&scene, i), ==, 0);
+		g_assert_false(has_sent_speeds(&scene, i));
+	}
+	for (uint32_t i = 0; i < LIMIT_GATEWAY_COUNT; i++) {
+		g_autofree char *settings = NULL;
+		g_autofree char *text = NULL;
+
+		g_assert_true(g_file_get_contents(scene.gateways[i]->settings_file, &settings, NULL,
+						  NULL));
+		text = g_strconcat(settings, "load:\n  speed_spread: 2.0\n", NULL);
+		g_assert_true(
+			g_file_set_contents(scene.gateways[i]->settings_file, text, -1, NULL));
+		testbed_signal(scene.gateways[i], SIGHUP);
+	}
+	limit_scene_send(&scene, 300);
+	for (uint32_t i = 0; i < LIMIT_GATEWAY_COUNT; i++)
+		g_assert_cmpuint(speeds_in_effect(&scene, i), ==, LIMIT_UPSTREAM_COUNT);
+	g_assert_true(has_sent_speeds(&scene, 0));
+	for (uint32_t i = 0; i < LIMIT_UPSTREAM_COUNT; i++)
+		before[i] = mock_upstream_arrivals_ms(scene.upstreams[i])->len;
+	limit_scene_send(&scene, 300);
+	slow = mock_upstream_arrivals_ms(scene.upstreams[0])->len - before[0];
+	fast = mock_upstream_arrivals_ms(scene.upstreams[1])->len - before[1];
+	g_test_message("slow %u, fast %u", slow, fast);
+	g_assert_cmpuint(2 * slow, <, fast);
+	g_assert_cmpuint(limit_scene_served(&scene, 0), ==, scene.count);
+	limit_scene_close(&scene);
+}
+
 /* Engines keep their limit too: generations wait for a short time, then they are refused. */
 static void test_engine_limit_exceeded(void)
 {
@@ -1289,6 +1354,7 @@
 	g_test_add_func("/gateway/crashing-prompt-part", test_crashing_prompt_part);
 	g_test_add_func("/gateway/quarantine-forgotten", test_quarantine_outlives_process);
 	g_test_add_func("/gateway/upstream-limit-exceeded", test_upstream_limit_exceeded);
+	g_test_add_func("/gateway/uneven-upstreams", test_uneven_upstreams);
 	g_test_add_func("/gateway/engine-limit-exceeded", test_engine_limit_exceeded);
 	g_test_add_func("/gateway/caller-left", test_caller_left);
 	g_test_add_func("/gateway/endless", test_endless);
