Speeds of upstreams: place one request in 16 regardless of speeds

/gateway/uneven-upstreams failed once in four runs: at low load the slow upstream got nothing, its factor faded, speeds went out of effect, and all began again. One selection in 16 now ignores speeds, and while speeds are in effect an upstream counts in the percentiles from half a sample on.

--- a/include/flamingolatch/upstream_speed.h
+++ b/include/flamingolatch/upstream_speed.h
@@ -109,6 +109,9 @@
 			   uint32_t count, double min_spread, uint64_t now_us);
 /** Returns the weight of all samples. */
 double upstream_speed_weight(const struct upstream_speed_report *report);
+/** Tells whether a request is to be placed as if all speeds were equal: one in 16 is, so that a
+ * slow upstream to which no other request goes is still measured. @param draw random number */
+bool upstream_speed_ignores(uint32_t draw);
 /** Returns the factor that placement uses: 1 unless the speeds of the service are in effect. */
 double upstream_speed_factor(const struct upstream_speed *speed);
 
--- a/src/core/upstream_speed.c
+++ b/src/core/upstream_speed.c
@@ -20,6 +20,10 @@
 #define UPSTREAM_SPEED_REPORT_SHARE  1.0
 /* An upstream with less weight does not count in medians and percentiles. */
 #define UPSTREAM_SPEED_MIN_WEIGHT 2.0
+/* The same while speeds are in effect: then slow upstreams get few requests. */
+#define UPSTREAM_SPEED_KEEP_WEIGHT 0.5
+/* Requests of which one is placed regardless of speeds. */
+#define UPSTREAM_SPEED_IGNORE_INTERVAL 16
 /* Fewer upstreams have no percentiles. */
 #define UPSTREAM_SPEED_MIN_COUNT 3
 /* Speeds that are in effect stay so until the spread is below this share of the setting. */
@@ -86,6 +90,11 @@
 	service->variance[kind] += (square - service->variance[kind]) / *total;
 }
 
+static double upstream_speed_min_weight(const struct upstream_speed_service *service)
+{
+	return service->in_effect ? UPSTREAM_SPEED_KEEP_WEIGHT : UPSTREAM_SPEED_MIN_WEIGHT;
+}
+
 /* Returns the largest weight of a report. Instances of a zone have about as many samples as this
  * one; another zone may have more than the own one of upstreams that are there. */
 static double upstream_speed_max_weight(const struct upstream_speed *speed,
@@ -110,7 +119,7 @@
 		for (uint32_t i = 0; i < count; i++) {
 			const struct upstream_speed_sum *sum = &speeds[i]->all.sums[kind];
 
-			if (sum->weight >= UPSTREAM_SPEED_MIN_WEIGHT)
+			if (sum->weight >= upstream_speed_min_weight(service))
 				values[known++] = sum->log_sum / sum->weight;
 		}
 		if (known < UPSTREAM_SPEED_MIN_COUNT)
@@ -225,7 +234,7 @@
 	upstream_speed_set_medians(service, speeds, count, values);
 	for (uint32_t i = 0; i < count; i++) {
 		upstream_speed_set_factor(service, speeds[i], now_us);
-		if (upstream_speed_weight(&speeds[i]->all) >= UPSTREAM_SPEED_MIN_WEIGHT)
+		if (upstream_speed_weight(&speeds[i]->all) >= upstream_speed_min_weight(service))
 			values[known++] = speeds[i]->factor;
 	}
 	service->spread = 0.0;
@@ -244,6 +253,11 @@
 
 /* queries */
 
+bool upstream_speed_ignores(uint32_t draw)
+{
+	return draw % UPSTREAM_SPEED_IGNORE_INTERVAL == 0;
+}
+
 double upstream_speed_factor(const struct upstream_speed *speed)
 {
 	return speed->in_effect ? speed->factor : 1.0;
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -389,6 +389,13 @@
 	       fleet_upstream_age_us(up, now_us) > DISPATCH_NEW_ENGINE_US;
 }
 
+/* Tells whether a selection takes all upstreams to be of one speed. */
+static bool dispatch_ignores_speed(const struct dispatch *dispatch)
+{
+	return dispatch->env->settings->load.speed_spread > 0.0 &&
+	       upstream_speed_ignores(g_rand_int(dispatch->env->rand));
+}
+
 static struct placement_engine dispatch_engine_view(const struct fleet_upstream *up,
 						    const struct dispatch_need *need,
 						    uint64_t now_us)
@@ -441,12 +448,15 @@
 	g_autofree struct placement_engine *views =
 		g_new(struct placement_engine, MAX(ups->len, 1));
 	struct placement_params params = dispatch_placement_params(dispatch);
+	/* A copy has no time for a slower engine. */
+	bool ignore_speed = !need->place.needs_kv_copy && dispatch_ignores_speed(dispatch);
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
 	fleet_expire_loads(dispatch->env->fleet, now_us);
 	for (guint i = 0; i < ups->len; i++) {
 		views[i] = dispatch_engine_view(ups->pdata[i], need, now_us);
+		views[i].speed = ignore_speed ? 1.0 : views[i].speed;
 		views[i].usable &= !dispatch_is_suspect(ups->pdata[i], need, now_us);
 		views[i].usable &=
 			need->place.needs_kv_copy || dispatch_is_load_known(ups->pdata[i], now_us);
@@ -477,6 +487,7 @@
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	g_autofree struct placement_upstream *views =
 		g_new(struct placement_upstream, MAX(ups->len, 1));
+	bool ignore_speed = dispatch_ignores_speed(dispatch);
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
@@ -490,7 +501,9 @@
 				fleet_upstream_peer_load(up).open,
 			.distance = fleet_upstream_distance(up),
 			.failure_share = fleet_upstream_failure_share(up),
-			.speed = upstream_speed_factor(fleet_upstream_speed(ups->pdata[i])),
+			.speed = ignore_speed ? 1.0
+					      : upstream_speed_factor(
+							fleet_upstream_speed(ups->pdata[i])),
 			.connected = http_client_has_idle(dispatch->env->http_client,
 							  fleet_upstream_address(up),
 							  fleet_upstream_scope(up)),
--- a/test/fake/uneven_world.c
+++ b/test/fake/uneven_world.c
@@ -605,6 +605,7 @@
 		.jitter_seed = g_rand_int(world->choices),
 		.first_event_left_ms = (uint32_t)((objective_us - waited_us) / MS),
 	};
+	bool ignored = upstream_speed_ignores(g_rand_int(world->choices));
 	int32_t best;
 
 	for (uint32_t u = 0; u < world->count[ENGINES]; u++) {
@@ -619,7 +620,7 @@
 			.slots = ENGINE_SLOTS,
 			.open = load.open,
 			.distance = distance(req->instance->zone, up->zone),
-			.speed = used_speed(req->instance, up),
+			.speed = ignored ? 1.0 : used_speed(req->instance, up),
 			.usable = true,
 		};
 	}
@@ -683,6 +684,7 @@
 {
 	struct world *world = req->world;
 	struct placement_upstream ups[MAX_UPSTREAMS];
+	bool ignored = upstream_speed_ignores(g_rand_int(world->choices));
 	int32_t best;
 
 	for (uint32_t u = 0; u < world->count[PLAIN]; u++) {
@@ -692,7 +694,7 @@
 			.slots = PLAIN_SLOTS,
 			.open = view(req->instance, up).open,
 			.distance = distance(req->instance->zone, up->zone),
-			.speed = used_speed(req->instance, up),
+			.speed = ignored ? 1.0 : used_speed(req->instance, up),
 			.connected = true,
 			.usable = true,
 		};
