--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -58,6 +58,7 @@
 	X(METRIC_BUS_LISTS_SENT, "bus_lists_sent_total", "Whole instance lists sent to instances that lacked more than the last changes.") \
 	X(METRIC_BUS_QUARANTINE_BYTES, "bus_quarantine_bytes_total", "Bytes of messages on prompt parts and requests that crash upstreams.") \
 	X(METRIC_BUS_LIMIT_BYTES, "bus_limit_bytes_total", "Bytes of messages on limits that upstreams name.") \
+	X(METRIC_BUS_SPEED_BYTES, "bus_speed_bytes_total", "Bytes of messages on learned speeds of upstreams.") \
 	X(METRIC_BUS_MESSAGES_RECEIVED, "bus_received_total", "Messages received from peers.") \
 	X(METRIC_BUS_MESSAGES_INVALID, "bus_bad_total", "Messages from peers that could not be decoded.") \
 	X(METRIC_CLAIM_ROWS_DELETED, "rows_collected_total", "Claim rows of finished calls deleted after their time to live.") \
@@ -83,6 +84,7 @@
 	X(METRIC_EVACUATED_ZONES, "evacuated_zones", "Zones to whose upstreams no new requests are sent.") \
 	X(METRIC_COLD_UPSTREAMS, "cold_upstreams", "Upstreams that are cold or warming up, of services that limit the requests to those.") \
 	X(METRIC_QUARANTINED, "quarantined", "Prompt parts and requests that are not sent to upstreams.") \
+	X(METRIC_SERVICES_UNEVEN, "uneven_services", "Services whose upstreams are placed by their learned speeds.") \
 	X(METRIC_CONFIG_REVISION, "config_revision", "Configuration revision in force here.") \
 	X(METRIC_CONFIG_CONFIRMED_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as the newest.") \
 	X(METRIC_OTHER_FILL, "other_fill_permille", "Share of each KV cache that other than urgent generations may fill, in thousandths; 0 without urgent routes.") \
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -40,6 +40,7 @@
 	struct upstream_limit limit;
 	struct upstream_quiet quiet;
 	struct warm_up cold_limit;
+	struct upstream_speed speed;
 	struct fleet_load peer_load; /* the sum over the peers of the own zone */
 	struct fleet_load zone_load; /* the sum over the other zones */
 	double failure_share;
@@ -728,6 +729,11 @@
 	return &up->cold_limit;
 }
 
+struct upstream_speed *fleet_upstream_speed(struct fleet_upstream *up)
+{
+	return &up->speed;
+}
+
 struct upstream_limit *fleet_upstream_limit(struct fleet_upstream *up)
 {
 	return &up->limit;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -32,12 +32,31 @@
 #define PLACEMENT_FAILURE_SHARE_COST 6.0
 #define PLACEMENT_CONNECT_COST	     0.1 /* of opening a connection */
 
+/* How much the time that a request takes itself counts by the speed of the upstream; that of the
+ * requests before it counts in full. With 1, fast engines got 1.25 times the mean work for their
+ * speed and idle slow ones none; with 0, first events were as late as with equal speeds
+ * (bench_policy --uneven). */
+#define PLACEMENT_OWN_SPEED_SHARE 0.5
+
 const struct placement_params placement_default_params = {
 	.max_kv_share = 0.92,
 	.prefill_tokens_per_ms = 8.0,
 	.freed_share_per_ms = 1.0 / 8000.0,
 };
 
+/* Returns a factor of speed by which a time may be divided. */
+static double placement_speed(double speed)
+{
+	return speed > 0.0 ? speed : 1.0;
+}
+
+/* Returns by how much the time that a request takes itself differs from that at an upstream of
+ * speed 1, as far as it counts. @param nominal the time at an upstream of speed 1 */
+static double placement_own_time(double nominal, double speed)
+{
+	return PLACEMENT_OWN_SPEED_SHARE * nominal * (1.0 / speed - 1.0);
+}
+
 /* Returns how long the unread prompts of an engine wait until generations have freed the memory for
  * them, in ms. */
 static double placement_memory_wait_ms(const struct placement_params *params, double unread_tokens,
@@ -57,8 +76,9 @@
 {
 	double unread_tokens = (double)engine->prefill_tokens + (double)request->prompt_tokens;
 
-	return (uint32_t)(unread_tokens / params->prefill_tokens_per_ms +
-			  placement_memory_wait_ms(params, unread_tokens, engine) +
+	return (uint32_t)((unread_tokens / params->prefill_tokens_per_ms +
+			   placement_memory_wait_ms(params, unread_tokens, engine)) /
+				  placement_speed(engine->speed) +
 			  PLACEMENT_OPEN_REQUEST_MS * engine->open);
 }
 
@@ -124,7 +144,10 @@
 		/* An empty engine may get a request that is larger than the limit. */
 		if (needed_kv_tokens > max_kv_tokens && engine->expected_kv_tokens > 0)
 			continue;
-		score = placement_first_event_ms(params, request, engine) +
+		score = placement_first_event_ms(params, request, engine) -
+			placement_own_time((double)request->prompt_tokens /
+						   params->prefill_tokens_per_ms,
+					   placement_speed(engine->speed)) +
 			placement_jitter_ms(request, i, engine->distance) +
 			placement_distance_cost(request, engine->distance) +
 			(request->needs_kv_copy
@@ -152,7 +175,9 @@
 		uint32_t i = (draw + n) % count;
 		const struct placement_upstream *up = &ups[i];
 		uint32_t slots = up->slots ? up->slots : PLACEMENT_DEFAULT_SLOT_COUNT;
-		double score = (double)up->open / slots +
+		double speed = placement_speed(up->speed);
+		double score = (double)up->open / slots / speed +
+			       placement_own_time(1.0 / slots, speed) +
 			       PLACEMENT_FAILURE_SHARE_COST *
 				       placement_excess_failure_share(up->failure_share);
 
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -588,6 +588,13 @@
 	       fleet_upstream_age_us(up, now_us) > DISPATCH_NEW_ENGINE_US;
 }
 
+/* Tells whether a selection takes all upstreams to be of one speed. */
+static bool dispatch_ignores_speed(const struct dispatch *dispatch)
+{
+	return dispatch->env->settings->load.speed_spread > 0.0 &&
+	       upstream_speed_ignores(g_rand_int(dispatch->env->rand));
+}
+
 static struct placement_engine dispatch_engine_view(const struct fleet_upstream *up,
 						    const struct dispatch_need *need,
 						    uint64_t now_us)
@@ -607,6 +614,7 @@
 				    ? fleet_upstream_distance_between(up, need->distance_from)
 				    : fleet_upstream_distance(up),
 		.failure_share = fleet_upstream_failure_share(up),
+		.speed = upstream_speed_factor(fleet_upstream_speed((struct fleet_upstream *)up)),
 		.usable = dispatch_is_usable(up, need, now_us),
 	};
 }
@@ -647,6 +655,26 @@
 	return in_time == PLACEMENT_NONE ? best : in_time;
 }
 
+static struct placement_params dispatch_placement_params(const struct dispatch *dispatch)
+{
+	return (struct placement_params){
+		.max_kv_share = dispatch->env->settings->load.fill,
+		.prefill_tokens_per_ms = dispatch->env->settings->load.prefill_tokens_per_ms,
+		.freed_share_per_ms = placement_default_params.freed_share_per_ms,
+	};
+}
+
+uint32_t dispatch_nominal_first_event_ms(const struct dispatch *dispatch,
+					 const struct dispatch_need *need,
+					 const struct fleet_upstream *up)
+{
+	struct placement_params params = dispatch_placement_params(dispatch);
+	struct placement_engine view = dispatch_engine_view(up, need, env_now_us());
+
+	view.speed = 1.0;
+	return placement_first_event_ms(&params, &need->place, &view);
+}
+
 struct fleet_upstream *dispatch_select_engine(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      struct dispatch_decision *decision)
@@ -654,17 +682,16 @@
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	g_autofree struct placement_engine *views =
 		g_new(struct placement_engine, MAX(ups->len, 1));
-	struct placement_params params = {
-		.max_kv_share = dispatch->env->settings->load.fill,
-		.prefill_tokens_per_ms = dispatch->env->settings->load.prefill_tokens_per_ms,
-		.freed_share_per_ms = placement_default_params.freed_share_per_ms,
-	};
+	struct placement_params params = dispatch_placement_params(dispatch);
+	/* A copy has no time for a slower engine. */
+	bool ignore_speed = !need->place.needs_kv_copy && dispatch_ignores_speed(dispatch);
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
 	fleet_expire_loads(dispatch->env->fleet, now_us);
 	for (guint i = 0; i < ups->len; i++) {
 		views[i] = dispatch_engine_view(ups->pdata[i], need, now_us);
+		views[i].speed = ignore_speed ? 1.0 : views[i].speed;
 		views[i].usable &= !dispatch_is_suspect(ups->pdata[i], need, now_us);
 		views[i].usable &=
 			need->place.needs_kv_copy || dispatch_is_load_known(ups->pdata[i], now_us);
@@ -702,6 +729,7 @@
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
 	g_autofree struct placement_upstream *views =
 		g_new(struct placement_upstream, MAX(ups->len, 1));
+	bool ignore_speed = dispatch_ignores_speed(dispatch);
 	uint64_t now_us = env_now_us();
 	int32_t best;
 
@@ -715,6 +743,9 @@
 				fleet_upstream_peer_load(up).open,
 			.distance = fleet_upstream_distance(up),
 			.failure_share = fleet_upstream_failure_share(up),
+			.speed = ignore_speed ? 1.0
+					      : upstream_speed_factor(
+							fleet_upstream_speed(ups->pdata[i])),
 			.connected = http_client_has_idle(dispatch->env->http_client,
 							  fleet_upstream_address(up),
 							  fleet_upstream_scope(up)),
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -27,6 +27,7 @@
 struct cold_start;
 struct crash_guard;
 struct limit_exchange;
+struct speed_exchange;
 
 struct env {
 	uv_loop_t *loop;
@@ -39,6 +40,7 @@
 	struct crash_guard *crash_guard;
 	struct limit_exchange *limit_exchange;
 	struct cold_start *cold_start;
+	struct speed_exchange *speed_exchange;	       /**< NULL in tests without it */
 	struct admission_exchange *admission_exchange; /**< NULL in tests without peers */
 	struct route_config *config;		       /**< in force; NULL before the first */
 	struct freshness freshness;		       /**< age of the configuration */
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -8,6 +8,7 @@
 #include "dump.h"
 #include "env.h"
 #include "limit_exchange.h"
+#include "speed_exchange.h"
 #include "store_watch.h"
 #include "peer_exchange.h"
 #include "relay.h"
@@ -159,6 +160,7 @@
 	gateway->env.cold_start = cold_start_create(&gateway->env, gateway->peer_exchange);
 	gateway->env.admission_exchange =
 		admission_exchange_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.speed_exchange = speed_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -183,6 +185,7 @@
 	cold_start_destroy(gateway->env.cold_start);
 	admission_exchange_destroy(gateway->env.admission_exchange);
 	gateway->env.admission_exchange = NULL;
+	speed_exchange_destroy(gateway->env.speed_exchange);
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
 	peer_exchange_destroy(gateway->peer_exchange);
