Hedged requests for the slowest answers of plain services

A call of an idempotent route that waits behind a slow upstream had to wait for load.answer_ms (700) until it was sent elsewhere. With load.hedge_share set, it is sent to a second upstream as well after the learned 95th percentile of its service's response times (or half of the objective, not before the 90th percentile), and the first usable answer counts. hedge.h decides, relay_hedge owns the second call. A cancelled call is no failure of its upstream, but its silence and its duration are kept, so that the upstream does not look quick. Off by default.

Tests of catalogue, dispatch, fleet, retry_budget, conf, http and attempt pass under the sanitizers.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -197,8 +197,15 @@
 bool fleet_upstream_suspended(const struct fleet_upstream *up, uint64_t now_us);
 /** Returns whether it was suspended and has not answered since. */
 bool fleet_upstream_on_probation(const struct fleet_upstream *up);
-/** Records that it sent something, or got its first open request. */
+/** Records that it sent something. */
 void fleet_upstream_record_progress(struct fleet_upstream *up, uint64_t now_us);
+/** Records that it got its first open request: its silence begins, unless it goes on from an
+ * overdue request. */
+void fleet_upstream_record_first_open(struct fleet_upstream *up, uint64_t now_us);
+/** Records that a request was cancelled, since another upstream answered it first. If nothing came
+ * from this one since it was sent, the upstream is not heard to be well: its silence goes on with
+ * its next open request. */
+void fleet_upstream_record_overdue(struct fleet_upstream *up, uint64_t sent_us);
 /** Returns the time since its last progress, in us; 0 when this instance has no request open. */
 uint64_t fleet_upstream_silent_us(const struct fleet_upstream *up, uint64_t now_us);
 /** @} */
--- a/include/flamingolatch/gateway_settings.h
+++ b/include/flamingolatch/gateway_settings.h
@@ -39,6 +39,8 @@
 	uint64_t answer_ms; /**< time without an answer after which an idempotent call is retried */
 	uint64_t quarantine_s; /**< how long a prompt part or a request that crashed upstreams is
 				* refused, the first time; 0: never */
+	double hedge_share;    /**< share of a plain service's requests that may be sent to a second
+				* upstream while the first has not answered; 0: none */
 	bool backups;	       /**< keeps a KV copy of running generations at a second engine */
 };
 
--- a/include/flamingolatch/http_client.h
+++ b/include/flamingolatch/http_client.h
@@ -99,6 +99,9 @@
 /** Ends the call and closes its connection; no callback runs any more. Does nothing within
  * the end callback. */
 void http_call_cancel(struct http_call *call);
+/** Makes another owner's callbacks the ones that run from now on, also within a callback. @p ops
+ * must stay valid until the call ends. */
+void http_call_set_owner(struct http_call *call, const struct http_call_ops *ops, void *ctx);
 /** Closes the connection after the call instead of reusing it. Has no effect before the connection
  * is established. */
 void http_call_disable_reuse(struct http_call *call);
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -37,6 +37,15 @@
 	X(METRIC_CALLS_UNKNOWN, "calls_unknown_total", "Non-idempotent calls whose outcome is unknown.") \
 	X(METRIC_CALL_ANSWERS_REPLAYED, "calls_replayed_total", "Calls answered with a recorded answer.") \
 	X(METRIC_RETRIES, "retries_total", "Retries sent within the retry budget.") \
+	X(METRIC_HEDGES_SENT, "hedges_sent_total", "Calls sent to a second upstream while the first had not answered.") \
+	X(METRIC_HEDGES_WON, "hedges_won_total", "Hedged requests answered before the first request, or that went on when it failed.") \
+	X(METRIC_HEDGES_CANCELLED, "hedges_cancelled_total", "Hedged requests cancelled since the first request was answered or the request ended.") \
+	X(METRIC_HEDGES_WITHHELD_SHARE, "hedges_withheld_share_total", "Calls not hedged when due since load.hedge_share was used up.") \
+	X(METRIC_HEDGES_WITHHELD_BUDGET, "hedges_withheld_budget_total", "Calls not hedged when due since less than half of the retry budget was left.") \
+	X(METRIC_HEDGES_WITHHELD_BUSY, "hedges_withheld_busy_total", "Calls not hedged when due since the upstreams of the service were busy.") \
+	X(METRIC_HEDGES_WITHHELD_LOSING, "hedges_withheld_losing_total", "Calls not hedged when due since hedged requests rarely win.") \
+	X(METRIC_HEDGES_WITHHELD_UPSTREAM, "hedges_withheld_upstream_total", "Calls not hedged when due since no other upstream was sound, quick and free.") \
+	X(METRIC_HEDGES_WITHHELD_OTHER, "hedges_withheld_other_total", "Calls not hedged when due since the instance stops, too little time or no attempt is left, or the request is suspect.") \
 	X(METRIC_REFUSED, "refused_total", "Requests refused with ran=not_run.") \
 	X(METRIC_TABLE_READS, "table_reads_total", "Reads sent to the table.") \
 	X(METRIC_TABLE_WRITES, "table_writes_total", "Conditional writes sent to the table.") \
--- a/include/flamingolatch/retry_budget.h
+++ b/include/flamingolatch/retry_budget.h
@@ -41,6 +41,10 @@
  * @return false when the budget is used up; nothing is taken then
  */
 bool retry_budget_take(struct retry_budget *budget, uint32_t instances, uint64_t now_us);
+/** Returns the share of the retries of the current window that is left, 0 to 1; 0 when there are
+ * none. @param instances as in retry_budget_take() */
+double retry_budget_left_share(const struct retry_budget *budget, uint32_t instances,
+			       uint64_t now_us);
 /** Returns the number of retries taken in the current window. */
 uint32_t retry_budget_taken(struct retry_budget *budget, uint64_t now_us);
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -36,6 +36,7 @@
 	uint64_t suspended_until_us;
 	uint64_t suspension_us; /* length of the last suspension; 0 for none */
 	uint64_t last_progress_us;
+	bool overdue; /* a call was given up for a quicker one, and nothing came since */
 	struct fleet_load own_load;
 	struct upstream_limit limit;
 	struct upstream_quiet quiet;
@@ -583,6 +584,19 @@
 void fleet_upstream_record_progress(struct fleet_upstream *up, uint64_t now_us)
 {
 	up->last_progress_us = now_us;
+	up->overdue = false;
+}
+
+void fleet_upstream_record_first_open(struct fleet_upstream *up, uint64_t now_us)
+{
+	if (!up->overdue)
+		up->last_progress_us = now_us;
+}
+
+void fleet_upstream_record_overdue(struct fleet_upstream *up, uint64_t sent_us)
+{
+	if (up->last_progress_us <= sent_us)
+		up->overdue = true;
 }
 
 /* queries */
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -76,6 +76,14 @@
 	return sum;
 }
 
+/* Returns how many retries the counts of a window allow. */
+static double retry_budget_allowed(const struct retry_budget *budget,
+				   const struct retry_budget_bucket *sum, uint32_t instances)
+{
+	return budget->limits.ratio * RETRY_BUDGET_RATIO_SHARE * sum->requests +
+	       budget->limits.slack * RETRY_BUDGET_SLACK_SHARE / MAX(instances, 1);
+}
+
 void retry_budget_add_request(struct retry_budget *budget, uint64_t now_us)
 {
 	retry_budget_bucket(budget, now_us)->requests++;
@@ -84,10 +92,8 @@
 bool retry_budget_take(struct retry_budget *budget, uint32_t instances, uint64_t now_us)
 {
 	struct retry_budget_bucket sum = retry_budget_sum(budget, now_us);
-	double allowed = budget->limits.ratio * RETRY_BUDGET_RATIO_SHARE * sum.requests +
-			 budget->limits.slack * RETRY_BUDGET_SLACK_SHARE / MAX(instances, 1);
 
-	if (sum.taken + 1 > allowed)
+	if (sum.taken + 1 > retry_budget_allowed(budget, &sum, instances))
 		return false;
 	retry_budget_bucket(budget, now_us)->taken++;
 	return true;
@@ -97,3 +103,12 @@
 {
 	return retry_budget_sum(budget, now_us).taken;
 }
+
+double retry_budget_left_share(const struct retry_budget *budget, uint32_t instances,
+			       uint64_t now_us)
+{
+	struct retry_budget_bucket sum = retry_budget_sum(budget, now_us);
+	double allowed = retry_budget_allowed(budget, &sum, instances);
+
+	return sum.taken < allowed ? 1.0 - sum.taken / allowed : 0.0;
+}
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -1,5 +1,6 @@
 #include "flamingolatch/gateway_settings.h"
 #include "flamingolatch/err.h"
+#include "flamingolatch/hedge.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -43,6 +44,7 @@
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, answer_ms, CONF_U64, .min = 10,
 			       .max = 600000),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, quarantine_s, CONF_U64, .max = 3600),
+	GATEWAY_SETTINGS_FIELD(gateway_load_settings, hedge_share, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, backups, CONF_BOOL),
 	{ 0 },
 };
@@ -179,5 +181,11 @@
 			    file, settings->zone);
 		return false;
 	}
+	if (settings->load.hedge_share > HEDGE_MAX_SHARE) {
+		g_set_error(error, ERR_DOMAIN, ERR_SETTINGS,
+			    "%s: key \"load.hedge_share\": expected a number from 0 to %.1f", file,
+			    HEDGE_MAX_SHARE);
+		return false;
+	}
 	return true;
 }
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -220,6 +220,12 @@
 	http_call_free(call);
 }
 
+void http_call_set_owner(struct http_call *call, const struct http_call_ops *ops, void *ctx)
+{
+	call->ops = ops;
+	call->ctx = ctx;
+}
+
 void http_call_disable_reuse(struct http_call *call)
 {
 	if (call->conn)
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -90,7 +90,7 @@
 	struct fleet_load *own = fleet_upstream_own_load(up);
 
 	if (own->open == 0)
-		fleet_upstream_record_progress(up, env_now_us());
+		fleet_upstream_record_first_open(up, env_now_us());
 	load->up = fleet_upstream_ref(up);
 	load->kv_tokens = kv_tokens;
 	load->prefill_tokens = prefill_tokens;
@@ -453,6 +453,17 @@
 	       (!need->queued || call_queue_allows(&view, now_us));
 }
 
+/* Tells whether a call that is open elsewhere may be sent to an upstream as well, which must not
+ * make others wait there. */
+static bool dispatch_is_sound(const struct dispatch *dispatch, struct fleet_upstream *up,
+			      const struct dispatch_need *need)
+{
+	struct call_queue_upstream view = dispatch_call_view(dispatch, up);
+
+	return !fleet_upstream_on_probation(up) && view.quiet->answer_us <= need->slow_us &&
+	       view.open + view.peer_open < view.slots;
+}
+
 struct fleet_upstream *dispatch_select_plain(struct dispatch *dispatch,
 					     const struct dispatch_need *need,
 					     struct dispatch_decision *decision)
@@ -476,13 +487,15 @@
 			.connected = http_client_has_idle(dispatch->env->http_client,
 							  fleet_upstream_address(up),
 							  fleet_upstream_scope(up)),
-			.usable = dispatch_takes_call(dispatch, ups->pdata[i], need, now_us) &&
-				  !dispatch_is_suspect(up, need, now_us),
+			.usable =
+				dispatch_takes_call(dispatch, ups->pdata[i], need, now_us) &&
+				!dispatch_is_suspect(up, need, now_us) &&
+				(!need->sound || dispatch_is_sound(dispatch, ups->pdata[i], need)),
 		};
 	}
 	best = placement_select_upstream(views, ups->len, g_rand_int(dispatch->env->rand));
 	/* A suspect upstream is better than none. */
-	for (guint i = 0; best == PLACEMENT_NONE && i < ups->len; i++)
+	for (guint i = 0; best == PLACEMENT_NONE && !need->sound && i < ups->len; i++)
 		views[i].usable = dispatch_takes_call(dispatch, ups->pdata[i], need, now_us);
 	if (best == PLACEMENT_NONE)
 		best = placement_select_upstream(views, ups->len, g_rand_int(dispatch->env->rand));
@@ -511,6 +524,25 @@
 	return fill <= DISPATCH_MAX_BACKUP_FILL ? up : NULL;
 }
 
+double dispatch_taken_share(struct dispatch *dispatch, const char *service)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
+	uint32_t slots = 0;
+	uint32_t open = 0;
+
+	fleet_expire_loads(dispatch->env->fleet, env_now_us());
+	for (guint i = 0; i < ups->len; i++) {
+		struct call_queue_upstream view = dispatch_call_view(dispatch, ups->pdata[i]);
+
+		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED)
+			continue;
+		slots += view.slots;
+		/* Requests that wait at a slow upstream take no slots of the others. */
+		open += MIN(view.open + view.peer_open, view.slots);
+	}
+	return slots ? (double)open / slots : 1.0;
+}
+
 bool dispatch_is_limited(struct dispatch *dispatch, const char *service)
 {
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, service);
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -38,6 +38,10 @@
 	struct placement_request place;
 	bool run_once; /**< may run only once: avoids upstreams that might lose it, if possible */
 	bool queued;   /**< a call that waited, see call_queue_allows() */
+	/** Only an upstream of a plain service that is not suspect, answers as usual and has a free
+	 * slot. */
+	bool sound;
+	uint64_t slow_us; /**< with @c sound: upstreams that take longer to answer are slow */
 	const GPtrArray *excluded; /**< upstreams not to be selected; may be NULL */
 	const struct fleet_upstream
 		*avoid; /**< one more upstream not to be selected; may be NULL */
@@ -78,6 +82,9 @@
 struct fleet_upstream *dispatch_select_backup(struct dispatch *dispatch,
 					      const struct dispatch_need *need,
 					      const struct fleet_upstream *main);
+/** Returns the share of the slots of a plain service's upstreams that are known to be taken; 1 when
+ * it has no upstream. */
+double dispatch_taken_share(struct dispatch *dispatch, const char *service);
 /** Tells whether an upstream of a service gets no request now because of the limit that it names.
  */
 bool dispatch_is_limited(struct dispatch *dispatch, const char *service);
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -1,6 +1,7 @@
 #include "dump.h"
 
 #include "crash_guard.h"
+#include "relay_hedge.h"
 
 #define DUMP_MAX_UPSTREAMS 1000
 #define DUMP_MAX_REQUESTS  500
@@ -51,7 +52,7 @@
 	struct store_position config = store_watch_config_position(store_watch);
 
 	return json_pack(
-		"{s:o, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:i, s:b, s:o, s:o, s:o}",
+		"{s:o, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:i, s:b, s:o, s:o, s:o, s:o}",
 		"settings", gateway_settings_to_json(env->settings), "config_version",
 		(json_int_t)(env->config ? route_config_version(env->config) : 0), "config_era",
 		(json_int_t)config.era, "config_store_version", (json_int_t)config.version,
@@ -61,6 +62,7 @@
 		store_watch_is_healthy(store_watch), "list_era", (json_int_t)list.era,
 		"list_version", (json_int_t)list.version, "instances", (int)env->live_instances,
 		"stopping", planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
-		"quarantined", crash_guard_json(env->crash_guard), "requests",
+		"hedges", relay_hedges_json(relay), "quarantined",
+		crash_guard_json(env->crash_guard), "requests",
 		relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -2,10 +2,12 @@
 
 #include "crash_guard.h"
 #include "limit_exchange.h"
-#include "relay_migrate.h"
 #include "relay_attempt.h"
+#include "relay_hedge.h"
+#include "relay_migrate.h"
 #include "relay_state.h"
 
+#include "flamingolatch/hedge.h"
 #include "flamingolatch/quarantine.h"
 
 /* Time to answer a request that has no deadline. */
@@ -34,6 +36,11 @@
 
 /* lifetime */
 
+static void relay_destroy_hedge(gpointer data)
+{
+	hedge_destroy(data);
+}
+
 struct relay *relay_create(struct env *env, struct dispatch *dispatch)
 {
 	struct relay *relay = g_new0(struct relay, 1);
@@ -44,6 +51,7 @@
 	relay->buffers.max_bytes = RELAY_BUFFERS_MAX_BYTES;
 	g_queue_init(&relay->requests);
 	relay->length_estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	relay->hedges = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, relay_destroy_hedge);
 	return relay;
 }
 
@@ -55,6 +63,7 @@
 		relay_request_free(relay->requests.head->data);
 	relay_cancel_releases(relay);
 	g_hash_table_destroy(relay->length_estimates);
+	g_hash_table_destroy(relay->hedges);
 	g_free(relay);
 }
 
@@ -445,6 +454,27 @@
 	}
 }
 
+/* After the time for which it asked to be left alone, an upstream that did not run a call may have
+ * it. */
+static void relay_readmit_quiet(struct relay_request *request, struct fleet_upstream *up)
+{
+	if (up && !relay_is_generation(request) && relay_is_quiet(up))
+		g_ptr_array_remove(request->tried, up);
+}
+
+/* Goes on with the hedged request of a request whose first call ended without an answer. Nothing is
+ * said of the request before both have ended: the second may still run it. */
+static void relay_go_on_with_hedge(struct relay_request *request, enum attempt_outcome outcome)
+{
+	bool ran = outcome != ATTEMPT_NOT_SENT && outcome != ATTEMPT_NOT_RUN;
+
+	relay_log_attempt_end(request, outcome, ATTEMPT_ACTION_RETRY);
+	request->may_have_run |= ran;
+	if (!ran)
+		relay_readmit_quiet(request, request->attempt.up);
+	relay_take_hedge(request);
+}
+
 static void relay_on_attempt_end(struct relay_request *request, enum attempt_outcome outcome)
 {
 	struct env *env = request->relay->env;
@@ -461,10 +491,12 @@
 		relay_request_free(request);
 		return;
 	}
-	/* After the time for which it asked to be left alone, the upstream may have the call. */
-	if (!ran && up && !relay_is_generation(request) &&
-	    upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) > 0)
-		g_ptr_array_remove(request->tried, up);
+	if (request->hedge) {
+		relay_go_on_with_hedge(request, outcome);
+		return;
+	}
+	if (!ran)
+		relay_readmit_quiet(request, up);
 	available =
 		relay_is_generation(request)
 			? dispatch_has_upstream(request->relay->dispatch, request->service_name)
@@ -485,6 +517,15 @@
 	relay_follow_attempt(request, outcome, action);
 }
 
+/* Cancels an attempt that makes no progress. */
+static void relay_abandon_attempt(struct relay_request *request, uint64_t now_us)
+{
+	relay_learn_response(request, now_us);
+	fleet_upstream_record_outcome(request->attempt.up, false, false, now_us);
+	relay_cancel_attempt(request);
+	request->attempt_count++;
+}
+
 /* Gives up an attempt that makes no progress if the request can go on elsewhere now. Otherwise
  * its upstream, late as it is, is the best that the caller has. */
 static void relay_abandon_stalled(struct relay_request *request, uint64_t now_us)
@@ -501,6 +542,12 @@
 	enum attempt_action action;
 
 	request->stall_checked_us = now_us;
+	/* The hedged request is the retry; it has been taken from the budget. */
+	if (request->hedge) {
+		relay_abandon_attempt(request, now_us);
+		relay_go_on_with_hedge(request, ATTEMPT_SILENT);
+		return;
+	}
 	summary.executions++;
 	action = attempt_decide(&summary);
 	if (action != ATTEMPT_ACTION_RETRY && action != ATTEMPT_ACTION_RESUME)
@@ -509,9 +556,7 @@
 	    !retry_budget_take(env_retry_budget(env, request->service_name), env->live_instances,
 			       now_us))
 		return;
-	fleet_upstream_record_outcome(request->attempt.up, false, false, now_us);
-	relay_cancel_attempt(request);
-	request->attempt_count++;
+	relay_abandon_attempt(request, now_us);
 	relay_follow_attempt(request, ATTEMPT_SILENT, action);
 }
 
@@ -528,6 +573,7 @@
 		relay_discard_response(request);
 		return;
 	}
+	relay_cancel_hedge(request, RELAY_HEDGE_CALLER_LEFT);
 	relay_log_end(request, LOG_REQUEST_CALLER_LEFT, "caller-left");
 	relay_request_free(request);
 }
@@ -574,6 +620,7 @@
 		    !request->caller)
 			return;
 		relay_cancel_migration(request);
+		relay_cancel_hedge(request, RELAY_HEDGE_DEADLINE);
 		relay_cancel_attempt(request);
 		request->attempt_count++;
 		relay_on_attempt_end(request, ATTEMPT_SILENT);
@@ -589,6 +636,8 @@
 		relay_migrate(request);
 	} else if (relay_has_unneeded_copy(request)) {
 		relay_cancel_migration(request);
+	} else if (relay_try_hedge(request, now_us)) {
+		return;
 	} else if (relay_is_stalled(request, now_us)) {
 		relay_abandon_stalled(request, now_us);
 	}
@@ -631,6 +680,7 @@
 	limit_exchange_on_request(relay->env->limit_exchange, request->service_name);
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
+	relay_count_for_hedges(request);
 	relay_place(request);
 }
 
@@ -706,15 +756,16 @@
 	     item = item->next) {
 		const struct relay_request *request = item->data;
 
-		json_array_append_new(out, json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b}",
-						     "id", relay_request_id(request), "route",
-						     relay_route_name(request), "upstream",
-						     relay_upstream_id(request), "phase",
-						     relay_phase_name(request->phase), "age_ms",
-						     (json_int_t)relay_age_ms(request), "events",
-						     (json_int_t)request->event_count, "runs",
-						     (int)request->attempt_count, "moving",
-						     request->migrate_call != NULL));
+		json_array_append_new(
+			out,
+			json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b, s:b}", "id",
+				  relay_request_id(request), "route", relay_route_name(request),
+				  "upstream", relay_upstream_id(request), "phase",
+				  relay_phase_name(request->phase), "age_ms",
+				  (json_int_t)relay_age_ms(request), "events",
+				  (json_int_t)request->event_count, "runs",
+				  (int)request->attempt_count, "moving",
+				  request->migrate_call != NULL, "hedged", request->hedge != NULL));
 	}
 	return out;
 }
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -2,16 +2,13 @@
 
 #include "crash_guard.h"
 #include "limit_exchange.h"
+#include "relay_hedge.h"
 
 #include "flamingolatch/quarantine.h"
 
 #include <string.h>
 
 #define RELAY_EVENT_MAX_BYTES (1U << 20)
-/* Longer responses are passed on as they arrive. */
-#define RELAY_BUFFER_MAX_BYTES (256U << 10)
-/* Longest response that is read to its end although it is discarded. */
-#define RELAY_DISCARD_MAX_BYTES (256U << 10)
 /* When more than this is unsent to a slow caller, reading from the upstream pauses until all of it
  * is sent. */
 #define RELAY_BACKLOG_MAX_BYTES (256U << 10)
@@ -59,23 +56,14 @@
 	return fleet_upstream_address(backup);
 }
 
-void relay_start_attempt(struct relay_request *request, struct fleet_upstream *up,
-			 const char *from_address, const char *from_handle)
+struct http_call *relay_send(struct relay_request *request, struct fleet_upstream *up,
+			     struct protocol_attempt *attempt, const struct http_call_ops *ops,
+			     void *ctx)
 {
 	struct env *env = request->relay->env;
 	uint64_t left_ms = relay_time_left_ms(request);
 	size_t body_len;
 	const char *body = http_req_body(request->caller, &body_len);
-	struct protocol_attempt attempt = {
-		.upstream_id = fleet_upstream_id(up),
-		.customer = request->customer ? request->customer->name : NULL,
-		.left_ms = left_ms,
-		.from_address = from_address,
-		.from_handle = from_handle,
-		.last_event_id = request->last_event_id ? request->last_event_id
-							: request->decoded.last_event_id,
-		.priority = relay_is_generation(request) ? (int32_t)relay_priority(request) : -1,
-	};
 	struct http_call_request req = {
 		.address = fleet_upstream_address(up),
 		.scope = fleet_upstream_scope(up),
@@ -88,6 +76,26 @@
 	};
 	g_autofree char *headers = NULL;
 
+	attempt->upstream_id = fleet_upstream_id(up);
+	attempt->customer = request->customer ? request->customer->name : NULL;
+	attempt->left_ms = left_ms;
+	headers = env->protocol->encode(&request->decoded, attempt);
+	req.headers = headers;
+	return http_call_start(env->http_client, &req, ops, ctx);
+}
+
+void relay_start_attempt(struct relay_request *request, struct fleet_upstream *up,
+			 const char *from_address, const char *from_handle)
+{
+	struct env *env = request->relay->env;
+	struct protocol_attempt attempt = {
+		.from_address = from_address,
+		.from_handle = from_handle,
+		.last_event_id = request->last_event_id ? request->last_event_id
+							: request->decoded.last_event_id,
+		.priority = relay_is_generation(request) ? (int32_t)relay_priority(request) : -1,
+	};
+
 	if (request->attempt.up)
 		dispatch_load_remove(&request->attempt);
 	if (!from_address)
@@ -103,13 +111,12 @@
 	if (from_address)
 		relay_update_used(request);
 	attempt.backup = relay_select_backup(request, up);
-	headers = env->protocol->encode(&request->decoded, &attempt);
-	req.headers = headers;
 	g_free(request->attempt_upstream_id);
 	request->attempt_upstream_id = g_strdup(fleet_upstream_id(up));
 	request->phase = RELAY_SENT;
 	request->from_copy = from_address != NULL;
 	request->resumed = from_address || request->last_event_id;
+	request->first_attempt = !from_address && request->tried->len == 1;
 	request->discard = false;
 	request->discarded_bytes = 0;
 	request->invalid_response = false;
@@ -129,7 +136,13 @@
 	if (request->events)
 		event_stream_reset(request->events);
 	relay_count_buffered(request);
-	request->call = http_call_start(env->http_client, &req, &relay_call_ops, request);
+	request->call = relay_send(request, up, &attempt, &relay_call_ops, request);
+}
+
+void relay_own_call(struct relay_request *request, struct http_call *call)
+{
+	http_call_set_owner(call, &relay_call_ops, request);
+	request->call = call;
 }
 
 /* queries */
@@ -144,6 +157,12 @@
 
 /* helpers: responses */
 
+bool relay_may_send(struct fleet_upstream *up)
+{
+	return fleet_upstream_state(up) <= FLEET_UPSTREAM_LAPSED &&
+	       upstream_quiet_left_us(fleet_upstream_quiet(up), env_now_us()) == 0;
+}
+
 static bool relay_on_connected(void *ctx)
 {
 	const struct relay_request *request = ctx;
@@ -153,8 +172,7 @@
 	 * copy. */
 	if (request->from_copy)
 		return fleet_upstream_state(request->attempt.up) <= FLEET_UPSTREAM_LEAVING;
-	return fleet_upstream_state(request->attempt.up) <= FLEET_UPSTREAM_LAPSED &&
-	       upstream_quiet_left_us(fleet_upstream_quiet(request->attempt.up), env_now_us()) == 0;
+	return relay_may_send(request->attempt.up);
 }
 
 static bool relay_owns_response(void *ctx, const struct http_response_head *head)
@@ -164,7 +182,7 @@
 	return request->relay->env->protocol->owns(head, request->decoded.id);
 }
 
-static void relay_store_header(void *ctx, const char *name, const char *value)
+void relay_store_header(void *ctx, const char *name, const char *value)
 {
 	GString *headers = ctx;
 
@@ -179,32 +197,44 @@
 	return type && g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
 }
 
-static void relay_on_head(void *ctx, const struct http_response_head *head)
+enum protocol_answer_class relay_record_head(struct relay_request *request,
+					     struct fleet_upstream *up, struct http_call *call,
+					     uint64_t sent_us,
+					     const struct http_response_head *head)
 {
-	struct relay_request *request = ctx;
-	enum protocol_answer_class verdict = request->relay->env->protocol->classify_answer(head);
+	struct env *env = request->relay->env;
+	enum protocol_answer_class verdict = env->protocol->classify_answer(head);
 
-	request->last_progress_us = env_now_us();
-	fleet_upstream_record_progress(request->attempt.up, request->last_progress_us);
-	crash_guard_on_alive(request->relay->env->crash_guard, request->attempt.up);
-	request->status = http_response_status(head);
+	fleet_upstream_record_progress(up, env_now_us());
+	crash_guard_on_alive(env->crash_guard, up);
 	/* A late copy of it could not be told from the answer to the next call. */
-	if (!request->relay->env->protocol->names_request(head))
-		http_call_disable_reuse(request->call);
+	if (!env->protocol->names_request(head))
+		http_call_disable_reuse(call);
 	if (verdict != PROTOCOL_MISDIRECTED &&
-	    (verdict != PROTOCOL_FOREIGN || request->relay->env->protocol->names_request(head)))
-		relay_note_upstream(request, head);
+	    (verdict != PROTOCOL_FOREIGN || env->protocol->names_request(head)))
+		relay_note_upstream(request, up, sent_us, head);
 	if (verdict == PROTOCOL_ANSWERED || verdict == PROTOCOL_NOT_RUN)
-		limit_exchange_on_answer(request->relay->env->limit_exchange, request->attempt.up,
-					 request->relay->env->protocol->decode_limit(head));
+		limit_exchange_on_answer(env->limit_exchange, up,
+					 env->protocol->decode_limit(head));
 	if (http_response_closes_connection(head) && relay_is_generation(request) &&
 	    verdict == PROTOCOL_ANSWERED)
-		metric_add(request->relay->env->metric, METRIC_CONNECTION_CLOSE_ANSWERS, 1);
+		metric_add(env->metric, METRIC_CONNECTION_CLOSE_ANSWERS, 1);
+	if (verdict == PROTOCOL_MISDIRECTED)
+		fleet_upstream_set_leaving(up, env_now_us());
+	return verdict;
+}
+
+static void relay_on_head(void *ctx, const struct http_response_head *head)
+{
+	struct relay_request *request = ctx;
+	enum protocol_answer_class verdict = relay_record_head(
+		request, request->attempt.up, request->call, request->sent_us, head);
+
+	request->last_progress_us = env_now_us();
+	request->status = http_response_status(head);
 	if (verdict == PROTOCOL_NOT_RUN || verdict == PROTOCOL_MISDIRECTED) {
 		request->not_run = true;
 		request->discard = true;
-		if (verdict == PROTOCOL_MISDIRECTED)
-			fleet_upstream_set_leaving(request->attempt.up, env_now_us());
 		return;
 	}
 	if (verdict == PROTOCOL_FOREIGN) {
@@ -345,6 +375,7 @@
 	if (request->response_body->len <=
 	    buffer_budget_limit(&request->relay->buffers, RELAY_BUFFER_MAX_BYTES))
 		return;
+	relay_cancel_hedge(request, RELAY_HEDGE_LOST);
 	relay_start_response(request);
 	http_req_stream_begin(request->caller, request->status, NULL);
 	http_req_stream_write(request->caller, request->response_body->str,
@@ -354,8 +385,11 @@
 
 static void relay_on_data(void *ctx, const char *buf, size_t len)
 {
-	struct relay_request *request = ctx;
+	relay_process_data(ctx, buf, len);
+}
 
+void relay_process_data(struct relay_request *request, const char *buf, size_t len)
+{
 	if (request->discard) {
 		request->discarded_bytes += len;
 		if (request->discarded_bytes > RELAY_DISCARD_MAX_BYTES)
@@ -376,16 +410,15 @@
 
 /* Reports an attempt that broke before the answer made progress. An upstream that is leaving may
  * have exited as announced. */
-static void relay_report_crash(struct relay_request *request)
+void relay_report_crash(struct relay_request *request, struct fleet_upstream *up)
 {
 	struct env *env = request->relay->env;
 
 	if (request->event_count >= QUARANTINE_PROGRESS_EVENTS ||
-	    fleet_upstream_state(request->attempt.up) > FLEET_UPSTREAM_LAPSED)
+	    fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED)
 		return;
 	metric_add(env->metric, METRIC_CRASHED_STARTS, 1);
-	crash_guard_on_crash(env->crash_guard, request->attempt.up, &request->decoded,
-			     request->fingerprint);
+	crash_guard_on_crash(env->crash_guard, up, &request->decoded, request->fingerprint);
 }
 
 /* Tells whether the status of a complete response is a server error. */
@@ -396,7 +429,11 @@
 
 static void relay_on_end(void *ctx, enum http_call_result result, bool sent)
 {
-	struct relay_request *request = ctx;
+	relay_end_call(ctx, result, sent);
+}
+
+void relay_end_call(struct relay_request *request, enum http_call_result result, bool sent)
+{
 	struct fleet_upstream *up = request->attempt.up;
 	bool complete = result == HTTP_CALL_OK && !request->invalid_response;
 	uint64_t now_us = env_now_us();
@@ -420,12 +457,14 @@
 	}
 	request->attempt_count++;
 	if (result == HTTP_CALL_BROKEN)
-		relay_report_crash(request);
+		relay_report_crash(request, up);
 	if (!complete) {
 		request->relay->on_attempt_end(
 			request, result == HTTP_CALL_TIMEOUT ? ATTEMPT_SILENT : ATTEMPT_BROKEN);
 		return;
 	}
+	if (!relay_is_server_error(request))
+		relay_learn_response(request, now_us);
 	/* Also with an error, the upstream got through the request. */
 	if (!relay_is_generation(request))
 		crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
@@ -435,7 +474,7 @@
 			http_req_stream_write(request->caller, request->response_body->str,
 					      request->response_body->len);
 		if (request->stream && relay_is_stream_cut(request)) {
-			relay_report_crash(request);
+			relay_report_crash(request, up);
 			request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
 			return;
 		}
@@ -445,8 +484,10 @@
 		relay_finish_streamed(request);
 		return;
 	}
-	if (relay_is_server_error(request) && request->caller)
+	if (relay_is_server_error(request) && request->caller) {
 		request->relay->on_attempt_end(request, ATTEMPT_ERROR);
-	else
-		relay_deliver_buffered(request);
+		return;
+	}
+	relay_cancel_hedge(request, RELAY_HEDGE_LOST);
+	relay_deliver_buffered(request);
 }
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -266,7 +266,7 @@
 
 	/* A late copy of it could not be told from the answer to the next call. */
 	fetch_disable_reuse(request->migrate_call);
-	relay_note_upstream(request, head);
+	relay_note_upstream(request, request->attempt.up, request->sent_us, head);
 }
 
 static void relay_on_migrated(void *ctx, const struct fetch_response *answer)
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -1,5 +1,7 @@
 #include "relay_state.h"
 
+#include "relay_hedge.h"
+
 #include "flamingolatch/length_lognormal.h"
 #include "flamingolatch/reply.h"
 
@@ -174,6 +176,7 @@
 	if (request->queued)
 		dispatch_dequeue(relay->dispatch, request->queued);
 	relay_cancel_migration(request);
+	relay_cancel_hedge(request, RELAY_HEDGE_ENDED);
 	relay_cancel_attempt(request);
 	dispatch_load_remove(&request->backup);
 	relay_set_buffered(request, 0);
@@ -198,7 +201,7 @@
 
 void relay_count_buffered(struct relay_request *request)
 {
-	uint64_t bytes = request->response_body->len;
+	uint64_t bytes = request->response_body->len + relay_hedge_buffered_bytes(request);
 
 	if (request->events)
 		bytes += event_stream_pending_bytes(request->events);
@@ -311,16 +314,14 @@
 	return ordinary;
 }
 
-void relay_note_upstream(struct relay_request *request, const struct http_response_head *head)
+void relay_note_upstream(struct relay_request *request, struct fleet_upstream *up, uint64_t sent_us,
+			 const struct http_response_head *head)
 {
-	struct fleet_upstream *up = request->attempt.up;
-
 	if (!up || !relay_note_answer(request->relay->env, up, relay_request_id(request), head))
 		return;
 	/* The head of a stream says nothing of when its engine takes the next request. */
 	if (!relay_is_generation(request))
-		upstream_quiet_record_duration(fleet_upstream_quiet(up),
-					       env_now_us() - request->sent_us);
+		upstream_quiet_record_duration(fleet_upstream_quiet(up), env_now_us() - sent_us);
 }
 
 void relay_log_end(struct relay_request *request, enum log_event_id event, const char *reason)
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -3,8 +3,9 @@
  * State of a caller's request while it is open, and the ways in which it finishes.
  *
  * Internal to the relay: shared by relay.c (decisions), relay_attempt.c (one
- * attempt at an upstream) and relay_migrate.c (migration of generations between
- * engines). The latter two report the end of an attempt by
+ * attempt at an upstream), relay_hedge.c (a second call beside the current
+ * attempt) and relay_migrate.c (migration of generations between engines).
+ * relay_attempt.c and relay_migrate.c report the end of an attempt by
  * relay::on_attempt_end.
  */
 #ifndef FLAMINGOLATCH_SERVE_RELAY_STATE_H
@@ -21,6 +22,7 @@
 #include "flamingolatch/http_server.h"
 
 struct relay_request;
+struct relay_hedge;
 
 /** Progress of a request. */
 enum relay_phase {
@@ -52,6 +54,7 @@
 	void (*on_attempt_end)(struct relay_request *request, enum attempt_outcome outcome);
 	bool request_freed;	      /* since engines were last granted to queued generations */
 	GHashTable *length_estimates; /* name of a route to struct length_lognormal */
+	GHashTable *hedges;	      /* name of a plain service to struct hedge */
 };
 
 /** One request. "Current" attempt means the last one that was started. */
@@ -71,6 +74,7 @@
 	struct dispatch_load attempt;	/* on the upstream that has the request */
 	struct dispatch_load backup;	/* on the engine that keeps the backup */
 	struct dispatch_queued *queued; /* NULL unless the phase is RELAY_QUEUED */
+	struct relay_hedge *hedge;	/* open second call; NULL when there is none */
 	struct http_call *call;		/* of the current attempt; NULL when it ended */
 	struct fetch *migrate_call;	/* open migration call; NULL when there is none */
 	struct fleet_upstream
@@ -117,6 +121,9 @@
 	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
 	bool closed_in_stop;   /* the unframed stream was closed properly while it was to stop */
 	bool migrate_last;     /* the latest migration call stops the generation */
+	bool first_attempt;    /* the current attempt is no retry and no hedged request */
+	bool hedge_sent;       /* a hedged request was sent */
+	bool hedge_withheld;   /* a hedged request was due and not sent */
 	bool not_run;	       /* the upstream states that it did not run the request */
 };
 
@@ -147,9 +154,11 @@
 void relay_discard_response(struct relay_request *request);
 /** Updates the expected output length, and with it the KV cache counted on the engines. */
 void relay_update_estimate(struct relay_request *request);
-/** Records what the answer of the upstream of the current attempt says of the upstream itself: that
- * it leaves, or asks to be left alone for a time. */
-void relay_note_upstream(struct relay_request *request, const struct http_response_head *head);
+/** Records what the answer of an upstream says of the upstream itself: that it leaves, or asks to
+ * be left alone for a time. @param up NULL does nothing @param sent_us when it was sent the request
+ */
+void relay_note_upstream(struct relay_request *request, struct fleet_upstream *up, uint64_t sent_us,
+			 const struct http_response_head *head);
 /** Counts the KV cache that the generation occupies now on the engines. */
 void relay_update_used(struct relay_request *request);
 /** Logs the end of a request. @param reason without blanks */
