Tests: parts that hedged requests rely on

A call whose refusal is being read is not hedged. test_dispatch, test_fleet, test_retry_budget and test_hedge pass under the sanitizers; test_hedge fails with FL_FAULT_HEDGE_ALWAYS, as it must.

--- a/src/serve/relay_hedge.c
+++ b/src/serve/relay_hedge.c
@@ -260,7 +260,8 @@
 {
 	return relay_hedges_service(request) && request->route->kind == ROUTE_IDEMPOTENT &&
 	       request->caller && request->call && request->phase == RELAY_SENT &&
-	       !request->hedge_sent && request->first_attempt && !request->may_have_run;
+	       !request->discard && !request->hedge_sent && request->first_attempt &&
+	       !request->may_have_run;
 }
 
 static bool relay_is_harmful(const struct relay_request *request)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -505,6 +505,35 @@
 	fleet_destroy(fleet);
 }
 
+/* An upstream whose calls are all cancelled, since others answer them first, must not count as
+ * sound with each next call. */
+static void test_overdue(void)
+{
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry entry = engine_entry("a", "10.0.0.1:80", 5);
+	struct fleet_upstream *up;
+
+	fleet_put_entry(fleet, &entry, 0);
+	up = fleet_find(fleet, "a");
+	fleet_upstream_record_first_open(up, 9 * S);
+	fleet_upstream_own_load(up)->open = 1;
+	fleet_upstream_record_overdue(up, 9 * S);
+	fleet_upstream_own_load(up)->open = 0;
+	g_assert_cmpuint(fleet_upstream_silent_us(up, 10 * S), ==, 0);
+	fleet_upstream_record_first_open(up, 11 * S);
+	fleet_upstream_own_load(up)->open = 1;
+	g_assert_cmpuint(fleet_upstream_silent_us(up, 11 * S), ==, 2 * S);
+	fleet_upstream_record_progress(up, 12 * S);
+	g_assert_cmpuint(fleet_upstream_silent_us(up, 12 * S), ==, 0);
+	/* it has sent something since the cancelled call was sent */
+	fleet_upstream_record_overdue(up, 11 * S);
+	fleet_upstream_own_load(up)->open = 0;
+	fleet_upstream_record_first_open(up, 20 * S);
+	fleet_upstream_own_load(up)->open = 1;
+	g_assert_cmpuint(fleet_upstream_silent_us(up, 20 * S), ==, 0);
+	fleet_destroy(fleet);
+}
+
 /* Entries of a restored list that are older than what is known wait until they have proved to be
  * right, or are removed. */
 static void test_restored(void)
@@ -929,6 +958,7 @@
 	g_test_add_func("/fleet/wrong-notice", test_wrong_notice);
 	g_test_add_func("/fleet/circuit", test_suspension);
 	g_test_add_func("/fleet/silent", test_silent);
+	g_test_add_func("/fleet/overdue", test_overdue);
 	g_test_add_func("/fleet/restored", test_restored);
 	g_test_add_func("/fleet/departure", test_departure);
 	g_test_add_func("/fleet/departure-ends", test_departure_ends);
--- a/test/test_hedge.c
+++ b/test/test_hedge.c
@@ -465,10 +465,91 @@
 		    (double)result->executions / result->requests);
 }
 
+/* The delay is learned: not before enough answers, then by percentiles and the objective. */
+static bool check_delay(struct sched *sched)
+{
+	struct hedge *hedge = hedge_create();
+	bool ok;
+
+	for (uint32_t i = 0; i < HEDGE_MIN_SAMPLES - 1; i++)
+		hedge_add_response(hedge, 30 * MS);
+	ok = hedge_delay_us(hedge, 0) == HEDGE_DELAY_UNKNOWN;
+	/* 90 in a hundred take 30 ms, 6 take 300 ms, 4 take 2 s */
+	for (uint32_t i = HEDGE_MIN_SAMPLES - 1; i < 90; i++)
+		hedge_add_response(hedge, 30 * MS);
+	for (uint32_t i = 0; i < 6; i++)
+		hedge_add_response(hedge, 300 * MS);
+	for (uint32_t i = 0; i < 4; i++)
+		hedge_add_response(hedge, 2000 * MS);
+	ok &= hedge_delay_us(hedge, 0) >= 300 * MS && hedge_delay_us(hedge, 0) < 334 * MS;
+	ok &= hedge_delay_us(hedge, 400 * MS) == 200 * MS;
+	ok &= hedge_delay_us(hedge, 4000 * MS) == hedge_delay_us(hedge, 0);
+	ok &= hedge_delay_us(hedge, 20 * MS) >= 30 * MS && hedge_delay_us(hedge, 20 * MS) < 34 * MS;
+	hedge_destroy(hedge);
+	return ok || sched_violation(sched, "wrong delay");
+}
+
+/* Returns whether a view that differs in one point is judged as expected. */
+static bool is_judged(struct hedge *hedge, struct hedge_view view, enum hedge_verdict verdict)
+{
+	return hedge_decide(hedge, &view) == verdict;
+}
+
+/* Each reason to withhold a hedged request takes effect alone. */
+static bool check_reasons(struct sched *sched)
+{
+	struct hedge *hedge = hedge_create();
+	const struct hedge_view fine = { .attempt_left = true,
+					 .left_us = 500 * MS,
+					 .taken_share = 0.7,
+					 .budget_left_share = 0.5 };
+	struct hedge_view view = fine;
+	uint32_t probes = 0;
+	bool ok;
+
+	for (uint32_t i = 0; i < HEDGE_MIN_SAMPLES; i++)
+		hedge_add_response(hedge, 100 * MS);
+	hedge_add_request(hedge, 0.99);
+	ok = is_judged(hedge, fine, HEDGE_SHARE_USED);
+	hedge_add_request(hedge, 0.01);
+	ok &= is_judged(hedge, fine, HEDGE_SEND);
+	view.stopping = true;
+	ok &= is_judged(hedge, view, HEDGE_STOPPING);
+	view = fine;
+	view.attempt_left = false;
+	ok &= is_judged(hedge, view, HEDGE_NO_ATTEMPT);
+	view = fine;
+	view.left_us = 99 * MS;
+	ok &= is_judged(hedge, view, HEDGE_NO_TIME);
+	view = fine;
+	view.harmful = true;
+	ok &= is_judged(hedge, view, HEDGE_HARMFUL);
+	view = fine;
+	view.held_back = true;
+	ok &= is_judged(hedge, view, HEDGE_POOL_BUSY);
+	view = fine;
+	view.taken_share = 0.71;
+	ok &= is_judged(hedge, view, HEDGE_POOL_BUSY);
+	view = fine;
+	view.budget_left_share = 0.49;
+	ok &= is_judged(hedge, view, HEDGE_BUDGET_LOW);
+	for (uint32_t i = 0; i < 30; i++)
+		hedge_add_result(hedge, i % 15 == 0);
+	/* Few calls still try whether hedging pays again. */
+	for (uint32_t i = 0; i < 100; i++)
+		probes += is_judged(hedge, fine, HEDGE_SEND);
+	ok &= probes == 5;
+	for (uint32_t i = 0; i < 10; i++)
+		hedge_add_result(hedge, true);
+	ok &= is_judged(hedge, fine, HEDGE_SEND);
+	hedge_destroy(hedge);
+	return ok || sched_violation(sched, "wrong reason");
+}
+
 static bool check_seed(struct sched *sched)
 {
 	static const double shares[] = { 0.02, 0.05 };
-	bool ok = true;
+	bool ok = check_delay(sched) && check_reasons(sched);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(scenes); i++) {
 		struct result plain = play(sched, &scenes[i], 0.0);
--- a/test/test_retry_budget.c
+++ b/test/test_retry_budget.c
@@ -63,8 +63,11 @@
 	struct retry_budget *budget = retry_budget_create(&limits);
 	uint32_t count = 0;
 
+	g_assert_cmpfloat(retry_budget_left_share(budget, 1, 0), ==, 1.0);
 	while (retry_budget_take(budget, 1, 0))
 		count++;
+	/* what is left is less than one retry */
+	g_assert_cmpfloat(retry_budget_left_share(budget, 1, 0), <, 1.0 / count);
 	g_assert_cmpuint(count, >, 0);
 	g_assert_cmpfloat(count, <=, limits.slack);
 	g_assert_cmpuint(retry_budget_taken(budget, 0), ==, count);
