--- a/test/test_gateway_hedge.c
+++ b/test/test_gateway_hedge.c
@@ -26,6 +26,7 @@
 #define LEARNED_SLOW_MS	 150
 /* After this time a call that may be hedged has been. */
 #define HEDGED_BY_MS 1200
+#define LONG_BYTES   (600U << 10) /* more than the gateway keeps of an answer */
 
 #define SIGNED	"X-Flamingolatch-Replica-Signature: s\r\n"
 #define REFUSAL "503 Busy\r\nX-Flamingolatch-Not-Executed: 1"
@@ -139,6 +140,19 @@
 	f->scripted = true;
 }
 
+/* Lets the route of at-most-once calls have two attempts, so that only its kind forbids to hedge.
+ */
+static void allow_attempts(struct fixture *f)
+{
+	struct mock_platform *platform = testbed_platform(f->testbed);
+	g_auto(GStrv) parts =
+		g_strsplit(mock_store_text(platform, "op", "config"), "\"max_attempts\":1}", 2);
+	g_autofree char *text = g_strjoinv("\"max_attempts\":2}", parts);
+
+	g_assert_nonnull(strstr(parts[0], "\"name\":\"once\""));
+	mock_store_put(platform, "op", "config", text);
+}
+
 /* @param share the setting load.hedge_share */
 static void fixture_open(struct fixture *f, const char *share)
 {
@@ -148,6 +162,7 @@
 	*f = (struct fixture){ .testbed = testbed_create(17) };
 	testbed_set_call_timeout(f->testbed, CALL_TIMEOUT_MS);
 	testbed_configure(f->testbed, NULL, NULL);
+	allow_attempts(f);
 	for (uint32_t i = 0; i < UPSTREAMS; i++)
 		add_upstream(f, i);
 	f->gateway = testbed_gateway(f->testbed, "gw-1", NULL);
@@ -341,6 +356,36 @@
 	check_not_run(1, "200 OK");
 }
 
+/* Only when both calls were turned away is the request known not to have run. */
+static void test_both_not_run(void)
+{
+	check_not_run(0, REFUSAL);
+	check_not_run(1, REFUSAL);
+}
+
+/* An answer that is too long to be kept is passed on as it comes, from one call only. */
+static void check_long_answer(uint32_t from)
+{
+	g_autofree char *body = g_strnfill(LONG_BYTES, 'a' + (char)from);
+	g_autofree char *other = answer_text("200 OK", "other");
+	struct fixture f;
+
+	fixture_open(&f, "0.2");
+	begin_hedged(&f);
+	raw_conn_write_later(f.arrivals[!from].conn, other, 2 * SETTLE_MS, false);
+	reply(&f, from, "200 OK", body);
+	check_answer(&f, 200, body);
+	testbed_run(f.testbed, SETTLE_MS);
+	g_assert_false(is_open(&f, !from));
+	fixture_close(&f);
+}
+
+static void test_long_answer(void)
+{
+	check_long_answer(0);
+	check_long_answer(1);
+}
+
 static void test_not_run_then_broken(void)
 {
 	struct fixture f;
@@ -448,6 +493,8 @@
 	g_test_add_func("/gateway-hedge/both-fail", test_both_fail);
 	g_test_add_func("/gateway-hedge/error-then-answer", test_error_then_answer);
 	g_test_add_func("/gateway-hedge/not-run-then-answer", test_not_run_then_answer);
+	g_test_add_func("/gateway-hedge/both-not-run", test_both_not_run);
+	g_test_add_func("/gateway-hedge/long-answer", test_long_answer);
 	g_test_add_func("/gateway-hedge/not-run-then-broken", test_not_run_then_broken);
 	g_test_add_func("/gateway-hedge/caller-leaves", test_caller_leaves);
 	g_test_add_func("/gateway-hedge/deadline", test_deadline);
