--- a/src/serve/relay_hedge.c
+++ b/src/serve/relay_hedge.c
@@ -108,6 +108,18 @@
 	request->may_have_run = true;
 }
 
+/* Tells whether the response is an answer of the upstream, which may be passed on. */
+static bool relay_hedge_keeps_body(const struct relay_hedge *hedge)
+{
+	return hedge->status > 0 && !hedge->not_run && !hedge->foreign;
+}
+
+/* Tells whether the answer counts although the first call is open: it is no server error. */
+static bool relay_hedge_is_usable(const struct relay_hedge *hedge)
+{
+	return relay_hedge_keeps_body(hedge) && hedge->status < 500;
+}
+
 /* Replaces the state of the current attempt, whose call has ended, with that of the hedged request.
  */
 static void relay_hedge_move(struct relay_hedge *hedge)
@@ -125,8 +137,7 @@
 	request->response_headers = hedge->headers;
 	hedge->body = body;
 	hedge->headers = headers;
-	request->phase =
-		hedge->status && !hedge->not_run && !hedge->foreign ? RELAY_BUFFERING : RELAY_SENT;
+	request->phase = relay_hedge_keeps_body(hedge) ? RELAY_BUFFERING : RELAY_SENT;
 	request->status = hedge->status;
 	request->sent_us = hedge->sent_us;
 	request->last_progress_us = hedge->last_progress_us;
@@ -143,11 +154,6 @@
 	relay_count_buffered(request);
 }
 
-static bool relay_hedge_is_usable(const struct relay_hedge *hedge)
-{
-	return hedge->status > 0 && hedge->status < 500 && !hedge->not_run && !hedge->foreign;
-}
-
 static void relay_hedge_win(struct relay_hedge *hedge)
 {
 	relay_hedge_record_end(hedge, RELAY_HEDGE_WON);
@@ -217,21 +223,21 @@
 	struct relay_request *request = hedge->request;
 
 	hedge->last_progress_us = env_now_us();
-	if (!relay_hedge_is_usable(hedge)) {
+	if (!relay_hedge_keeps_body(hedge)) {
 		hedge->discarded_bytes += len;
 		if (hedge->discarded_bytes > RELAY_DISCARD_MAX_BYTES)
 			relay_hedge_break(hedge);
-		return;
-	}
-	/* What is too long to be kept is passed on from here: it is the answer. */
-	if (hedge->body->len + len >
-	    buffer_budget_limit(&request->relay->buffers, RELAY_BUFFER_MAX_BYTES)) {
+	} else if (hedge->body->len + len <=
+		   buffer_budget_limit(&request->relay->buffers, RELAY_BUFFER_MAX_BYTES)) {
+		g_string_append_len(hedge->body, buf, (gssize)len);
+		relay_count_buffered(request);
+	} else if (relay_hedge_is_usable(hedge)) {
+		/* What is too long to be kept is passed on from here: it is the answer. */
 		relay_hedge_win(hedge);
 		relay_process_data(request, buf, len);
-		return;
+	} else {
+		relay_hedge_break(hedge);
 	}
-	g_string_append_len(hedge->body, buf, (gssize)len);
-	relay_count_buffered(request);
 }
 
 static void relay_hedge_on_end(void *ctx, enum http_call_result result, bool sent)
@@ -246,6 +252,10 @@
 		return;
 	}
 	hedge->call = NULL;
+	/* Also with an error, the upstream got through the request. */
+	if (result == HTTP_CALL_OK && relay_hedge_keeps_body(hedge))
+		crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
+					request->fingerprint);
 	fleet_upstream_record_outcome(up, result == HTTP_CALL_OK && hedge->not_run,
 				      result == HTTP_CALL_OK, env_now_us());
 	if (result == HTTP_CALL_BROKEN && sent && !hedge->not_run)
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -134,40 +134,50 @@
 	teardown(&f);
 }
 
-/* A hedged request must not go to an upstream that is suspect, slow or full, or that had the
- * request; where no other is left it is not sent, while a retry would be. */
-static void test_sound(void)
+#define SOUND_UPSTREAM_COUNT 6
+
+/* Adds upstreams of a plain service: a sound one is the last. */
+static void add_calls_upstreams(struct fixture *f, struct fleet_upstream **ups)
 {
-	static const char *const ids[] = { "tried", "slow", "full", "silent", "failing", "sound" };
-	g_autoptr(GPtrArray) tried = g_ptr_array_new();
-	struct dispatch_need wanted = { .service = "shop", .excluded = tried };
-	struct dispatch_decision decision = { 0 };
-	struct fleet_upstream *ups[G_N_ELEMENTS(ids)];
+	static const char *const ids[SOUND_UPSTREAM_COUNT] = { "tried",	 "slow",    "full",
+							       "silent", "failing", "sound" };
 	uint64_t now_us = env_now_us();
-	struct fixture f;
 
-	setup(&f);
-	f.env.http_client = http_client_create(uv_default_loop());
-	f.env.live_instances = 1;
-	for (guint i = 0; i < G_N_ELEMENTS(ids); i++) {
+	for (guint i = 0; i < SOUND_UPSTREAM_COUNT; i++) {
 		struct fleet_entry entry = { .id = ids[i],
 					     .service = "shop",
 					     .address = ids[i],
 					     .zone = "near",
 					     .slots = 4 };
 
-		fleet_put_entry(f.env.fleet, &entry, now_us);
-		ups[i] = fleet_find(f.env.fleet, ids[i]);
+		fleet_put_entry(f->env.fleet, &entry, now_us);
+		ups[i] = fleet_find(f->env.fleet, ids[i]);
 	}
-	g_ptr_array_add(tried, ups[0]);
-	upstream_quiet_record_duration(fleet_upstream_quiet(ups[1]), 101 * 1000);
+	upstream_quiet_record_duration(fleet_upstream_quiet(ups[1]), 101ULL * 1000);
 	fleet_upstream_own_load(ups[2])->open = 4;
 	fleet_upstream_record_progress(ups[2], now_us);
 	fleet_upstream_own_load(ups[3])->open = 1;
-	fleet_upstream_record_progress(ups[3], now_us - 10 * 1000 * 1000);
+	fleet_upstream_record_progress(ups[3], now_us - 10ULL * 1000 * 1000);
 	/* its suspension has ended, and it has not answered since */
 	for (int i = 0; i < 10; i++)
 		fleet_upstream_record_outcome(ups[4], false, false, now_us - 3600ULL * 1000 * 1000);
+}
+
+/* A hedged request must not go to an upstream that is suspect, slow or full, or that had the
+ * request; where no other is left it is not sent, while a retry would be. */
+static void test_sound(void)
+{
+	g_autoptr(GPtrArray) tried = g_ptr_array_new();
+	struct dispatch_need wanted = { .service = "shop", .excluded = tried };
+	struct dispatch_decision decision = { 0 };
+	struct fleet_upstream *ups[SOUND_UPSTREAM_COUNT];
+	struct fixture f;
+
+	setup(&f);
+	f.env.http_client = http_client_create(uv_default_loop());
+	f.env.live_instances = 1;
+	add_calls_upstreams(&f, ups);
+	g_ptr_array_add(tried, ups[0]);
 	g_assert_cmpfloat(dispatch_taken_share(f.dispatch, "shop"), ==, 5.0 / 24.0);
 	wanted.sound = true;
 	wanted.slow_us = 100 * 1000;
--- a/test/test_gateway_hedge.c
+++ b/test/test_gateway_hedge.c
@@ -334,6 +334,24 @@
 	fixture_close(&f);
 }
 
+/* An error that is half read when the first call breaks is passed on whole. */
+static void test_half_error(void)
+{
+	struct fixture f;
+
+	fixture_open(&f, "0.2");
+	begin_hedged(&f);
+	raw_conn_write(f.arrivals[1].conn,
+		       "HTTP/1.1 500 Oops\r\n" SIGNED "Content-Length: 9\r\n\r\nsecond");
+	testbed_run(f.testbed, SETTLE_MS);
+	reset(&f, 0);
+	testbed_run(f.testbed, SETTLE_MS);
+	raw_conn_write(f.arrivals[1].conn, "-it");
+	check_answer(&f, 500, "second-it");
+	check_ended(&f, "took-over");
+	fixture_close(&f);
+}
+
 /* A refusal of one call must not become a refusal to the caller while the other runs. */
 static void check_not_run(uint32_t refused, const char *status)
 {
@@ -492,6 +510,7 @@
 	g_test_add_func("/gateway-hedge/half-answer", test_half_answer);
 	g_test_add_func("/gateway-hedge/both-fail", test_both_fail);
 	g_test_add_func("/gateway-hedge/error-then-answer", test_error_then_answer);
+	g_test_add_func("/gateway-hedge/half-error", test_half_error);
 	g_test_add_func("/gateway-hedge/not-run-then-answer", test_not_run_then_answer);
 	g_test_add_func("/gateway-hedge/both-not-run", test_both_not_run);
 	g_test_add_func("/gateway-hedge/long-answer", test_long_answer);
