--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -2,6 +2,7 @@
 
 #include "admission_exchange.h"
 #include "crash_guard.h"
+#include "relay_hedge.h"
 
 #define DUMP_MAX_UPSTREAMS 1000
 #define DUMP_MAX_REQUESTS  500
@@ -84,7 +85,7 @@
 		"list_version", (json_int_t)list.version, "evacuated", dump_evacuated(store_watch),
 		"instances", (int)env->live_instances, "stopping",
 		planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
-		"urgent_demand", admission_exchange_json(env->admission_exchange), "quarantined",
-		crash_guard_json(env->crash_guard), "requests",
-		relay_state_json(relay, DUMP_MAX_REQUESTS));
+		"urgent_demand", admission_exchange_json(env->admission_exchange), "hedges",
+		relay_hedges_json(relay), "quarantined", crash_guard_json(env->crash_guard),
+		"requests", relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
