--- a/include/flamingolatch/gateway_settings.h
+++ b/include/flamingolatch/gateway_settings.h
@@ -47,6 +47,8 @@
 	double hedge_share;    /**< share of a plain service's requests that may be sent to a second
 				* upstream while the first has not answered; 0: none */
 	bool backups;	       /**< keeps a KV copy of running generations at a second engine */
+	bool urgent_preempts;  /**< engines are told that urgent generations go before others of
+				* their priority, which may preempt these; see admission.h */
 	double speed_spread; /**< ratio of the 90th to the 10th percentile of the learned speeds of
 			      * a service beyond which placement uses them; 0: never */
 };
--- a/src/io/gateway_settings.c
+++ b/src/io/gateway_settings.c
@@ -49,6 +49,7 @@
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, quarantine_s, CONF_U64, .max = 3600),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, hedge_share, CONF_F64),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, backups, CONF_BOOL),
+	GATEWAY_SETTINGS_FIELD(gateway_load_settings, urgent_preempts, CONF_BOOL),
 	GATEWAY_SETTINGS_FIELD(gateway_load_settings, speed_spread, CONF_F64),
 	{ 0 },
 };
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -130,6 +130,18 @@
 	return http_call_start(env->http_client, &req, ops, ctx);
 }
 
+/* Returns the priority that an engine is told; -1 for a call. */
+static int32_t relay_engine_priority(const struct relay_request *request)
+{
+	uint32_t rank = relay_priority(request);
+
+	if (!relay_is_generation(request))
+		return -1;
+	if (!request->relay->env->settings->load.urgent_preempts)
+		return (int32_t)rank;
+	return (int32_t)admission_engine_priority(request->admission, rank);
+}
+
 void relay_start_attempt(struct relay_request *request, struct fleet_upstream *up,
 			 const char *from_address, const char *from_handle)
 {
@@ -139,10 +151,7 @@
 		.from_handle = from_handle,
 		.last_event_id = request->last_event_id ? request->last_event_id
 							: request->decoded.last_event_id,
-		.priority = relay_is_generation(request)
-				    ? (int32_t)admission_engine_priority(request->admission,
-									 relay_priority(request))
-				    : -1,
+		.priority = relay_engine_priority(request),
 	};
 
 	if (request->attempt.up)
