--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -515,6 +515,23 @@
 	relay_end_call(ctx, result, sent);
 }
 
+/* Ends a response that was passed on as it arrived. */
+static void relay_end_passed_on(struct relay_request *request)
+{
+	if (request->response_body->len > 0 && request->caller)
+		http_req_stream_write(request->caller, request->response_body->str,
+				      request->response_body->len);
+	if (request->stream && relay_is_stream_cut(request)) {
+		relay_report_crash(request, request->attempt.up);
+		request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
+		return;
+	}
+	if (request->stream && request->event_count < QUARANTINE_PROGRESS_EVENTS)
+		crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
+					request->fingerprint);
+	relay_finish_streamed(request);
+}
+
 void relay_end_call(struct relay_request *request, enum http_call_result result, bool sent)
 {
 	struct fleet_upstream *up = request->attempt.up;
@@ -561,18 +578,7 @@
 		crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
 					request->fingerprint);
 	if (request->stream || request->response_started) {
-		if (request->response_body->len > 0 && request->caller)
-			http_req_stream_write(request->caller, request->response_body->str,
-					      request->response_body->len);
-		if (request->stream && relay_is_stream_cut(request)) {
-			relay_report_crash(request, up);
-			request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
-			return;
-		}
-		if (request->stream && request->event_count < QUARANTINE_PROGRESS_EVENTS)
-			crash_guard_on_progress(request->relay->env->crash_guard, &request->decoded,
-						request->fingerprint);
-		relay_finish_streamed(request);
+		relay_end_passed_on(request);
 		return;
 	}
 	if (relay_is_server_error(request) && request->caller) {
