--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -107,6 +107,8 @@
  * and for gateways that follow: it is cold for a second after its start, and 1.5 times the rate
  * plus 3 are tolerated. 0, the default: no such limit. */
 void testbed_set_cold_per_s(struct testbed *testbed, double cold_per_s);
+/** Sets load.urgent_preempts for gateways that are created from now on. */
+void testbed_set_urgent_preempts(struct testbed *testbed);
 /** Sets whether gateways that are created from now on start for the first time together. */
 void testbed_set_first_start(struct testbed *testbed, bool first_start);
 /** Writes the settings of a gateway; testbed_start() runs it.
