--- a/review/7/case.c
+++ b/review/7/case.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #define SLOTS	     6
+#define QUEUE	     2 /* requests that wait for a slot */
 #define WORK_MS	     60
 #define CYCLES	     130
 #define CYCLE_MS     600
@@ -18,7 +19,7 @@
 #define COPY_SHARE_X 34 /* one answer in so many has a second copy, at most: 0.03 */
 /* The faulty replica sends second copies for the second time, once in each of the first. */
 #define GARBLE_EACH_MS 12000
-#define GARBLE_FOR_MS  6500
+#define GARBLE_FOR_MS  5000
 
 struct outcome {
 	int runs;
@@ -39,7 +40,11 @@
 static struct outcome outcomes[CYCLES];
 static struct gateway edge_1, edge_2;
 static struct replica *replicas[2]; /* the first is the faulty one */
-static int busy[2];
+static int busy[2], waiting[2];
+static pthread_cond_t slot_free = PTHREAD_COND_INITIALIZER;
+/* The same as answers and copies, of the present time of second copies alone. */
+static int window_answers, window_copies;
+static uint64_t window;
 static uint64_t start_ms;
 
 /* Returns the outcome of a request of the single client, or NULL. Call with the lock held. */
@@ -89,16 +94,30 @@
 	if (!send_late_copy(arrival, late))
 		return false;
 	pthread_mutex_lock(&lock);
-	run = busy[number] < SLOTS;
-	busy[number] += run;
+	if (garbles && since_ms / GARBLE_EACH_MS != window) {
+		window = since_ms / GARBLE_EACH_MS;
+		window_answers = 0;
+		window_copies = 0;
+	}
 	answers += garbles;
+	window_answers += garbles;
+	run = busy[number] < SLOTS || waiting[number] < QUEUE;
+	if (run) {
+		waiting[number]++;
+		while (busy[number] == SLOTS)
+			pthread_cond_wait(&slot_free, &lock);
+		waiting[number]--;
+		busy[number]++;
+	}
 	outcome = outcome_of(arrival->id);
 	if (outcome && run)
 		outcome->runs++;
 	if (!run) {
 		refusals++;
-		copy = trouble() && garbles && outcome && copies * COPY_SHARE_X <= answers;
+		copy = trouble() && garbles && outcome &&
+		       (window_copies + 1) * COPY_SHARE_X <= window_answers;
 		copies += copy;
+		window_copies += copy;
 	}
 	pthread_mutex_unlock(&lock);
 	if (outcome)
@@ -109,6 +128,7 @@
 		sleep_ms(WORK_MS);
 		pthread_mutex_lock(&lock);
 		busy[number]--;
+		pthread_cond_broadcast(&slot_free);
 		pthread_mutex_unlock(&lock);
 		snprintf(text, sizeof(text),
 			 "HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"
