Store watch: log the rows of an answer that changes the instance list

The log showed the states of upstreams after an answer of the store, but not what the answer held, so an entry that never arrived could not be told from one that was dropped. source-changed names the version, the rows, how many of them are removals, and how many were not applied because they change nothing.

--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -878,6 +878,27 @@
 	return effective;
 }
 
+/* Logs an answer that changed the instance list. */
+static void store_watch_log_rows(const struct store_answer *answer, const GPtrArray *effective)
+{
+	char version[24];
+	char rows[16];
+	char removed[16];
+	char unchanged[16];
+	uint32_t removed_count = 0;
+
+	if (effective->len == 0)
+		return;
+	for (guint i = 0; i < answer->changes->len; i++)
+		removed_count += ((const struct store_change *)answer->changes->pdata[i])->removed;
+	snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, answer->position.version);
+	snprintf(rows, sizeof(rows), "%u", answer->changes->len);
+	snprintf(removed, sizeof(removed), "%u", removed_count);
+	snprintf(unchanged, sizeof(unchanged), "%u", answer->changes->len - effective->len);
+	log_event(LOG_STORE_LIST_CHANGED, "version", version, "rows", rows, "removed", removed,
+		  "unchanged", unchanged, NULL);
+}
+
 /* Unlists the upstreams that a whole list does not have. */
 static void store_watch_unlist_missing(struct store_watch *watch, const GPtrArray *changes,
 				       uint64_t lapse_until_us)
@@ -918,6 +939,7 @@
 	uint64_t lapse_until_us = store_watch_lapse_until_us(watch);
 	g_autoptr(GPtrArray) rows = store_watch_effective_rows(watch, answer->changes);
 
+	store_watch_log_rows(answer, rows);
 	for (guint i = 0; i < rows->len; i++)
 		store_watch_apply_entry(watch, rows->pdata[i], lapse_until_us);
 	if (table->whole)
