Store watch: rows of an answer are compared in their order

Cause: all rows of an answer were compared with the list as it was before the first of them. After an outage in which entries expired, one answer holds the removals and the same entries again; the entries equalled the list of before and were dropped, on the watching instance and in what it passes on.

Evidence (x86_64): source-changed rows 6, removed 3, unchanged 3, then all upstreams lapsed and leaving. Each row is now compared after the rows before it were applied, so an entry after its removal is a change.

--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -860,19 +860,31 @@
 	metric_set(env->metric, METRIC_UPSTREAMS, fleet_count(env->fleet));
 }
 
-/* Returns the rows that change something. The store also sends an entry that its upstream only
- * renewed, or whose cold time has advanced. */
-static GPtrArray *store_watch_effective_rows(const struct store_watch *watch, const GPtrArray *rows)
+/* Tells whether a row changes the list as it is now. The store also sends an entry that its
+ * upstream only renewed, or whose cold time has advanced. */
+static bool store_watch_row_changes(const struct store_watch *watch, const struct store_change *row)
+{
+	struct fleet_entry entry = store_watch_entry(row);
+
+	return row->removed || row->malformed || !fleet_has_entry(watch->env->fleet, &entry) ||
+	       !fleet_has_cold_time(watch->env->fleet, &entry, env_now_us());
+}
+
+/* Applies rows in their order. A row is compared with the list that the rows before it left: an
+ * answer may remove an entry and list it again.
+ * @return the rows that changed something */
+static GPtrArray *store_watch_apply_rows(struct store_watch *watch, const GPtrArray *rows,
+					 uint64_t lapse_until_us)
 {
 	GPtrArray *effective = g_ptr_array_new();
 
 	for (guint i = 0; i < rows->len; i++) {
 		struct store_change *row = rows->pdata[i];
-		struct fleet_entry entry = store_watch_entry(row);
 
-		if (row->removed || row->malformed || !fleet_has_entry(watch->env->fleet, &entry) ||
-		    !fleet_has_cold_time(watch->env->fleet, &entry, env_now_us()))
-			g_ptr_array_add(effective, row);
+		if (!store_watch_row_changes(watch, row))
+			continue;
+		store_watch_apply_entry(watch, row, lapse_until_us);
+		g_ptr_array_add(effective, row);
 	}
 	metric_add(watch->env->metric, METRIC_STORE_ROWS_UNCHANGED, rows->len - effective->len);
 	return effective;
@@ -937,11 +949,9 @@
 {
 	struct store_watch *watch = table->watch;
 	uint64_t lapse_until_us = store_watch_lapse_until_us(watch);
-	g_autoptr(GPtrArray) rows = store_watch_effective_rows(watch, answer->changes);
+	g_autoptr(GPtrArray) rows = store_watch_apply_rows(watch, answer->changes, lapse_until_us);
 
 	store_watch_log_rows(answer, rows);
-	for (guint i = 0; i < rows->len; i++)
-		store_watch_apply_entry(watch, rows->pdata[i], lapse_until_us);
 	if (table->whole)
 		store_watch_unlist_missing(watch, answer->changes, lapse_until_us);
 	else
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -499,6 +499,91 @@
 	instance_destroy(instance);
 }
 
+/* A row of the instance list with the entry of an upstream, or without one. */
+static struct store_change *list_row(const char *id, bool removed)
+{
+	struct store_change *row = g_new0(struct store_change, 1);
+
+	row->id = (char *)id;
+	row->removed = removed;
+	row->service = "app";
+	row->address = strcmp(id, "a") == 0 ? "127.0.0.1:1" : "127.0.0.1:2";
+	row->zone = "z1";
+	row->started_ms = 1000;
+	row->slots = 4;
+	return row;
+}
+
+/* Answers the open call for the instance list. @param rows ids, after a "-" where the entry was
+ * removed and a "?" where it could not be decoded; ended by NULL */
+static void answer_list(struct instance *instance, uint64_t store_version, const char *const *rows)
+{
+	struct store_call *call = &instance->calls[STORE_TABLE_UPSTREAMS];
+	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(g_free);
+	struct store_answer result = { .result = STORE_OK,
+				       .position = { 1, store_version },
+				       .changes = changes };
+
+	g_assert_true(call->open);
+	call->open = false;
+	for (; *rows; rows++) {
+		bool removed = **rows == '-';
+		bool malformed = **rows == '?';
+		struct store_change *row = list_row(*rows + (removed || malformed), removed);
+
+		row->malformed = malformed;
+		g_ptr_array_add(changes, row);
+	}
+	call->cb(call->arg, &result);
+	settle();
+}
+
+static const char *state_of(const struct instance *instance, const char *id)
+{
+	struct fleet_upstream *up = fleet_find(instance->env.fleet, id);
+
+	return up ? fleet_upstream_state_name(fleet_upstream_state(up)) : "unknown";
+}
+
+/* Passes the changes that an instance reports on to another one. */
+static void pass_on_changes(void *ctx, const struct store_watch_changes *changes)
+{
+	struct instance *dependent = ctx;
+
+	store_watch_apply_changes(dependent->watch, changes);
+}
+
+/* review/6: upstreams whose entries expired during an outage of the store and were written again
+ * are lost when the first answer after it holds the removals and the new entries. */
+static void test_removed_and_listed_in_one_answer(void)
+{
+	static const char *const first[] = { "a", "b", NULL };
+	static const char *const expired[] = { "-a", "-b", "a", "b", NULL };
+	static const char *const renewed[] = { "a", "b", NULL };
+	static const char *const spoilt[] = { "?a", "a", "-b", "b", "-b", NULL };
+	struct instance *instance = create_watching();
+	struct instance *dependent = create_watching();
+
+	store_watch_set_changed(instance->watch, pass_on_changes, NULL, NULL, dependent);
+	settle();
+	answer_list(instance, 20, first);
+	answer_list(instance, 30, expired);
+	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
+	g_assert_cmpstr(state_of(instance, "b"), ==, "ready");
+	g_assert_cmpstr(state_of(dependent, "a"), ==, "ready");
+	g_assert_cmpstr(state_of(dependent, "b"), ==, "ready");
+	/* Entries that were only renewed still change nothing and are not passed on. */
+	answer_list(instance, 40, renewed);
+	g_assert_cmpuint(store_watch_list_position(instance->watch).version, ==, 30);
+	answer_list(instance, 50, spoilt);
+	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
+	g_assert_cmpstr(state_of(instance, "b"), ==, "leaving");
+	g_assert_cmpstr(state_of(dependent, "a"), ==, "ready");
+	g_assert_cmpstr(state_of(dependent, "b"), ==, "leaving");
+	instance_destroy(dependent);
+	instance_destroy(instance);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -515,5 +600,7 @@
 	g_test_add_func("/store-watch/zones-of-open-call", test_zones_of_open_call);
 	g_test_add_func("/store-watch/zones-restored", test_zones_restored);
 	g_test_add_func("/store-watch/zones-unknown", test_zones_unknown);
+	g_test_add_func("/store-watch/removed-and-listed-in-one-answer",
+			test_removed_and_listed_in_one_answer);
 	return g_test_run();
 }
