HTTP client: a request that is sent again keeps off its connections

Cause: a response names a request, not a sending. The second sending used the connection of the first, and the copy of the first refusal passed as the answer to the second. The request was sent a third time and ran again.

A request now lists the connections that carried it. A further sending takes another idle connection or opens one; hedged requests and resumed generations share the list. A copy then only meets other ids, and is skipped.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -61,6 +61,7 @@
 	uv_timer_t timer;
 	uint64_t timeout_ms;
 	uint64_t connect_timeout_ms;
+	GArray *used_conns; /* owned by the caller; may be NULL */
 	bool new_connection;
 	bool is_head_request;
 	bool connect_started; /* set when the timer first expires; later expiries are timeouts */
@@ -84,6 +85,7 @@
 	struct http_client *client;
 	struct http_call *call; /* NULL when idle or closing */
 	char *pool_key;
+	uint64_t number; /* differs from those of all other connections of the client */
 	GString *output; /* request being written */
 	http_parser parser;
 	GPtrArray *headers; /* name, value, name, value, ...; names in lower case */
@@ -210,6 +212,7 @@
 	call->address = g_strdup(req->address);
 	call->pool_key = g_strdup_printf("%s %s", req->address, req->scope ? req->scope : "");
 	call->new_connection = req->new_connection;
+	call->used_conns = req->used_conns;
 	call->timeout_ms = req->timeout_ms;
 	call->connect_timeout_ms =
 		req->connect_timeout_ms ? req->connect_timeout_ms : HTTP_CLIENT_CONNECT_TIMEOUT_MS;
@@ -795,6 +798,8 @@
 	conn->output = call->request;
 	call->request = NULL;
 	call->sent = true;
+	if (call->used_conns)
+		g_array_append_val(call->used_conns, conn->number);
 	conn->writing = true;
 	conn->write.data = conn;
 	buf = uv_buf_init(conn->output->str, (unsigned int)conn->output->len);
@@ -869,7 +874,7 @@
 	conn->tcp.data = conn;
 	conn->connect.data = conn;
 	call->conn = conn;
-	call->client->counts.connects++;
+	conn->number = ++call->client->counts.connects;
 	if (uv_tcp_connect(&conn->connect, &conn->tcp, (const struct sockaddr *)&addr,
 			   client_conn_on_connect) != 0) {
 		call->conn = NULL;
@@ -894,13 +899,34 @@
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* Removes the newest reusable connection from the idle pool and returns it, or NULL. */
-static struct client_conn *http_client_reuse_conn(struct http_client *client, const char *key)
+/* Tells whether a connection carried an earlier sending of the request of a call. */
+static bool client_conn_has_carried(const struct client_conn *conn, const struct http_call *call)
 {
-	GQueue *queue = g_hash_table_lookup(client->idle_conns, key);
-	struct client_conn *conn;
+#if defined(FL_FAULT_RESEND_ON_CONNECTION)
+	/* Deliberate defect, which the tests have to detect: any idle connection will do. */
+	return false;
+#endif
+	for (guint i = 0; call->used_conns && i < call->used_conns->len; i++) {
+		if (g_array_index(call->used_conns, uint64_t, i) == conn->number)
+			return true;
+	}
+	return false;
+}
+
+/* Removes the newest connection that a call can reuse from the idle pool and returns it, or NULL.
+ */
+static struct client_conn *http_call_reuse_conn(const struct http_call *call)
+{
+	GQueue *queue = g_hash_table_lookup(call->client->idle_conns, call->pool_key);
+	GList *previous;
+
+	for (GList *item = queue ? queue->tail : NULL; item; item = previous) {
+		struct client_conn *conn = item->data;
 
-	while (queue && (conn = g_queue_pop_tail(queue))) {
+		previous = item->prev;
+		if (client_conn_has_carried(conn, call))
+			continue;
+		g_queue_delete_link(queue, item);
 		conn->idle = false;
 		if (client_conn_is_reusable(conn))
 			return conn;
@@ -912,8 +938,7 @@
 /* Sends the request on an idle connection, or opens a new one. */
 static void http_call_connect(struct http_call *call)
 {
-	struct client_conn *conn =
-		call->new_connection ? NULL : http_client_reuse_conn(call->client, call->pool_key);
+	struct client_conn *conn = call->new_connection ? NULL : http_call_reuse_conn(call);
 
 	if (conn) {
 		call->client->counts.reuses++;
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -56,6 +56,7 @@
 	request->last_progress_us = request->arrived_us;
 	request->tried = g_ptr_array_new_with_free_func(relay_unref_upstream);
 	request->migrate_tried = g_ptr_array_new_with_free_func(relay_unref_upstream);
+	request->used_conns = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	request->response_body = g_string_new(NULL);
 	request->response_headers = g_string_new(NULL);
 	relay->env->protocol->decode(req, &request->decoded);
@@ -240,6 +241,7 @@
 	event_stream_destroy(request->events);
 	g_ptr_array_free(request->tried, TRUE);
 	g_ptr_array_free(request->migrate_tried, TRUE);
+	g_array_free(request->used_conns, TRUE);
 	g_string_free(request->response_body, TRUE);
 	g_string_free(request->response_headers, TRUE);
 	protocol_request_clear(&request->decoded);
--- a/test/test_gateway_raw.c
+++ b/test/test_gateway_raw.c
@@ -669,6 +669,61 @@
 	}
 }
 
+#define RESENT_REFUSAL                                                                             \
+	"HTTP/1.1 503 Busy\r\nX-Flamingolatch-Attempt-Id: %s\r\n"                                  \
+	"X-Flamingolatch-Not-Executed: 1\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n"
+#define RESENT_ANSWER_MS 30
+
+/* An upstream that refuses the first request, and sends its refusal again when the next answer is
+ * expected on the connection. */
+struct resent_refusal {
+	char *copy;	    /* refusal to be sent again; NULL when there is none */
+	uint64_t copy_conn; /* number of its connection */
+	uint32_t arrivals;
+	uint32_t runs;
+};
+
+static void refuse_and_repeat(void *ctx, struct raw_conn *conn, const char *id)
+{
+	struct resent_refusal *resent = ctx;
+	g_auto(GStrv) parts = g_strsplit(SOUND_CALL, "%ID%", 2);
+	g_autofree char *answer = g_strjoinv(id, parts);
+
+	if (resent->arrivals++ == 0) {
+		resent->copy = g_strdup_printf(RESENT_REFUSAL, id);
+		resent->copy_conn = raw_conn_number(conn);
+		raw_conn_write(conn, resent->copy);
+		return;
+	}
+	if (resent->copy && resent->copy_conn == raw_conn_number(conn)) {
+		raw_conn_write(conn, resent->copy);
+		g_clear_pointer(&resent->copy, g_free);
+	}
+	resent->runs++;
+	raw_conn_write_later(conn, answer, RESENT_ANSWER_MS, false);
+}
+
+/* review/7: a late copy of a refusal that names the request is not taken for the answer to its next
+ * sending, after Retry-After, which then ran a second time. */
+static void test_resent_refusal(void)
+{
+	struct resent_refusal resent = { 0 };
+	struct raw_caller caller;
+	struct fixture f;
+
+	fixture_open(&f);
+	add_raw(&f, TESTBED_PLAIN_SERVICE, refuse_and_repeat, &resent);
+	caller = raw_caller_open(f.gateway, "7e5e", "/once/x");
+	testbed_run(f.testbed, 1500);
+	raw_caller_read(&caller, SIZE_MAX);
+	g_test_message("%u arrivals, %u runs: %s", resent.arrivals, resent.runs, caller.input->str);
+	g_assert_cmpuint(resent.runs, ==, 1);
+	g_assert_cmpuint(raw_caller_status(&caller), ==, 200);
+	raw_caller_close(&caller);
+	g_free(resent.copy);
+	fixture_close(&f);
+}
+
 /* keys that are withdrawn while a request waits for its next attempt */
 
 /* The first request that upstreams get together, whose answer is held back. */
@@ -1466,6 +1521,7 @@
 	g_test_add_func("/gateway-raw/invalid-status-suspends", test_invalid_status_suspends);
 	g_test_add_func("/gateway-raw/key-withdrawn", test_key_withdrawn);
 	g_test_add_func("/gateway-raw/late-refusal", test_late_refusal);
+	g_test_add_func("/gateway-raw/resent-refusal", test_resent_refusal);
 	g_test_add_func("/gateway-raw/departure", test_departure);
 	g_test_add_func("/gateway-raw/departure-caller-left", test_departure_caller_left);
 	g_test_add_func("/gateway-raw/quiet", test_quiet);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -265,8 +265,9 @@
 
 /* Sends one request to the mock server and runs the loop until the call ends. The caller frees
  * the body, for instance with expect_outcome(). */
-static struct call_outcome mock_server_call(struct mock_server *server, const char *scope,
-					    const char *id, size_t body_len, uint64_t timeout_ms)
+static struct call_outcome mock_server_resend(struct mock_server *server, const char *scope,
+					      const char *id, size_t body_len, uint64_t timeout_ms,
+					      GArray *used_conns)
 {
 	struct call_outcome outcome = { .body = g_string_new(NULL), .id = id };
 	g_autofree char *body = g_strnfill(body_len, 'x');
@@ -276,7 +277,8 @@
 					 .path = "/x",
 					 .body = body,
 					 .body_len = body_len,
-					 .timeout_ms = timeout_ms };
+					 .timeout_ms = timeout_ms,
+					 .used_conns = used_conns };
 
 	http_call_start(server->client, &req, &call_outcome_ops, &outcome);
 	for (uint32_t i = 0; !outcome.ended && i < LOOP_ITERATIONS_MAX; i++)
@@ -285,6 +287,13 @@
 	return outcome;
 }
 
+/* The same for a request that is sent once. */
+static struct call_outcome mock_server_call(struct mock_server *server, const char *scope,
+					    const char *id, size_t body_len, uint64_t timeout_ms)
+{
+	return mock_server_resend(server, scope, id, body_len, timeout_ms, NULL);
+}
+
 struct paused_call {
 	struct call_outcome outcome; /* must be first: it is the context of the other callbacks */
 	struct http_call *call;
@@ -384,6 +393,41 @@
 	mock_server_clear(&server);
 }
 
+/* A request that is sent again keeps off the connection of its first sending, where a second copy
+ * of the first response may still come. The connection stays in use for other requests. */
+static void test_resend(void)
+{
+	static const struct mock_response responses[] = { { .bytes = OK_RESPONSE },
+							  { .bytes = OK_RESPONSE },
+							  { .bytes = OK_RESPONSE },
+							  { .bytes = OK_RESPONSE } };
+	g_autoptr(GArray) used_conns = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct mock_server server;
+
+	mock_server_init(&server, responses, G_N_ELEMENTS(responses));
+	for (uint32_t sending = 0; sending < 2; sending++) {
+		struct call_outcome outcome =
+			mock_server_resend(&server, NULL, "a", 0, 2000, used_conns);
+
+		expect_outcome(outcome, HTTP_CALL_OK, "hi");
+		g_assert_cmpuint(used_conns->len, ==, sending + 1);
+	}
+	if (server.connections != 2) {
+		g_test_message("violation: both sendings on %u connection", server.connections);
+		g_test_fail();
+		mock_server_clear(&server);
+		return;
+	}
+	/* Another request takes the newest idle connection. A request that may not have that one
+	 * takes the one before. */
+	expect_outcome(mock_server_call(&server, NULL, "a", 0, 2000), HTTP_CALL_OK, "hi");
+	g_array_remove_index(used_conns, 0);
+	expect_outcome(mock_server_resend(&server, NULL, "a", 0, 2000, used_conns), HTTP_CALL_OK,
+		       "hi");
+	g_assert_cmpuint(server.connections, ==, 2);
+	mock_server_clear(&server);
+}
+
 static void test_broken_responses(void)
 {
 	static const struct mock_response responses[] = {
@@ -865,6 +909,7 @@
 	g_test_add_func("/http/client/trailing", test_extra_data_in_response);
 	g_test_add_func("/http/client/late-extra", test_extra_data_on_idle);
 	g_test_add_func("/http/client/disowned", test_mismatched);
+	g_test_add_func("/http/client/resend", test_resend);
 	g_test_add_func("/http/client/broken", test_broken_responses);
 	g_test_add_func("/http/client/invalid-status", test_invalid_status);
 	g_test_add_func("/http/client/split-status", test_split_status);
