Fleet: an upstream regains its address when the other entry is gone

Cause: whichever of two entries with one address started later took it, and the other upstream was set to gone and forgotten, although its own entry stood in the store. It came back only when that entry changed.

Such an upstream is now displaced: kept with its entry, sent nothing, and ready again when the other entry is removed or names another address. Of several, the one that started last has the address, then the greatest id, so the order of arrival does not matter. An upstream that had ended and is listed again before the next tick is added anew instead of being forgotten.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -11,6 +11,11 @@
  *
  * An upstream that starts again is a new incarnation, even under its old id:
  * load, failures and connections of the previous one do not carry over.
+ *
+ * Of several upstreams that are listed with one address, the one that started last
+ * has it; of those that started at the same time, the one with the greatest id. The
+ * others are displaced until its entry is removed or names another address. So the
+ * order in which entries arrive does not matter.
  */
 #ifndef FLAMINGOLATCH_FLEET_H
 #define FLAMINGOLATCH_FLEET_H
@@ -29,7 +34,8 @@
 	FLEET_UPSTREAM_READY,
 	FLEET_UPSTREAM_LAPSED,	/**< entry expired around an outage of the store; may be renewed */
 	FLEET_UPSTREAM_LEAVING, /**< shutting down: announced, or its entry was removed */
-	FLEET_UPSTREAM_GONE,	/**< ended, or replaced under its id or address */
+	FLEET_UPSTREAM_DISPLACED, /**< listed, but its address belongs to one that started later */
+	FLEET_UPSTREAM_GONE,	  /**< ended, or replaced under its id */
 	FLEET_UPSTREAM_STATE_COUNT
 };
 
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -63,7 +63,7 @@
 	GHashTable *by_id;	/* id to struct fleet_upstream, its current incarnation */
 	GHashTable *by_key;	/* key to struct fleet_upstream */
 	GHashTable *by_service; /* service to GPtrArray of struct fleet_upstream */
-	GHashTable *by_address; /* address to struct fleet_upstream, the one listed last */
+	GHashTable *by_address; /* address to struct fleet_upstream, the one that has it */
 	GHashTable *peers;	/* name to struct fleet_source */
 	GHashTable *zones;	/* name of another zone to struct fleet_source */
 	GHashTable *active;	/* set of upstreams: all with own open requests, and some without */
@@ -73,11 +73,12 @@
 	GQueue departed_ids;	    /* keys of the same, the oldest first */
 	GHashTable *put_off;	    /* id to struct fleet_entry that owns its strings */
 	uint64_t distrust_until_us; /* until then entries are put off */
-	GPtrArray *evacuated;	    /* names of zones; NULL before they are known */
+	uint32_t displaced_count;
+	GPtrArray *evacuated; /* names of zones; NULL before they are known */
 };
 
 static const char *const fleet_upstream_state_names[FLEET_UPSTREAM_STATE_COUNT] = {
-	"ready", "lapsed", "leaving", "gone"
+	"ready", "lapsed", "leaving", "displaced", "gone"
 };
 
 static void fleet_upstream_set_state(struct fleet_upstream *up, enum fleet_upstream_state state);
@@ -227,21 +228,6 @@
 	return up;
 }
 
-/* An address belongs to the upstream that was listed under it last, unless the previous one has
- * started later. The upstream that loses its address is gone. */
-static void fleet_claim_address(struct fleet *fleet, struct fleet_upstream *owner)
-{
-	struct fleet_upstream *previous = g_hash_table_lookup(fleet->by_address, owner->address);
-
-	if (previous && previous != owner &&
-	    (previous->first_listed_us > owner->first_listed_us ||
-	     previous->started_ms > owner->started_ms))
-		return;
-	if (previous && previous != owner)
-		fleet_upstream_set_state(previous, FLEET_UPSTREAM_GONE);
-	g_hash_table_replace(fleet->by_address, owner->address, owner);
-}
-
 /* Tells whether an upstream said itself, in this start, that it leaves. Whatever else says that it
  * is ready is older. */
 static bool fleet_has_departed(const struct fleet *fleet, const char *id, uint64_t started_ms)
@@ -255,6 +241,74 @@
 	return departed_ms && *departed_ms == started_ms;
 }
 
+/* Tells whether an upstream comes before another one with the same address: it started later. */
+static bool fleet_upstream_precedes(const struct fleet_upstream *up,
+				    const struct fleet_upstream *other)
+{
+	if (up->started_ms != other->started_ms)
+		return up->started_ms > other->started_ms;
+	return strcmp(up->id, other->id) > 0;
+}
+
+/* Takes the address from an upstream. Without an entry, one that started earlier has ended; one
+ * that started later continues what it runs. */
+static void fleet_displace(struct fleet_upstream *up, const struct fleet_upstream *owner)
+{
+	if (!up->unlisted)
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_DISPLACED);
+	else if (fleet_upstream_precedes(owner, up))
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
+}
+
+/* Gives a listed upstream its address, unless one that comes before it has the address. */
+static void fleet_claim_address(struct fleet *fleet, struct fleet_upstream *up, uint64_t now_us)
+{
+	struct fleet_upstream *owner = g_hash_table_lookup(fleet->by_address, up->address);
+
+	if (owner == up)
+		return;
+	if (owner && !owner->unlisted && fleet_upstream_precedes(owner, up)) {
+		fleet_displace(up, owner);
+		return;
+	}
+	if (owner)
+		fleet_displace(owner, up);
+	g_hash_table_replace(fleet->by_address, up->address, up);
+	if (up->state != FLEET_UPSTREAM_DISPLACED)
+		return;
+	if (up->announced_leaving || fleet_has_departed(fleet, up->id, up->started_ms)) {
+		up->leaving_since_us = now_us;
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_LEAVING);
+	} else {
+		up->leaving_since_us = 0;
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_READY);
+	}
+}
+
+/* Gives an address whose owner is no longer listed there to the first of the displaced upstreams.
+ */
+static void fleet_pass_on_address(struct fleet *fleet, const char *address, uint64_t now_us)
+{
+	struct fleet_upstream *first = NULL;
+	struct fleet_upstream *up;
+	GHashTableIter iter;
+
+#if defined(FL_FAULT_KEEP_DISPLACED)
+	/* Deliberate defect, which the tests have to detect: displaced upstreams stay so. */
+	return;
+#endif
+	if (fleet->displaced_count == 0)
+		return;
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
+		if (up->state == FLEET_UPSTREAM_DISPLACED && strcmp(up->address, address) == 0 &&
+		    (!first || fleet_upstream_precedes(up, first)))
+			first = up;
+	}
+	if (first)
+		fleet_claim_address(fleet, first, now_us);
+}
+
 void fleet_distrust_entries(struct fleet *fleet, uint64_t now_us)
 {
 	fleet->distrust_until_us = now_us + FLEET_DISTRUST_US;
@@ -313,6 +367,18 @@
 		fleet_put_entry(fleet, entry, now_us);
 }
 
+/* Ends an upstream whose id has a new incarnation. */
+static void fleet_replace(struct fleet *fleet, struct fleet_upstream *up, uint64_t now_us)
+{
+	g_autofree char *address = g_strdup(up->address);
+	bool owns_address = g_hash_table_lookup(fleet->by_address, address) == up;
+
+	fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
+	fleet_forget(fleet, up);
+	if (owns_address)
+		fleet_pass_on_address(fleet, address, now_us);
+}
+
 void fleet_put_entry(struct fleet *fleet, const struct fleet_entry *entry, uint64_t now_us)
 {
 	struct fleet_upstream *up = g_hash_table_lookup(fleet->by_id, entry->id);
@@ -323,11 +389,10 @@
 		fleet_put_off(fleet, entry);
 		return;
 	}
-	if (up &&
-	    (up->started_ms != entry->started_ms || strcmp(up->address, entry->address) != 0 ||
-	     strcmp(up->service, entry->service) != 0)) {
-		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
-		fleet_forget(fleet, up);
+	if (up && (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
+		   strcmp(up->address, entry->address) != 0 ||
+		   strcmp(up->service, entry->service) != 0)) {
+		fleet_replace(fleet, up, now_us);
 		up = NULL;
 	}
 	if (!up) {
@@ -340,7 +405,7 @@
 	up->announced_leaving |= entry->leaving;
 	if (entry->leaving || fleet_has_departed(fleet, entry->id, entry->started_ms)) {
 		fleet_upstream_set_leaving(up, now_us);
-	} else if (up->state != FLEET_UPSTREAM_READY && up->state != FLEET_UPSTREAM_GONE &&
+	} else if ((up->state == FLEET_UPSTREAM_LAPSED || up->state == FLEET_UPSTREAM_LEAVING) &&
 		   !up->announced_leaving) {
 		if (up->state == FLEET_UPSTREAM_LEAVING)
 			warm_up_return(&up->cold_limit, now_us);
@@ -349,8 +414,7 @@
 	} else if (added) {
 		fleet->changed(fleet->ctx, up, FLEET_UPSTREAM_GONE);
 	}
-	if (added)
-		fleet_claim_address(fleet, up);
+	fleet_claim_address(fleet, up, now_us);
 }
 
 void fleet_remove_entry(struct fleet *fleet, const char *id, uint64_t lapse_until_us,
@@ -362,16 +426,18 @@
 	if (!up || up->state == FLEET_UPSTREAM_GONE)
 		return;
 	up->unlisted = true;
-	if (up->state == FLEET_UPSTREAM_LEAVING)
+	if (up->state == FLEET_UPSTREAM_DISPLACED) {
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
 		return;
-	if (lapse_until_us > now_us) {
-		if (up->state == FLEET_UPSTREAM_LAPSED)
-			return;
+	}
+	if (lapse_until_us <= now_us) {
+		fleet_upstream_set_leaving(up, now_us);
+	} else if (up->state == FLEET_UPSTREAM_READY) {
 		up->lapse_until_us = lapse_until_us;
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_LAPSED);
-		return;
 	}
-	fleet_upstream_set_leaving(up, now_us);
+	if (g_hash_table_lookup(fleet->by_address, up->address) == up)
+		fleet_pass_on_address(fleet, up->address, now_us);
 }
 
 /* By now an upstream that shuts down has ended. If its entry has gone it is gone; if its entry is
@@ -660,7 +726,7 @@
 	    strcmp(up->address, entry->address) != 0 || strcmp(up->service, entry->service) != 0 ||
 	    strcmp(up->zone, entry->zone) != 0 || up->announced_leaving != entry->leaving)
 		return false;
-	return up->state == FLEET_UPSTREAM_GONE ||
+	return up->state == FLEET_UPSTREAM_DISPLACED ||
 	       up->state ==
 		       (entry->leaving || fleet_has_departed(fleet, entry->id, entry->started_ms)
 				? FLEET_UPSTREAM_LEAVING
@@ -895,6 +961,8 @@
 	if (previous == state)
 		return;
 	up->state = state;
+	up->fleet->displaced_count += state == FLEET_UPSTREAM_DISPLACED;
+	up->fleet->displaced_count -= previous == FLEET_UPSTREAM_DISPLACED;
 	if (state == FLEET_UPSTREAM_LEAVING)
 		g_queue_push_tail(&up->fleet->leaving, fleet_upstream_ref(up));
 	up->fleet->changed(up->fleet->ctx, up, previous);
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -281,7 +281,7 @@
 		  fleet_upstream_zone(up), "state",
 		  fleet_upstream_state_name(fleet_upstream_state(up)), "was",
 		  fleet_upstream_state_name(was), NULL);
-	if (fleet_upstream_state(up) == FLEET_UPSTREAM_GONE)
+	if (fleet_upstream_state(up) >= FLEET_UPSTREAM_DISPLACED)
 		http_client_close_idle(gateway->env.http_client, fleet_upstream_address(up),
 				       fleet_upstream_scope(up));
 }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -185,7 +185,7 @@
 	fleet_destroy(fleet);
 }
 
-/* An address belongs to the upstream that was listed under it last. */
+/* An address belongs to the listed upstream that started last. */
 static void test_address_reuse(void)
 {
 	struct fleet *fleet = create_fleet();
@@ -195,11 +195,136 @@
 	next.service = "shop";
 	fleet_put_entry(fleet, &old, 1 * S);
 	fleet_put_entry(fleet, &next, 2 * S);
-	g_assert_cmpint((int)state_of(fleet, "old"), ==, FLEET_UPSTREAM_GONE);
+	g_assert_cmpint((int)state_of(fleet, "old"), ==, FLEET_UPSTREAM_DISPLACED);
 	g_assert_cmpint((int)state_of(fleet, "next"), ==, FLEET_UPSTREAM_READY);
+	/* Its entry expires. */
+	fleet_remove_entry(fleet, "old", 0, 3 * S);
+	g_assert_cmpint((int)state_of(fleet, "old"), ==, FLEET_UPSTREAM_GONE);
+	fleet_tick(fleet, 4 * S);
+	g_assert_null(fleet_find(fleet, "old"));
+	fleet_destroy(fleet);
+}
+
+/* review/8: an upstream is lost for good when another entry names its address for a while. */
+static void test_address_regained(void)
+{
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry own = engine_entry("own", "10.0.0.1:80", 5);
+	struct fleet_entry other = engine_entry("other", "10.0.0.1:80", 9);
+	struct fleet_upstream *up;
+
+	fleet_put_entry(fleet, &own, 1 * S);
+	up = fleet_find(fleet, "own");
+	fleet_put_entry(fleet, &other, 2 * S);
+	fleet_tick(fleet, 3 * S);
+	/* The same entry, renewed, changes nothing. */
+	g_assert_true(fleet_has_entry(fleet, &own));
+	fleet_put_entry(fleet, &own, 3 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_DISPLACED);
+	fleet_remove_entry(fleet, "other", 0, 4 * S);
+	g_assert_true(fleet_find(fleet, "own") == up);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	g_assert_cmpint((int)state_of(fleet, "other"), ==, FLEET_UPSTREAM_LEAVING);
+	/* Also when the other one moves on to another address, or lapses and comes back. */
+	fleet_put_entry(fleet, &other, 5 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_DISPLACED);
+	fleet_remove_entry(fleet, "other", 7 * S, 6 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	fleet_put_entry(fleet, &other, 7 * S);
+	other.address = "10.0.0.2:80";
+	fleet_put_entry(fleet, &other, 8 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	g_assert_cmpint((int)state_of(fleet, "other"), ==, FLEET_UPSTREAM_READY);
 	fleet_destroy(fleet);
 }
 
+#define VIEW_SEEDS    1000
+#define VIEW_STEPS    40
+#define VIEW_IDS      5
+#define VIEW_SERVICES 2
+
+/* The entries that stand in the store, by the number of the upstream. */
+struct view_world {
+	struct fleet_entry entries[VIEW_IDS];
+	bool listed[VIEW_IDS];
+};
+
+static const char *const view_ids[VIEW_IDS] = { "a", "b", "c", "d", "e" };
+static const char *const view_addresses[] = { "10.0.0.1:80", "10.0.0.2:80" };
+static const char *const view_services[VIEW_SERVICES] = { "engines", "shop" };
+
+/* Removes an entry of the world or writes one, and applies that to a fleet. */
+static void view_change(struct view_world *world, struct fleet *fleet, GRand *rand, uint64_t now_us)
+{
+	uint32_t number = (uint32_t)g_rand_int_range(rand, 0, VIEW_IDS);
+	struct fleet_entry *entry = &world->entries[number];
+	bool was_listed = world->listed[number];
+
+	if (was_listed && g_rand_boolean(rand)) {
+		world->listed[number] = false;
+		fleet_remove_entry(fleet, view_ids[number],
+				   g_rand_boolean(rand) ? now_us + 1 * S : 0, now_us);
+		return;
+	}
+	if (!was_listed || g_rand_boolean(rand)) {
+		*entry =
+			engine_entry(view_ids[number], view_addresses[g_rand_int_range(rand, 0, 2)],
+				     (uint64_t)g_rand_int_range(rand, 1, 6));
+		entry->service = view_services[g_rand_int_range(rand, 0, VIEW_SERVICES)];
+	}
+	world->listed[number] = true;
+	fleet_put_entry(fleet, entry, now_us);
+}
+
+/* Compares a fleet that followed the changes with one that is given the entries at the end.
+ * @return the id of an upstream that differs, or NULL */
+static const char *view_compare(struct fleet *followed, const struct view_world *world,
+				uint64_t now_us)
+{
+	struct fleet *fresh = fleet_create("n1", region_of, on_change, NULL);
+	const char *different = NULL;
+
+	for (uint32_t i = 0; i < VIEW_IDS; i++) {
+		if (world->listed[i])
+			fleet_put_entry(fresh, &world->entries[i], now_us);
+	}
+	for (uint32_t i = 0; i < VIEW_IDS; i++) {
+		if (world->listed[i] &&
+		    (!fleet_find(followed, view_ids[i]) ||
+		     state_of(followed, view_ids[i]) != state_of(fresh, view_ids[i])))
+			different = view_ids[i];
+	}
+	fleet_destroy(fresh);
+	return different;
+}
+
+/* The state of the listed upstreams depends on the entries alone, not on how they came to be. */
+static void test_view_converges(void)
+{
+	for (uint32_t seed = 0; seed < VIEW_SEEDS; seed++) {
+		struct view_world world = { 0 };
+		struct fleet *fleet = create_fleet();
+		GRand *rand = g_rand_new_with_seed(seed);
+
+		for (uint32_t step = 1; step <= VIEW_STEPS; step++) {
+			uint64_t now_us = step * S;
+			const char *different;
+
+			view_change(&world, fleet, rand, now_us);
+			if (g_rand_boolean(rand))
+				fleet_tick(fleet, now_us);
+			different = view_compare(fleet, &world, now_us);
+			if (different) {
+				printf("violation: seed %u, step %u: upstream %s\n", seed, step,
+				       different);
+				exit(EXIT_FAILURE);
+			}
+		}
+		g_rand_free(rand);
+		fleet_destroy(fleet);
+	}
+}
+
 static void test_peers(void)
 {
 	struct fleet *fleet = create_fleet();
@@ -1068,6 +1193,8 @@
 	g_test_add_func("/fleet/notices", test_foreach_leaving);
 	g_test_add_func("/fleet/new-birth", test_new_incarnation);
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
+	g_test_add_func("/fleet/view-converges", test_view_converges);
+	g_test_add_func("/fleet/address-regained", test_address_regained);
 	g_test_add_func("/fleet/peers", test_peers);
 	g_test_add_func("/fleet/zones", test_zones);
 	g_test_add_func("/fleet/load-sums", test_load_sums);
--- a/test/test_gateway_store.c
+++ b/test/test_gateway_store.c
@@ -639,6 +639,51 @@
 	scene_close(&scene);
 }
 
+/* Writes entries that name the addresses of the upstreams and a later start, or removes them. */
+static void scene_put_other_entries(struct scene *scene, const char *service, bool listed)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS(scene->upstreams); i++) {
+		g_autofree char *id = g_strdup_printf("other-%u", i);
+		g_autofree char *text = g_strdup_printf(
+			"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\",\"slots\":8,"
+			"\"state\":\"ready\",\"seq_no\":1,\"born\":%" G_GINT64_FORMAT "}",
+			service, mock_upstream_address(scene->upstreams[i]),
+			g_get_real_time() / 1000);
+
+		mock_store_put(scene->platform, "servers", id, listed ? text : NULL);
+	}
+	testbed_run(scene->testbed, APPLY_MS);
+}
+
+static void scene_expect_served(struct scene *scene)
+{
+	for (uint32_t call = 0; call < 4; call++) {
+		uint16_t status = scene_status(scene->gateways[0], &once);
+
+		if (status != 200) {
+			g_autofree char *log =
+				testbed_log_lines(scene->gateways[0], "upstream-state");
+
+			g_test_message("%s", log);
+		}
+		g_assert_cmpuint(status, ==, 200);
+	}
+}
+
+/* review/8: upstreams are lost for good when other entries name their addresses for a while. */
+static void test_address_taken(void)
+{
+	struct scene scene;
+
+	scene_open(&scene);
+	scene_start_gateway(&scene, NULL);
+	scene_expect_served(&scene);
+	scene_put_other_entries(&scene, TESTBED_PLAIN_SERVICE, true);
+	scene_put_other_entries(&scene, TESTBED_PLAIN_SERVICE, false);
+	scene_expect_served(&scene);
+	scene_close(&scene);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -656,5 +701,6 @@
 	g_test_add_func("/gateway-store/revoked-key-after-start", test_revoked_key_after_start);
 	g_test_add_func("/gateway-store/answers-twice", test_answers_twice);
 	g_test_add_func("/gateway-store/odd-entries", test_odd_entries);
+	g_test_add_func("/gateway-store/address-taken", test_address_taken);
 	return g_test_run();
 }
