Fleet: upstreams of services that are not configured own no address

Cause: any entry of the list could own an address, also one to which nothing is ever sent. Evidence (x86_64, log before): probe-1 of service port-probe ready at 03:42:01.867 and i-desk-1 gone in the same answer; refusals with reason no-upstream until the end.

The fleet is told the configured services with each configuration and decides again who has which address. The list may be read before the configuration, and a service may be configured after its upstreams registered.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -14,8 +14,9 @@
  *
  * Of several upstreams that are listed with one address, the one that started last
  * has it; of those that started at the same time, the one with the greatest id. The
- * others are displaced until its entry is removed or names another address. So the
- * order in which entries arrive does not matter.
+ * others are displaced until its entry is removed or names another address. An
+ * upstream of a service that is not configured has no address: such an entry may come
+ * from another writer. So the order in which entries arrive does not matter.
  */
 #ifndef FLAMINGOLATCH_FLEET_H
 #define FLAMINGOLATCH_FLEET_H
@@ -106,6 +107,10 @@
  * started now.
  * @param zones strings; the fleet takes a reference and expects no later change */
 void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones, uint64_t now_us);
+/** Replaces the set of configured services. Before the first call all services count as
+ * configured.
+ * @param services strings; the fleet takes a reference and expects no later change */
+void fleet_set_services(struct fleet *fleet, GPtrArray *services, uint64_t now_us);
 /** Tells whether fleet_set_evacuated() was called: before, nothing may be sent to any upstream. */
 bool fleet_knows_evacuated(const struct fleet *fleet);
 /** Marks upstreams whose lapse has ended as leaving, removes those that are gone, and makes those
--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -123,6 +123,9 @@
 /** Returns the service of that name, or NULL. */
 const struct route_service *route_config_find_service(const struct route_config *config,
 						      const char *name);
+/** Returns the names of all services, in no order: strings of a new array, which the caller drops a
+ * reference of. */
+GPtrArray *route_config_dup_service_names(const struct route_config *config);
 /** Returns the customer of that name, or NULL. */
 const struct route_customer *route_config_find_customer_name(const struct route_config *config,
 							     const char *name);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -53,6 +53,7 @@
 	enum fleet_upstream_state state;
 	bool announced_leaving; /* its entry announced its shutdown */
 	bool unlisted;		/* its entry was removed */
+	bool configured;	/* its service is; others own no address and are not displaced */
 };
 
 struct fleet {
@@ -75,6 +76,7 @@
 	uint64_t distrust_until_us; /* until then entries are put off */
 	uint32_t displaced_count;
 	GPtrArray *evacuated; /* names of zones; NULL before they are known */
+	GPtrArray *services;  /* names of those that are configured; NULL before they are known */
 };
 
 static const char *const fleet_upstream_state_names[FLEET_UPSTREAM_STATE_COUNT] = {
@@ -171,6 +173,7 @@
 	g_hash_table_destroy(fleet->by_key);
 	g_hash_table_destroy(fleet->by_service);
 	g_clear_pointer(&fleet->evacuated, g_ptr_array_unref);
+	g_clear_pointer(&fleet->services, g_ptr_array_unref);
 	g_free(fleet->zone);
 	g_free(fleet);
 }
@@ -200,6 +203,16 @@
 	return g_strcmp0(region_a, region_b) == 0 ? FLEET_SAME_REGION : FLEET_OTHER_REGION;
 }
 
+static bool fleet_array_has(GPtrArray *names, const char *name)
+{
+	return names && g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL);
+}
+
+static bool fleet_is_configured(const struct fleet *fleet, const char *service)
+{
+	return !fleet->services || fleet_array_has(fleet->services, service);
+}
+
 static struct fleet_upstream *fleet_add_upstream(struct fleet *fleet,
 						 const struct fleet_entry *entry, uint64_t now_us)
 {
@@ -214,6 +227,7 @@
 	up->zone = g_strdup(entry->zone);
 	up->started_ms = entry->started_ms;
 	up->first_listed_us = now_us;
+	up->configured = fleet_is_configured(fleet, entry->service);
 	warm_up_appear(&up->cold_limit, entry->age_ms, now_us);
 	up->distance = fleet_distance(fleet, fleet->zone, entry->zone);
 	up->key = g_str_hash(up->scope);
@@ -260,12 +274,26 @@
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
 }
 
+/* Returns a displaced upstream to the state that its entry states. */
+static void fleet_end_displacement(struct fleet_upstream *up, uint64_t now_us)
+{
+	if (up->state != FLEET_UPSTREAM_DISPLACED)
+		return;
+	if (up->announced_leaving || fleet_has_departed(up->fleet, up->id, up->started_ms)) {
+		up->leaving_since_us = now_us;
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_LEAVING);
+	} else {
+		up->leaving_since_us = 0;
+		fleet_upstream_set_state(up, FLEET_UPSTREAM_READY);
+	}
+}
+
 /* Gives a listed upstream its address, unless one that comes before it has the address. */
 static void fleet_claim_address(struct fleet *fleet, struct fleet_upstream *up, uint64_t now_us)
 {
 	struct fleet_upstream *owner = g_hash_table_lookup(fleet->by_address, up->address);
 
-	if (owner == up)
+	if (owner == up || !up->configured)
 		return;
 	if (owner && !owner->unlisted && fleet_upstream_precedes(owner, up)) {
 		fleet_displace(up, owner);
@@ -274,15 +302,7 @@
 	if (owner)
 		fleet_displace(owner, up);
 	g_hash_table_replace(fleet->by_address, up->address, up);
-	if (up->state != FLEET_UPSTREAM_DISPLACED)
-		return;
-	if (up->announced_leaving || fleet_has_departed(fleet, up->id, up->started_ms)) {
-		up->leaving_since_us = now_us;
-		fleet_upstream_set_state(up, FLEET_UPSTREAM_LEAVING);
-	} else {
-		up->leaving_since_us = 0;
-		fleet_upstream_set_state(up, FLEET_UPSTREAM_READY);
-	}
+	fleet_end_displacement(up, now_us);
 }
 
 /* Gives an address whose owner is no longer listed there to the first of the displaced upstreams.
@@ -314,9 +334,28 @@
 	fleet->distrust_until_us = now_us + FLEET_DISTRUST_US;
 }
 
-static bool fleet_zones_have(GPtrArray *zones, const char *zone)
+void fleet_set_services(struct fleet *fleet, GPtrArray *services, uint64_t now_us)
 {
-	return zones && g_ptr_array_find_with_equal_func(zones, zone, g_str_equal, NULL);
+	GHashTableIter iter;
+	struct fleet_upstream *up;
+
+	g_ptr_array_ref(services);
+	g_clear_pointer(&fleet->services, g_ptr_array_unref);
+	fleet->services = services;
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
+		up->configured = fleet_is_configured(fleet, up->service);
+		if (up->configured)
+			continue;
+		if (g_hash_table_lookup(fleet->by_address, up->address) == up)
+			g_hash_table_remove(fleet->by_address, up->address);
+		fleet_end_displacement(up, now_us);
+	}
+	g_hash_table_iter_init(&iter, fleet->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
+		if (!up->unlisted)
+			fleet_claim_address(fleet, up, now_us);
+	}
 }
 
 void fleet_set_evacuated(struct fleet *fleet, GPtrArray *zones, uint64_t now_us)
@@ -326,8 +365,8 @@
 
 	g_hash_table_iter_init(&iter, fleet->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&up)) {
-		if (fleet_zones_have(fleet->evacuated, up->zone) &&
-		    !fleet_zones_have(zones, up->zone))
+		if (fleet_array_has(fleet->evacuated, up->zone) &&
+		    !fleet_array_has(zones, up->zone))
 			warm_up_return(&up->cold_limit, now_us);
 	}
 	g_ptr_array_ref(zones);
@@ -704,7 +743,7 @@
 
 bool fleet_upstream_is_evacuated(const struct fleet_upstream *up)
 {
-	return fleet_zones_have(up->fleet->evacuated, up->zone);
+	return fleet_array_has(up->fleet->evacuated, up->zone);
 }
 
 struct fleet_upstream *fleet_find(struct fleet *fleet, const char *id)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -214,6 +214,18 @@
 	return g_hash_table_lookup(config->services, name);
 }
 
+GPtrArray *route_config_dup_service_names(const struct route_config *config)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	const char *name;
+
+	g_hash_table_iter_init(&iter, config->services);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&name, NULL))
+		g_ptr_array_add(names, g_strdup(name));
+	return names;
+}
+
 static bool route_has_target(const struct route *route, const char *service)
 {
 	for (guint i = 0; i < route->targets->len; i++) {
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -246,11 +246,13 @@
 					   ? limits->idle_timeout_ms + GATEWAY_IDLE_SLACK_MS
 					   : 0,
 	};
+	g_autoptr(GPtrArray) services = route_config_dup_service_names(config);
 	char version[24];
 	char routes[16];
 
 	route_config_unref(gateway->env.config);
 	gateway->env.config = route_config_ref(config);
+	fleet_set_services(gateway->env.fleet, services, env_now_us());
 	cold_start_on_config(gateway->env.cold_start);
 	http_server_set_limits(gateway->callers, &server,
 			       limits->max_body_bytes ? limits->max_body_bytes
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -238,6 +238,35 @@
 	fleet_destroy(fleet);
 }
 
+/* review/8: an upstream loses its address to an entry of a service that is not configured. */
+static void test_address_unconfigured(void)
+{
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry own = engine_entry("own", "10.0.0.1:80", 5);
+	struct fleet_entry other = engine_entry("other", "10.0.0.1:80", 9);
+	g_autoptr(GPtrArray) engines = g_ptr_array_new();
+	g_autoptr(GPtrArray) both = g_ptr_array_new();
+
+	g_ptr_array_add(engines, (gpointer) "engines");
+	g_ptr_array_add(both, (gpointer) "engines");
+	g_ptr_array_add(both, (gpointer) "shop");
+	other.service = "shop";
+	/* The list may be read before the configuration. */
+	fleet_put_entry(fleet, &own, 1 * S);
+	fleet_put_entry(fleet, &other, 1 * S);
+	fleet_set_services(fleet, engines, 2 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	fleet_remove_entry(fleet, "other", 0, 3 * S);
+	fleet_put_entry(fleet, &other, 4 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	fleet_set_services(fleet, both, 5 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_DISPLACED);
+	g_assert_cmpint((int)state_of(fleet, "other"), ==, FLEET_UPSTREAM_READY);
+	fleet_set_services(fleet, engines, 6 * S);
+	g_assert_cmpint((int)state_of(fleet, "own"), ==, FLEET_UPSTREAM_READY);
+	fleet_destroy(fleet);
+}
+
 #define VIEW_SEEDS    1000
 #define VIEW_STEPS    40
 #define VIEW_IDS      5
@@ -247,6 +276,7 @@
 struct view_world {
 	struct fleet_entry entries[VIEW_IDS];
 	bool listed[VIEW_IDS];
+	GPtrArray *services; /* that are configured; NULL before */
 };
 
 static const char *const view_ids[VIEW_IDS] = { "a", "b", "c", "d", "e" };
@@ -276,6 +306,21 @@
 	fleet_put_entry(fleet, entry, now_us);
 }
 
+/* Configures one of the services, or both. */
+static void view_configure(struct view_world *world, struct fleet *fleet, GRand *rand,
+			   uint64_t now_us)
+{
+	uint32_t configured = (uint32_t)g_rand_int_range(rand, 1, 1 << VIEW_SERVICES);
+
+	g_clear_pointer(&world->services, g_ptr_array_unref);
+	world->services = g_ptr_array_new();
+	for (uint32_t i = 0; i < VIEW_SERVICES; i++) {
+		if (configured & 1U << i)
+			g_ptr_array_add(world->services, (gpointer)view_services[i]);
+	}
+	fleet_set_services(fleet, world->services, now_us);
+}
+
 /* Compares a fleet that followed the changes with one that is given the entries at the end.
  * @return the id of an upstream that differs, or NULL */
 static const char *view_compare(struct fleet *followed, const struct view_world *world,
@@ -284,6 +329,8 @@
 	struct fleet *fresh = fleet_create("n1", region_of, on_change, NULL);
 	const char *different = NULL;
 
+	if (world->services)
+		fleet_set_services(fresh, world->services, now_us);
 	for (uint32_t i = 0; i < VIEW_IDS; i++) {
 		if (world->listed[i])
 			fleet_put_entry(fresh, &world->entries[i], now_us);
@@ -310,7 +357,10 @@
 			uint64_t now_us = step * S;
 			const char *different;
 
-			view_change(&world, fleet, rand, now_us);
+			if (g_rand_int_range(rand, 0, 8) == 0)
+				view_configure(&world, fleet, rand, now_us);
+			else
+				view_change(&world, fleet, rand, now_us);
 			if (g_rand_boolean(rand))
 				fleet_tick(fleet, now_us);
 			different = view_compare(fleet, &world, now_us);
@@ -320,6 +370,7 @@
 				exit(EXIT_FAILURE);
 			}
 		}
+		g_clear_pointer(&world.services, g_ptr_array_unref);
 		g_rand_free(rand);
 		fleet_destroy(fleet);
 	}
@@ -1195,6 +1246,7 @@
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
 	g_test_add_func("/fleet/view-converges", test_view_converges);
 	g_test_add_func("/fleet/address-regained", test_address_regained);
+	g_test_add_func("/fleet/address-unconfigured", test_address_unconfigured);
 	g_test_add_func("/fleet/peers", test_peers);
 	g_test_add_func("/fleet/zones", test_zones);
 	g_test_add_func("/fleet/load-sums", test_load_sums);
--- a/test/test_gateway_store.c
+++ b/test/test_gateway_store.c
@@ -684,6 +684,24 @@
 	scene_close(&scene);
 }
 
+/* review/8: entries of a service that is not configured take the addresses of upstreams. */
+static void test_address_of_unknown_service(void)
+{
+	struct scene scene;
+
+	scene_open(&scene);
+	scene_start_gateway(&scene, NULL);
+	scene_put_other_entries(&scene, "port-probe", true);
+	scene_expect_served(&scene);
+	/* An instance that starts now gets them before it knows the configuration, or after. */
+	testbed_signal(scene.gateways[0], SIGKILL);
+	g_assert_true(testbed_wait_exit(scene.gateways[0], 2000));
+	testbed_start(scene.gateways[0]);
+	g_assert_true(testbed_wait_ready(scene.gateways[0], READY_TIMEOUT_MS));
+	scene_expect_served(&scene);
+	scene_close(&scene);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -702,5 +720,7 @@
 	g_test_add_func("/gateway-store/answers-twice", test_answers_twice);
 	g_test_add_func("/gateway-store/odd-entries", test_odd_entries);
 	g_test_add_func("/gateway-store/address-taken", test_address_taken);
+	g_test_add_func("/gateway-store/address-of-unknown-service",
+			test_address_of_unknown_service);
 	return g_test_run();
 }
