HTTP: trailer fields stay out of the headers of any message

Cause: a field is stored when the next one begins or the head ends. The last trailer field has neither and stayed in the connection's buffers, in front of the first header of the next request. Earlier trailer fields were added to the headers of their own request after its head had been checked.

The buffers are emptied when a message begins, and trailer fields are dropped, on both sides. /http/server/trailers fails before (x-checksumx-model=1n).

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -99,6 +99,7 @@
 	uint32_t line_bytes;	/* of the status line, up to the end of its status */
 	uint32_t status_digits; /* of those, the digits of the status */
 	bool in_value;
+	bool head_complete; /* of the response being read: header fields that follow are trailers */
 	bool connected;
 	bool writing;
 	bool closing;
@@ -449,7 +450,8 @@
 	struct client_conn *conn = parser->data;
 
 	g_ptr_array_set_size(conn->headers, 0);
-	/* Trailers of the previous response are left here. */
+	conn->head_complete = false;
+	/* A trailer of the previous response is left here. */
 	g_string_truncate(conn->name, 0);
 	g_string_truncate(conn->value, 0);
 	conn->header_bytes = 0;
@@ -483,12 +485,18 @@
 	       conn->parser.status_code <= HTTP_CLIENT_MAX_STATUS;
 }
 
+/* Adds the header that was read last to the response. Trailer fields are dropped. */
 static void client_conn_store_header(struct client_conn *conn)
 {
 	char *value;
 
 	if (conn->name->len == 0)
 		return;
+	if (conn->head_complete) {
+		g_string_truncate(conn->name, 0);
+		g_string_truncate(conn->value, 0);
+		return;
+	}
 	value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(value);
 	g_ptr_array_add(conn->headers, g_ascii_strdown(conn->name->str, (gssize)conn->name->len));
@@ -577,6 +585,7 @@
 	if (client_conn_has_unknown_end(parser, !no_body))
 		return -1;
 	client_conn_store_header(conn);
+	conn->head_complete = true;
 	client_conn_parse_keep_alive(conn, &head);
 	if (head.status / 100 == 1 || !call)
 		return no_body;
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -546,6 +546,8 @@
 	conn->head_bytes = 0;
 	conn->refusal_status = 0;
 	conn->in_value = false;
+	g_string_truncate(conn->name, 0);
+	g_string_truncate(conn->value, 0);
 	server_conn_set_state(conn, SERVER_CONN_READING_HEAD);
 	return 0;
 }
@@ -568,13 +570,21 @@
 	return server_conn_count_head_bytes(conn, len);
 }
 
-/* Adds the header that was read last to the request. */
+/* Adds the header that was read last to the request. A trailer field is checked and dropped: what
+ * the request is was decided by its head. */
 static void server_conn_store_header(struct server_conn *conn)
 {
 	struct http_header header;
 
 	if (conn->name->len == 0)
 		return;
+	if (conn->state == SERVER_CONN_READING_BODY) {
+		if (strpbrk(conn->name->str, " \t"))
+			conn->refusal_status = 400;
+		g_string_truncate(conn->name, 0);
+		g_string_truncate(conn->value, 0);
+		return;
+	}
 	header.name = g_ascii_strdown(conn->name->str, (gssize)conn->name->len);
 	header.value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(header.value);
@@ -657,6 +667,9 @@
 		query_mark ? g_strndup(req->target->str, (gsize)(query_mark - req->target->str))
 			   : g_strdup(req->target->str);
 
+	server_conn_store_header(conn);
+	if (conn->refusal_status)
+		return -1;
 	req->query = g_strdup(query_mark ? query_mark + 1 : "");
 	req->path = g_uri_unescape_string(raw_path, NULL);
 	if (!req->path)
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -613,6 +613,7 @@
 	struct http_server *srv;
 	uint32_t requests;
 	GString *targets;   /* "METHOD target;" of each request */
+	GString *headers;   /* "name=value;" of each header, and "|" after each request */
 	bool hold_requests; /* the handler does not answer */
 	struct http_req *held_req;
 	bool disconnected;
@@ -626,6 +627,11 @@
 	server->held_req = NULL;
 }
 
+static void server_fixture_add_header(void *ctx, const char *name, const char *value)
+{
+	g_string_append_printf(ctx, "%s=%s;", name, value);
+}
+
 static void server_fixture_on_request(void *ctx, struct http_req *req)
 {
 	struct server_fixture *server = ctx;
@@ -633,6 +639,8 @@
 	server->requests++;
 	g_string_append_printf(server->targets, "%s %s;", http_req_method(req),
 			       http_req_target(req));
+	http_req_each_header(req, server_fixture_add_header, server->headers);
+	g_string_append_printf(server->headers, "host=%s|", http_req_host(req));
 	if (server->hold_requests) {
 		server->held_req = req;
 		http_req_set_callbacks(req, server_fixture_on_disconnect, NULL, server);
@@ -651,6 +659,7 @@
 
 	memset(server, 0, sizeof(*server));
 	server->targets = g_string_new(NULL);
+	server->headers = g_string_new(NULL);
 	uv_loop_init(&server->loop);
 	server->srv =
 		http_server_create(&server->loop, &conf, server_fixture_on_request, server, NULL);
@@ -664,6 +673,7 @@
 		;
 	g_assert_cmpint(uv_loop_close(&server->loop), ==, 0);
 	g_string_free(server->targets, TRUE);
+	g_string_free(server->headers, TRUE);
 }
 
 static int server_fixture_connect(struct server_fixture *server)
@@ -769,6 +779,43 @@
 	server_fixture_clear(&server);
 }
 
+/* review/9: a trailer field becomes a part of the next request on the connection, or of its own. */
+static void test_trailers(void)
+{
+	static const char *const trailers[] = {
+		"",
+		"X-Checksum: 1\r\n",
+		"X-Checksum: 1\r\nX-Model: other\r\n",
+		"Host: evil\r\nX-Last: 1\r\n",
+		"Content-Length: 3\r\nX-Last: 1\r\n",
+		"X-Empty:\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(trailers); i++) {
+		struct server_fixture server;
+		g_autofree char *bytes = g_strdup_printf(
+			"POST /a HTTP/1.1\r\nHost: h\r\nX-Model: m\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n%s\r\n"
+			"GET /b HTTP/1.1\r\nX-Model: n\r\nHost: i\r\n\r\n",
+			trailers[i]);
+		g_autofree char *response = NULL;
+		bool closed;
+		int fd;
+
+		server_fixture_init(&server);
+		fd = server_fixture_connect(&server);
+		response = server_fixture_exchange(&server, fd, bytes, &closed);
+		g_assert_cmpstr(server.targets->str, ==, "POST /a;GET /b;");
+		g_assert_cmpstr(server.headers->str, ==, "x-model=m;host=h|x-model=n;host=i|");
+		g_assert_false(closed);
+		close(fd);
+		server_fixture_clear(&server);
+	}
+	expect_refused("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+		       "0\r\nX Y: 1\r\n\r\n",
+		       "HTTP/1.1 400");
+}
+
 static void test_expect_continue(void)
 {
 	struct server_fixture server;
@@ -921,6 +968,7 @@
 	g_test_add_func("/http/fetch/limit", test_fetch_limit);
 	g_test_add_func("/http/server/framing", test_bad_requests);
 	g_test_add_func("/http/server/pipelined", test_pipelined);
+	g_test_add_func("/http/server/trailers", test_trailers);
 	g_test_add_func("/http/server/continue", test_expect_continue);
 	g_test_add_func("/http/server/gone", test_disconnect);
 	g_test_add_func("/http/server/slow-head", test_header_timeout);
