Store watch: an answer does not undo later changes of a delegate

An upstream could be lost until its entry changed: a call to the store stays open when another instance becomes the delegate, and its answer may come after what the delegate passed on, on a slow link. Its rows were applied over the later ones, whose changes the cursor had passed. If the delegate was lost before the next query, nobody sent them again.

Rows up to a position that the delegate has passed on already are left out. /store-watch/overtaken-answer: the upstream was leaving before, ready now.

--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -944,13 +944,28 @@
 		watch->callbacks.list_changed(watch->callbacks.changed_ctx, &changes);
 }
 
+/* Tells whether a delegate has passed on all changes of an answer, and perhaps later ones, since
+ * the call was sent. */
+static bool store_watch_is_overtaken(const struct store_watch_table *table,
+				     const struct store_answer *answer)
+{
+	struct store_position known = table->watch->list_position;
+
+	return !table->whole && store_position_is_after(known, table->asked) &&
+	       !store_position_is_after(answer->position, known);
+}
+
 static void store_watch_apply_list_answer(struct store_watch_table *table,
 					  const struct store_answer *answer)
 {
 	struct store_watch *watch = table->watch;
 	uint64_t lapse_until_us = store_watch_lapse_until_us(watch);
-	g_autoptr(GPtrArray) rows = store_watch_apply_rows(watch, answer->changes, lapse_until_us);
+	g_autoptr(GPtrArray) rows = NULL;
 
+	/* Its rows would undo later ones, which the cursor has passed. */
+	if (store_watch_is_overtaken(table, answer))
+		return;
+	rows = store_watch_apply_rows(watch, answer->changes, lapse_until_us);
 	store_watch_log_rows(answer, rows);
 	if (table->whole)
 		store_watch_unlist_missing(watch, answer->changes, lapse_until_us);
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -584,6 +584,39 @@
 	instance_destroy(instance);
 }
 
+/* An upstream is lost when the answer to a call that was open as another instance became the
+ * delegate comes after what the delegate passed on, and the delegate is lost then: the cursor has
+ * passed the changes that the answer undoes. */
+static void test_overtaken_answer(void)
+{
+	static const char *const first[] = { "a", "b", NULL };
+	static const char *const expired[] = { "-a", NULL };
+	static const char *const renewed[] = { "a", NULL };
+	static const char *const none[] = { NULL };
+	struct instance *delegate = create_watching();
+	struct instance *instance = create_watching();
+	struct store_call *call = &instance->calls[STORE_TABLE_UPSTREAMS];
+
+	settle();
+	answer_list(delegate, 20, first);
+	answer_list(instance, 20, first);
+	store_watch_set_changed(delegate->watch, pass_on_changes, NULL, NULL, instance);
+	store_watch_set_watching(instance->watch, false);
+	answer_list(delegate, 30, expired);
+	answer_list(delegate, 40, renewed);
+	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
+	g_assert_cmpuint(call->since, ==, 20);
+	answer_list(instance, 30, expired);
+	store_watch_set_changed(delegate->watch, NULL, NULL, NULL, NULL);
+	store_watch_set_watching(instance->watch, true);
+	settle();
+	g_assert_cmpuint(call->since, ==, 40);
+	answer_list(instance, 50, none);
+	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
+	instance_destroy(instance);
+	instance_destroy(delegate);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -602,5 +635,6 @@
 	g_test_add_func("/store-watch/zones-unknown", test_zones_unknown);
 	g_test_add_func("/store-watch/removed-and-listed-in-one-answer",
 			test_removed_and_listed_in_one_answer);
+	g_test_add_func("/store-watch/overtaken-answer", test_overtaken_answer);
 	return g_test_run();
 }
