--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -3,186 +3,22 @@
  * The watch of the configuration against a store whose answers the test sends one by one, with
  * configurations that take several steps to decode.
  */
-#include "../src/serve/store_watch.h"
-
-#include "../platform/platform.h"
+#include "store_instance.h"
 
 #include <string.h>
 
-/* Iterations of the loop after which all that is due has run. */
-#define SETTLE_ITERATIONS 20
 /* A text that does not decode. */
 #define BROKEN_TEXT "{\"version\":"
 /* Bounds of the watch's own delay before it reads again what it could not decode. */
 #define RETRY_MAX_MS 4000
 
-/* A call of a watch that is not answered yet. */
-struct store_call {
-	enum store_table table;
-	uint64_t since; /* 0 for a read of the whole table */
-	store_answer_cb cb;
-	void *arg;
-	bool open;
-};
-
-struct store_config_decoder {
-	GBytes *text;
-	uint32_t steps_left;
-};
-
-/* One instance, with the calls of its watch. */
-struct instance {
-	struct env env;
-	struct gateway_settings settings;
-	struct store_client client;
-	struct store_watch *watch;
-	struct store_call calls[2]; /* by table */
-	uint32_t config_calls;	    /* how many were made for the configuration */
-};
-
-/* Steps that the decoder needs for the next configuration. */
-static uint32_t decode_steps = 1;
-
-static struct store_call *start_call(struct instance *instance, enum store_table table,
-				     uint64_t since, store_answer_cb cb, void *arg)
-{
-	struct store_call *call = &instance->calls[table];
-
-	g_assert_false(call->open);
-	*call = (struct store_call){ table, since, cb, arg, true };
-	instance->config_calls += table == STORE_TABLE_CONFIG;
-	return call;
-}
-
-static struct store_call *fake_read(void *ctx, enum store_table table, store_answer_cb cb,
-				    void *arg)
-{
-	return start_call(ctx, table, 0, cb, arg);
-}
-
-static struct store_call *fake_watch(void *ctx, enum store_table table, uint64_t since,
-				     uint32_t wait_ms, store_answer_cb cb, void *arg)
-{
-	(void)wait_ms;
-	return start_call(ctx, table, since, cb, arg);
-}
-
-static void fake_cancel(struct store_call *call)
-{
-	call->open = false;
-}
-
-static struct store_config_decoder *fake_decoder_create(GBytes *text)
-{
-	struct store_config_decoder *decoder = g_new0(struct store_config_decoder, 1);
-
-	decoder->text = g_bytes_ref(text);
-	decoder->steps_left = decode_steps;
-	return decoder;
-}
-
-static bool fake_decoder_step(struct store_config_decoder *decoder, uint32_t max_items)
-{
-	(void)max_items;
-	if (decoder->steps_left > 0)
-		decoder->steps_left--;
-	return decoder->steps_left == 0;
-}
-
-static struct route_config *fake_decoder_result(struct store_config_decoder *decoder)
-{
-	gsize len;
-	const char *text = g_bytes_get_data(decoder->text, &len);
-
-	return platform_decode_config(text, len);
-}
-
-static void fake_decoder_destroy(struct store_config_decoder *decoder)
-{
-	if (!decoder)
-		return;
-	g_bytes_unref(decoder->text);
-	g_free(decoder);
-}
-
-static const struct store_ops fake_ops = {
-	.read = fake_read,
-	.watch = fake_watch,
-	.cancel = fake_cancel,
-	.decoder_create = fake_decoder_create,
-	.decoder_step = fake_decoder_step,
-	.decoder_result = fake_decoder_result,
-	.decoder_destroy = fake_decoder_destroy,
-};
-
-static void on_config(void *ctx, struct route_config *config)
-{
-	struct instance *instance = ctx;
-
-	route_config_unref(instance->env.config);
-	instance->env.config = route_config_ref(config);
-}
-
-static const char *region_of(void *ctx, const char *zone)
-{
-	(void)ctx;
-	(void)zone;
-	return "r1";
-}
-
-static void on_upstream(void *ctx, struct fleet_upstream *up, enum fleet_upstream_state was)
-{
-	(void)ctx;
-	(void)up;
-	(void)was;
-}
-
-static void settle(void)
-{
-	for (uint32_t i = 0; i < SETTLE_ITERATIONS; i++)
-		uv_run(uv_default_loop(), UV_RUN_NOWAIT);
-}
-
-static struct instance *instance_create(void)
-{
-	struct instance *instance = g_new0(struct instance, 1);
-	struct env *env = &instance->env;
-
-	instance->settings.bounds.recheck_s = 2.0;
-	instance->settings.config_wait_ms = 1000;
-	instance->settings.list_wait_ms = 1000;
-	instance->client = (struct store_client){ &fake_ops, instance };
-	env->loop = uv_default_loop();
-	env->settings = &instance->settings;
-	env->metric = metric_create();
-	env->rand = g_rand_new_with_seed(1);
-	env->fleet = fleet_create("z1", region_of, on_upstream, instance);
-	env->store_client = &instance->client;
-	freshness_init(&env->freshness, 5000000);
-	instance->watch =
-		store_watch_create(env, &(struct store_watch_callbacks){ .config = on_config,
-									 .config_ctx = instance });
-	return instance;
-}
-
-static void instance_destroy(struct instance *instance)
-{
-	store_watch_destroy(instance->watch);
-	settle();
-	route_config_unref(instance->env.config);
-	fleet_destroy(instance->env.fleet);
-	metric_destroy(instance->env.metric);
-	g_rand_free(instance->env.rand);
-	g_free(instance);
-}
-
 static char *config_text(uint64_t version)
 {
 	return g_strdup_printf("{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[]}", version);
 }
 
 /* Answers the open call of a table. @param text of the configuration, or NULL for no row */
-static void answer(struct instance *instance, enum store_table table,
+static void answer(struct store_instance *instance, enum store_table table,
 		   struct store_position position, const char *text)
 {
 	struct store_call *call = &instance->calls[table];
@@ -201,7 +37,7 @@
 /* Answers the open call for the configuration with rows that evacuate zones, or remove such rows.
  * @param text of a configuration in the same answer, or NULL
  * @param zones names, after a "-" where the row was removed; ended by NULL */
-static void answer_zones(struct instance *instance, struct store_position position,
+static void answer_zones(struct store_instance *instance, struct store_position position,
 			 const char *text, const char *const *zones)
 {
 	struct store_call *call = &instance->calls[STORE_TABLE_CONFIG];
@@ -226,30 +62,30 @@
 }
 
 /* Answers with a configuration that takes a number of further iterations to decode. */
-static void answer_config(struct instance *instance, uint64_t store_version, uint64_t version,
+static void answer_config(struct store_instance *instance, uint64_t store_version, uint64_t version,
 			  uint32_t steps)
 {
 	g_autofree char *text = config_text(version);
 
-	decode_steps = steps;
+	store_instance_set_decode_steps(steps);
 	answer(instance, STORE_TABLE_CONFIG, (struct store_position){ 1, store_version }, text);
 }
 
 /* An instance that watches, with configuration 1 as of version 10 of the store. */
-static struct instance *create_watching(void)
+static struct store_instance *create_watching(void)
 {
-	struct instance *instance = instance_create();
+	struct store_instance *instance = store_instance_create();
 
 	store_watch_set_watching(instance->watch, true);
-	settle();
+	store_instance_settle();
 	answer(instance, STORE_TABLE_UPSTREAMS, (struct store_position){ 1, 10 }, NULL);
 	answer_config(instance, 10, 1, 1);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(route_config_version(instance->env.config), ==, 1);
 	return instance;
 }
 
-static uint64_t position_of(const struct instance *instance)
+static uint64_t position_of(const struct store_instance *instance)
 {
 	return store_watch_config_position(instance->watch).version;
 }
@@ -257,83 +93,83 @@
 /* review/1: an instance passes on a version of the store whose configuration it does not have. */
 static void test_position_while_decoding(void)
 {
-	struct instance *delegate = create_watching();
+	struct store_instance *delegate = create_watching();
 	const struct store_watch_config *config;
 
 	g_assert_cmpuint(position_of(delegate), ==, 10);
-	answer_config(delegate, 20, 2, SETTLE_ITERATIONS + 2);
+	answer_config(delegate, 20, 2, STORE_INSTANCE_SETTLE_ITERATIONS + 2);
 	g_assert_cmpuint(position_of(delegate), ==, 10);
-	settle();
+	store_instance_settle();
 	config = store_watch_config_for(delegate->watch, 0);
 	g_assert_cmpuint(config->version, ==, 1);
 	g_assert_cmpuint(config->position.version, ==, 10);
-	settle();
+	store_instance_settle();
 	config = store_watch_config_for(delegate->watch, 0);
 	g_assert_cmpuint(config->version, ==, 2);
 	g_assert_cmpuint(config->position.version, ==, 20);
 	g_assert_cmpuint(delegate->calls[STORE_TABLE_CONFIG].since, ==, 20);
-	instance_destroy(delegate);
+	store_instance_destroy(delegate);
 }
 
 /* review/1: the delegate is lost while it decodes a configuration; its dependent never reads that
  * configuration and takes the one that it has for the newest. */
 static void test_delegate_lost_while_decoding(void)
 {
-	struct instance *delegate = create_watching();
-	struct instance *dependent = create_watching();
+	struct store_instance *delegate = create_watching();
+	struct store_instance *dependent = create_watching();
 	struct store_call *call = &dependent->calls[STORE_TABLE_CONFIG];
 
 	store_watch_set_watching(dependent->watch, false);
 	answer(dependent, STORE_TABLE_CONFIG, (struct store_position){ 1, 10 }, NULL);
 	answer(dependent, STORE_TABLE_UPSTREAMS, (struct store_position){ 1, 10 }, NULL);
-	settle();
-	answer_config(delegate, 20, 2, SETTLE_ITERATIONS + 2);
+	store_instance_settle();
+	answer_config(delegate, 20, 2, STORE_INSTANCE_SETTLE_ITERATIONS + 2);
 	store_watch_confirm(dependent->watch, env_boot_us(),
 			    store_watch_config_position(delegate->watch));
-	instance_destroy(delegate);
+	store_instance_destroy(delegate);
 	store_watch_set_watching(dependent->watch, true);
-	settle();
+	store_instance_settle();
 	g_assert_true(call->open);
 	/* The store answers with the changes since that version. */
 	if (call->since < 20)
 		answer_config(dependent, 20, 2, 1);
 	else
 		answer(dependent, STORE_TABLE_CONFIG, (struct store_position){ 1, 20 }, NULL);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(route_config_version(dependent->env.config), ==, 2);
-	instance_destroy(dependent);
+	store_instance_destroy(dependent);
 }
 
 /* No second call while a configuration of the store is decoded: it would bring the same again. */
 static void test_one_call_while_decoding(void)
 {
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	uint32_t calls = instance->config_calls;
 
-	answer_config(instance, 20, 2, SETTLE_ITERATIONS + 2);
+	answer_config(instance, 20, 2, STORE_INSTANCE_SETTLE_ITERATIONS + 2);
 	store_watch_read_now(instance->watch, true, false);
 	store_watch_set_watching(instance->watch, false);
 	store_watch_set_watching(instance->watch, true);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(instance->config_calls, ==, calls);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(route_config_version(instance->env.config), ==, 2);
 	g_assert_cmpuint(instance->config_calls, ==, calls + 1);
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* A configuration that does not decode must not count as read: its keys are not known, so those in
  * force are not confirmed, and it is read again. */
 static void test_rejected_is_read_again(void)
 {
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	struct store_call *call = &instance->calls[STORE_TABLE_CONFIG];
 	uint64_t confirmed_us = instance->env.freshness.confirmed_us;
 	uint32_t calls = instance->config_calls;
 
-	decode_steps = 1;
+	store_instance_set_decode_steps(1);
 	answer(instance, STORE_TABLE_CONFIG, (struct store_position){ 1, 20 }, BROKEN_TEXT);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(position_of(instance), ==, 10);
 	g_assert_cmpuint(instance->env.freshness.confirmed_us, ==, confirmed_us);
 	/* not in a loop without delay */
@@ -345,31 +181,31 @@
 	g_assert_true(call->open);
 	g_assert_cmpuint(call->since, ==, 10);
 	answer_config(instance, 30, 3, 1);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(route_config_version(instance->env.config), ==, 3);
 	g_assert_cmpuint(position_of(instance), ==, 30);
 	g_assert_cmpuint(instance->env.freshness.confirmed_us, >, confirmed_us);
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* The store is restored while a configuration that was read before is decoded: its version means
  * nothing to the store now. */
 static void test_restored_while_decoding(void)
 {
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	struct store_call *call = &instance->calls[STORE_TABLE_CONFIG];
 
-	answer_config(instance, 20, 2, SETTLE_ITERATIONS + 2);
+	answer_config(instance, 20, 2, STORE_INSTANCE_SETTLE_ITERATIONS + 2);
 	answer(instance, STORE_TABLE_UPSTREAMS, (struct store_position){ 2, 12 }, NULL);
-	settle();
-	settle();
+	store_instance_settle();
+	store_instance_settle();
 	g_assert_cmpuint(route_config_version(instance->env.config), ==, 2);
 	g_assert_true(call->open);
 	g_assert_cmpuint(call->since, ==, 0);
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
-static void check_zones(const struct instance *instance, const char *expected)
+static void check_zones(const struct store_instance *instance, const char *expected)
 {
 	GPtrArray *zones = store_watch_evacuated(instance->watch);
 	g_autoptr(GString) text = g_string_new(NULL);
@@ -385,24 +221,24 @@
 {
 	static const char *const both[] = { "z1", "z2", NULL };
 	static const char *const back[] = { "-z1", "z2", NULL };
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	g_autofree char *text = config_text(2);
 
-	decode_steps = SETTLE_ITERATIONS + 2;
+	store_instance_set_decode_steps(STORE_INSTANCE_SETTLE_ITERATIONS + 2);
 	answer_zones(instance, (struct store_position){ 1, 20 }, text, both);
 	check_zones(instance, "z1,z2");
 	g_assert_cmpuint(route_config_version(instance->env.config), ==, 1);
 	g_assert_cmpuint(position_of(instance), ==, 10);
-	settle();
-	settle();
+	store_instance_settle();
+	store_instance_settle();
 	g_assert_cmpuint(position_of(instance), ==, 20);
-	decode_steps = 1;
+	store_instance_set_decode_steps(1);
 	answer_zones(instance, (struct store_position){ 1, 30 }, BROKEN_TEXT, back);
-	settle();
+	store_instance_settle();
 	check_zones(instance, "z2");
 	g_assert_cmpuint(position_of(instance), ==, 20);
 	g_assert_cmpuint(store_watch_evacuated_position(instance->watch).version, ==, 30);
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* An instance whose delegate passed on a configuration, but not the zones, watches the store from
@@ -410,20 +246,20 @@
 static void test_zones_not_passed_on(void)
 {
 	static const char *const added[] = { "z1", NULL };
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	struct store_call *call = &instance->calls[STORE_TABLE_CONFIG];
 
 	store_watch_set_watching(instance->watch, false);
 	answer(instance, STORE_TABLE_CONFIG, (struct store_position){ 1, 10 }, NULL);
 	answer(instance, STORE_TABLE_UPSTREAMS, (struct store_position){ 1, 10 }, NULL);
-	settle();
+	store_instance_settle();
 	store_watch_confirm(instance->watch, env_boot_us(), (struct store_position){ 1, 20 });
 	store_watch_set_watching(instance->watch, true);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(call->since, ==, 10);
 	answer_zones(instance, (struct store_position){ 1, 20 }, NULL, added);
 	check_zones(instance, "z1");
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* The call of an instance that becomes a dependent stays open: its answer does not undo what the
@@ -432,23 +268,23 @@
 {
 	static const char *const older[] = { "z1", NULL };
 	static const char *const newer[] = { "-z1", "z3", NULL };
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	g_autoptr(GPtrArray) passed_on = g_ptr_array_new();
 
 	g_ptr_array_add(passed_on, (gpointer) "z2");
-	settle();
+	store_instance_settle();
 	store_watch_adopt_evacuated(instance->watch, (struct store_position){ 1, 20 }, passed_on);
 	answer_zones(instance, (struct store_position){ 1, 15 }, NULL, older);
 	check_zones(instance, "z2");
-	settle();
+	store_instance_settle();
 	g_usleep(200000); /* the pace of reads that bring something */
-	settle();
+	store_instance_settle();
 	answer_zones(instance, (struct store_position){ 1, 30 }, NULL, newer);
 	check_zones(instance, "z2,z3");
 	/* The peer's message is older now. */
 	store_watch_adopt_evacuated(instance->watch, (struct store_position){ 1, 25 }, passed_on);
 	check_zones(instance, "z2,z3");
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* After a restoration the zones of the later era count, from a peer or from the own read, and not
@@ -457,35 +293,35 @@
 {
 	static const char *const before[] = { "z1", NULL };
 	static const char *const after[] = { "z3", NULL };
-	struct instance *instance = create_watching();
+	struct store_instance *instance = create_watching();
 	struct store_call *call = &instance->calls[STORE_TABLE_CONFIG];
 	g_autoptr(GPtrArray) passed_on = g_ptr_array_new();
 
 	g_ptr_array_add(passed_on, (gpointer) "z2");
-	settle();
+	store_instance_settle();
 	store_watch_adopt_evacuated(instance->watch, (struct store_position){ 2, 5 }, passed_on);
 	check_zones(instance, "z2");
 	answer_zones(instance, (struct store_position){ 1, 30 }, NULL, before);
 	check_zones(instance, "z2");
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(call->since, ==, 0);
 	answer_zones(instance, (struct store_position){ 2, 6 }, NULL, after);
 	check_zones(instance, "z3");
-	instance_destroy(instance);
+	store_instance_destroy(instance);
 }
 
 /* An instance is not synced before it knows the zones, whatever else its delegate passed on. */
 static void test_zones_unknown(void)
 {
-	struct instance *instance = instance_create();
-	struct instance *delegate = create_watching();
+	struct store_instance *instance = store_instance_create();
+	struct store_instance *delegate = create_watching();
 	struct store_watch_changes *list = store_watch_list(delegate->watch);
 	g_autoptr(GPtrArray) none = g_ptr_array_new();
 
-	decode_steps = 1;
+	store_instance_set_decode_steps(1);
 	store_watch_apply_changes(instance->watch, list);
 	store_watch_apply_config(instance->watch, store_watch_config_for(delegate->watch, 0));
-	settle();
+	store_instance_settle();
 	g_assert_nonnull(instance->env.config);
 	g_assert_false(store_watch_is_synced(instance->watch));
 	g_assert_false(fleet_knows_evacuated(instance->env.fleet));
@@ -495,8 +331,8 @@
 	g_assert_true(store_watch_is_synced(instance->watch));
 	g_assert_true(fleet_knows_evacuated(instance->env.fleet));
 	store_watch_changes_free(list);
-	instance_destroy(delegate);
-	instance_destroy(instance);
+	store_instance_destroy(delegate);
+	store_instance_destroy(instance);
 }
 
 /* A row of the instance list with the entry of an upstream, or without one. */
@@ -516,7 +352,8 @@
 
 /* Answers the open call for the instance list. @param rows ids, after a "-" where the entry was
  * removed and a "?" where it could not be decoded; ended by NULL */
-static void answer_list(struct instance *instance, uint64_t store_version, const char *const *rows)
+static void answer_list(struct store_instance *instance, uint64_t store_version,
+			const char *const *rows)
 {
 	struct store_call *call = &instance->calls[STORE_TABLE_UPSTREAMS];
 	g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(g_free);
@@ -535,10 +372,10 @@
 		g_ptr_array_add(changes, row);
 	}
 	call->cb(call->arg, &result);
-	settle();
+	store_instance_settle();
 }
 
-static const char *state_of(const struct instance *instance, const char *id)
+static const char *state_of(const struct store_instance *instance, const char *id)
 {
 	struct fleet_upstream *up = fleet_find(instance->env.fleet, id);
 
@@ -548,7 +385,7 @@
 /* Passes the changes that an instance reports on to another one. */
 static void pass_on_changes(void *ctx, const struct store_watch_changes *changes)
 {
-	struct instance *dependent = ctx;
+	struct store_instance *dependent = ctx;
 
 	store_watch_apply_changes(dependent->watch, changes);
 }
@@ -561,11 +398,11 @@
 	static const char *const expired[] = { "-a", "-b", "a", "b", NULL };
 	static const char *const renewed[] = { "a", "b", NULL };
 	static const char *const spoilt[] = { "?a", "a", "-b", "b", "-b", NULL };
-	struct instance *instance = create_watching();
-	struct instance *dependent = create_watching();
+	struct store_instance *instance = create_watching();
+	struct store_instance *dependent = create_watching();
 
 	store_watch_set_changed(instance->watch, pass_on_changes, NULL, NULL, dependent);
-	settle();
+	store_instance_settle();
 	answer_list(instance, 20, first);
 	answer_list(instance, 30, expired);
 	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
@@ -580,8 +417,8 @@
 	g_assert_cmpstr(state_of(instance, "b"), ==, "leaving");
 	g_assert_cmpstr(state_of(dependent, "a"), ==, "ready");
 	g_assert_cmpstr(state_of(dependent, "b"), ==, "leaving");
-	instance_destroy(dependent);
-	instance_destroy(instance);
+	store_instance_destroy(dependent);
+	store_instance_destroy(instance);
 }
 
 /* An upstream is lost when the answer to a call that was open as another instance became the
@@ -593,11 +430,11 @@
 	static const char *const expired[] = { "-a", NULL };
 	static const char *const renewed[] = { "a", NULL };
 	static const char *const none[] = { NULL };
-	struct instance *delegate = create_watching();
-	struct instance *instance = create_watching();
+	struct store_instance *delegate = create_watching();
+	struct store_instance *instance = create_watching();
 	struct store_call *call = &instance->calls[STORE_TABLE_UPSTREAMS];
 
-	settle();
+	store_instance_settle();
 	answer_list(delegate, 20, first);
 	answer_list(instance, 20, first);
 	store_watch_set_changed(delegate->watch, pass_on_changes, NULL, NULL, instance);
@@ -609,12 +446,12 @@
 	answer_list(instance, 30, expired);
 	store_watch_set_changed(delegate->watch, NULL, NULL, NULL, NULL);
 	store_watch_set_watching(instance->watch, true);
-	settle();
+	store_instance_settle();
 	g_assert_cmpuint(call->since, ==, 40);
 	answer_list(instance, 50, none);
 	g_assert_cmpstr(state_of(instance, "a"), ==, "ready");
-	instance_destroy(instance);
-	instance_destroy(delegate);
+	store_instance_destroy(instance);
+	store_instance_destroy(delegate);
 }
 
 int main(int argc, char **argv)
