Fleet: another zone in an entry is a new incarnation

The zone of an upstream whose entry changed nothing else was not taken over: it kept its old zone for placement, evacuation and regions, and each renewal of the entry counted as a change that was passed on.

The upstream is replaced, as with another address or service. /fleet/zone-changed fails before ("n2" == "s1").

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -85,8 +85,8 @@
 /** Frees a fleet, which may be NULL. An upstream is freed when its last reference is dropped. */
 void fleet_destroy(struct fleet *fleet);
 
-/** Adds an upstream, or updates it from its entry. An entry with another start time, address or
- * service is a new incarnation, which replaces the upstream that had its id. */
+/** Adds an upstream, or updates it from its entry. An entry with another start time, address,
+ * service or zone is a new incarnation, which replaces the upstream that had its id. */
 void fleet_put_entry(struct fleet *fleet, const struct fleet_entry *entry, uint64_t now_us);
 /**
  * Records that an entry is no longer listed.
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -430,7 +430,8 @@
 	}
 	if (up && (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
 		   strcmp(up->address, entry->address) != 0 ||
-		   strcmp(up->service, entry->service) != 0)) {
+		   strcmp(up->service, entry->service) != 0 ||
+		   strcmp(up->zone, entry->zone) != 0)) {
 		fleet_replace(fleet, up, now_us);
 		up = NULL;
 	}
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -185,6 +185,22 @@
 	fleet_destroy(fleet);
 }
 
+/* The zone of an entry that changes is not applied. */
+static void test_zone_changed(void)
+{
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry entry = engine_entry("a", "10.0.0.1:80", 5);
+
+	fleet_put_entry(fleet, &entry, 1 * S);
+	entry.zone = "s1";
+	fleet_put_entry(fleet, &entry, 2 * S);
+	g_assert_cmpstr(fleet_upstream_zone(fleet_find(fleet, "a")), ==, "s1");
+	g_assert_cmpint((int)fleet_upstream_distance(fleet_find(fleet, "a")), ==,
+			FLEET_OTHER_REGION);
+	g_assert_true(fleet_has_entry(fleet, &entry));
+	fleet_destroy(fleet);
+}
+
 /* An address belongs to the listed upstream that started last. */
 static void test_address_reuse(void)
 {
@@ -1243,6 +1259,7 @@
 	g_test_add_func("/fleet/may-end", test_may_shut_down);
 	g_test_add_func("/fleet/notices", test_foreach_leaving);
 	g_test_add_func("/fleet/new-birth", test_new_incarnation);
+	g_test_add_func("/fleet/zone-changed", test_zone_changed);
 	g_test_add_func("/fleet/address-reuse", test_address_reuse);
 	g_test_add_func("/fleet/view-converges", test_view_converges);
 	g_test_add_func("/fleet/address-regained", test_address_regained);
