Store watch: changes from another position do not lead on

An instance could keep an entry that is no longer so until it changed again: it had read the list further than its new delegate had, and the delegate's next answer held an entry that was at its end as at its beginning. The delegate leaves out what changes nothing for itself; the instance applied the rest and took the position over.

Changes that begin before the position of the list are applied, but the list then has no position and is sent or read whole.

--- a/include/flamingolatch/change_log.h
+++ b/include/flamingolatch/change_log.h
@@ -35,7 +35,7 @@
 		    GBytes *message, uint64_t now_us);
 
 /** Returns when the first of the changes that lead from @p known to @p newest was added; 0 if the
- * log does not have all of them, or there are none. */
+ * log does not have all of them, none begins at @p known, or there are none. */
 uint64_t change_log_first_us(const struct change_log *log, struct store_position known,
 			     struct store_position newest);
 /** Visits, in order, the messages that lead from @p known to @p newest; none if the log does not
--- a/src/core/change_log.c
+++ b/src/core/change_log.c
@@ -79,8 +79,8 @@
 
 /* queries */
 
-/* Returns the first change after a position that leads on to the newest one without a gap, or NULL.
- */
+/* Returns the change that begins at a position and leads on to the newest one without a gap, or
+ * NULL. */
 static const GList *change_log_first(const struct change_log *log, struct store_position known,
 				     struct store_position newest)
 {
@@ -93,7 +93,9 @@
 		return NULL;
 	while (link && !store_position_is_after(((struct change_log_entry *)link->data)->to, known))
 		link = link->next;
-	return link;
+	return link && change_log_is_same(((struct change_log_entry *)link->data)->from, known)
+		       ? link
+		       : NULL;
 }
 
 uint64_t change_log_first_us(const struct change_log *log, struct store_position known,
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -210,6 +210,10 @@
 
 static bool fleet_is_configured(const struct fleet *fleet, const char *service)
 {
+#if defined(FL_FAULT_ANY_SERVICE)
+	/* Deliberate defect, which the tests have to detect: any entry owns its address. */
+	return true;
+#endif
 	return !fleet->services || fleet_array_has(fleet->services, service);
 }
 
@@ -259,6 +263,10 @@
 static bool fleet_upstream_precedes(const struct fleet_upstream *up,
 				    const struct fleet_upstream *other)
 {
+#if defined(FL_FAULT_LAST_LISTED)
+	/* Deliberate defect, which the tests have to detect: who is listed last has the address. */
+	return false;
+#endif
 	if (up->started_ms != other->started_ms)
 		return up->started_ms > other->started_ms;
 	return strcmp(up->id, other->id) > 0;
@@ -428,10 +436,10 @@
 		fleet_put_off(fleet, entry);
 		return;
 	}
-	if (up && (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
-		   strcmp(up->address, entry->address) != 0 ||
-		   strcmp(up->service, entry->service) != 0 ||
-		   strcmp(up->zone, entry->zone) != 0)) {
+	if (up &&
+	    (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
+	     strcmp(up->address, entry->address) != 0 || strcmp(up->service, entry->service) != 0 ||
+	     strcmp(up->zone, entry->zone) != 0)) {
 		fleet_replace(fleet, up, now_us);
 		up = NULL;
 	}
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -69,6 +69,9 @@
 	bool has_dependents;
 	uint64_t probe_delay_ms;	     /* until the next probe */
 	struct store_position list_position; /* of the last change of the instance list */
+	/* Changes from another position than that of the list were applied: nothing leads on from
+	 * the list but a whole one. */
+	bool list_is_mixed;
 	struct evacuation *evacuation;
 	GBytes *config_text;   /* of the configuration in force */
 	GBytes *previous_text; /* of the one before; NULL when there is none */
@@ -288,22 +291,64 @@
 		store_cursor_set(&table->cursor, position);
 }
 
+/* Records that the list was sent or read whole. */
+static void store_watch_set_list(struct store_watch *watch, struct store_position position)
+{
+	watch->list_position = position;
+	watch->list_is_mixed = false;
+}
+
+/* Records that the list holds changes from another position than its own: their sender leaves out
+ * an entry that is at their end as it was at their beginning, but here it may have changed in
+ * between.
+ */
+static void store_watch_mix_list(struct store_watch *watch)
+{
+#if defined(FL_FAULT_TRUST_OVERLAP)
+	/* Deliberate defect, which the tests have to detect: such changes lead on. */
+	return;
+#endif
+	watch->list_is_mixed = true;
+	watch->list_position = (struct store_position){ 0 };
+	store_cursor_reset(&watch->tables[1].cursor);
+}
+
+/* Tells whether changes of the list may be applied: it has a position that they do not precede, and
+ * there are none missing in between. */
+static bool store_watch_accepts(const struct store_watch *watch,
+				const struct store_watch_changes *changes)
+{
+	if (!store_position_is_after(changes->to, watch->list_position))
+		return false;
+#if defined(FL_FAULT_IGNORE_GAP)
+	/* Deliberate defect, which the tests have to detect: some are missing. */
+	return true;
+#endif
+	return changes->complete || watch->list_is_mixed ||
+	       (watch->tables[1].has_data &&
+		!store_position_is_after(changes->from, watch->list_position));
+}
+
 void store_watch_apply_changes(struct store_watch *watch, const struct store_watch_changes *changes)
 {
 	struct store_watch_table *list = &watch->tables[1];
 	uint64_t until_us = changes->lapse_ms ? env_now_us() + changes->lapse_ms * 1000ULL : 0;
 
 	store_watch_note_era(watch, changes->to.era);
-	if (!store_position_is_after(changes->to, watch->list_position) ||
-	    (!changes->complete &&
-	     (!list->has_data || store_position_is_after(changes->from, watch->list_position))))
+	if (!store_watch_accepts(watch, changes))
 		return;
 	for (guint i = 0; i < changes->rows->len; i++)
 		store_watch_apply_entry(watch, changes->rows->pdata[i], until_us);
-	if (changes->complete)
+	if (changes->complete) {
 		store_watch_unlist_missing(watch, changes->rows, until_us);
-	store_watch_follow(list, changes->to);
+		store_watch_set_list(watch, changes->to);
+	} else if (store_position_is_after(watch->list_position, changes->from)) {
+		store_watch_mix_list(watch);
+	}
 	list->has_data = true;
+	if (watch->list_is_mixed)
+		return;
+	store_watch_follow(list, changes->to);
 	watch->list_position = changes->to;
 }
 
@@ -877,10 +922,23 @@
 					 uint64_t lapse_until_us)
 {
 	GPtrArray *effective = g_ptr_array_new();
+#if defined(FL_FAULT_COMPARE_BATCH)
+	/* Deliberate defect, which the tests have to detect: compares with the list before all
+	 * rows.
+	 */
+	g_autofree bool *changes = g_new(bool, rows->len + 1);
+
+	for (guint i = 0; i < rows->len; i++)
+		changes[i] = store_watch_row_changes(watch, rows->pdata[i]);
+#endif
 
 	for (guint i = 0; i < rows->len; i++) {
 		struct store_change *row = rows->pdata[i];
 
+#if defined(FL_FAULT_COMPARE_BATCH)
+		if (!changes[i])
+			continue;
+#endif
 		if (!store_watch_row_changes(watch, row))
 			continue;
 		store_watch_apply_entry(watch, row, lapse_until_us);
@@ -951,6 +1009,10 @@
 {
 	struct store_position known = table->watch->list_position;
 
+#if defined(FL_FAULT_UNDO_LATER)
+	/* Deliberate defect, which the tests have to detect: applies every answer. */
+	return false;
+#endif
 	return !table->whole && store_position_is_after(known, table->asked) &&
 	       !store_position_is_after(answer->position, known);
 }
@@ -967,12 +1029,17 @@
 		return;
 	rows = store_watch_apply_rows(watch, answer->changes, lapse_until_us);
 	store_watch_log_rows(answer, rows);
-	if (table->whole)
+	if (table->whole) {
 		store_watch_unlist_missing(watch, answer->changes, lapse_until_us);
-	else
-		store_watch_report_changes(watch, answer->position, rows);
+		store_watch_set_list(watch, answer->position);
+		return;
+	}
+	/* The table is read whole before this instance can be a delegate again. */
+	if (watch->list_is_mixed)
+		return;
+	store_watch_report_changes(watch, answer->position, rows);
 	/* The version of the store also grows with changes of other rows. */
-	if (rows->len > 0 || table->whole)
+	if (rows->len > 0)
 		watch->list_position = answer->position;
 }
 
