Delegation: queries state a digest of the instance list

The query to a delegate carries a digest of the listed entries beside the position of the list. Where the positions agree and the digests do not, the delegate logs source-differs, counts it, reads the list whole, at most once a minute, and sends it whole to who still differs. Either may be wrong.

Instances of before cannot read the longer query and watch the store themselves until they are replaced.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -153,6 +153,10 @@
  * frees the array, which owns its strings. */
 GPtrArray *fleet_ids(struct fleet *fleet);
 uint32_t fleet_count(const struct fleet *fleet);
+/** Returns a digest of the listed entries: of their ids, services, addresses, zones and start
+ * times. Two fleets with the same entries have the same digest, however they came to have them. 0
+ * while entries are put off, see fleet_distrust_entries(). */
+uint64_t fleet_digest(const struct fleet *fleet, uint64_t now_us);
 /** Calls @p callback for every known upstream. */
 void fleet_foreach(struct fleet *fleet, void (*callback)(void *ctx, struct fleet_upstream *up),
 		   void *ctx);
--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -81,6 +81,7 @@
 	X(LOG_STORE_CONFIG_OLDER, 636, INFO, "source-older", "The store holds an older configuration than the one in force, which stays in force.") \
 	X(LOG_STORE_RESTORED, 637, WARNING, "source-restored", "The store came back from an older copy; what it lost is read and written again.") \
 	X(LOG_STORE_LIST_CHANGED, 638, INFO, "source-changed", "The store sent changes of the instance list; unchanged counts the rows that were not applied, as they change nothing.") \
+	X(LOG_STORE_LIST_DIFFERS, 639, WARNING, "source-differs", "A dependent has another instance list at the same version of the store; the list is read whole and sent to the dependents.") \
 	X(LOG_API_KEYS_STALE, 640, WARNING, "keys-stale", "The configuration was not confirmed in time; requests with API keys are refused.") \
 	X(LOG_API_KEYS_CONFIRMED, 641, INFO, "keys-fresh", "The configuration is confirmed again; API keys are accepted.") \
 	X(LOG_ZONE_EVACUATED, 642, WARNING, "zone-evacuated", "A zone is evacuated; its upstreams get no new requests.") \
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -65,6 +65,7 @@
 	X(METRIC_BUS_REPORT_BYTES_FAR, "bus_far_report_bytes_total", "Bytes of load reports sent to other regions.") \
 	X(METRIC_BUS_DELEGATION_BYTES, "bus_delegation_bytes_total", "Bytes of messages by which one instance watches the store for others.") \
 	X(METRIC_BUS_LISTS_SENT, "bus_lists_sent_total", "Whole instance lists sent to instances that lacked more than the last changes.") \
+	X(METRIC_LIST_DIFFERENCES, "list_differences_total", "Dependents whose instance list differed from that of this instance at the same version of the store.") \
 	X(METRIC_BUS_QUARANTINE_BYTES, "bus_quarantine_bytes_total", "Bytes of messages on prompt parts and requests that crash upstreams.") \
 	X(METRIC_BUS_LIMIT_BYTES, "bus_limit_bytes_total", "Bytes of messages on limits that upstreams name.") \
 	X(METRIC_BUS_SPEED_BYTES, "bus_speed_bytes_total", "Bytes of messages on learned speeds of upstreams.") \
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -1,6 +1,7 @@
 #include "flamingolatch/fleet.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define FLEET_FAILURE_SHARE_WEIGHT     0.15	       /* of the newest outcome */
 #define FLEET_SUSPEND_UNANSWERED_COUNT 2	       /* requests in a row */
@@ -47,7 +48,8 @@
 	double failure_share;
 	uint32_t consecutive_unanswered;
 	uint32_t slots;
-	uint32_t key; /* hash of the scope */
+	uint64_t digest; /* of what its entry says of it */
+	uint32_t key;	 /* hash of the scope */
 	uint32_t refs;
 	enum fleet_upstream_distance distance;
 	enum fleet_upstream_state state;
@@ -74,6 +76,7 @@
 	GQueue departed_ids;	    /* keys of the same, the oldest first */
 	GHashTable *put_off;	    /* id to struct fleet_entry that owns its strings */
 	uint64_t distrust_until_us; /* until then entries are put off */
+	uint64_t digest;	    /* of all listed entries */
 	uint32_t displaced_count;
 	GPtrArray *evacuated; /* names of zones; NULL before they are known */
 	GPtrArray *services;  /* names of those that are configured; NULL before they are known */
@@ -138,6 +141,8 @@
 	struct fleet *fleet = g_new0(struct fleet, 1);
 
 	fleet->zone = g_strdup(zone);
+	/* That of an empty list is not 0. */
+	fleet->digest = XXH3_64bits("", 0);
 	fleet->region_of = region_of;
 	fleet->changed = changed;
 	fleet->ctx = ctx;
@@ -217,6 +222,24 @@
 	return !fleet->services || fleet_array_has(fleet->services, service);
 }
 
+static uint64_t fleet_entry_digest(const struct fleet_entry *entry)
+{
+	/* A service or zone of another writer may hold any printable character. */
+	g_autofree char *text =
+		g_strdup_printf("%s\n%s\n%s\n%s\n%" G_GUINT64_FORMAT, entry->id, entry->service,
+				entry->address, entry->zone, entry->started_ms);
+
+	return XXH3_64bits(text, strlen(text));
+}
+
+/* Records whether an upstream is listed. */
+static void fleet_set_listed(struct fleet_upstream *up, bool listed)
+{
+	if (up->unlisted == listed)
+		up->fleet->digest ^= up->digest;
+	up->unlisted = !listed;
+}
+
 static struct fleet_upstream *fleet_add_upstream(struct fleet *fleet,
 						 const struct fleet_entry *entry, uint64_t now_us)
 {
@@ -235,6 +258,8 @@
 	warm_up_appear(&up->cold_limit, entry->age_ms, now_us);
 	up->distance = fleet_distance(fleet, fleet->zone, entry->zone);
 	up->key = g_str_hash(up->scope);
+	up->digest = fleet_entry_digest(entry);
+	up->unlisted = true;
 	up->refs = 1;
 	if (!upstreams) {
 		upstreams = g_ptr_array_new();
@@ -449,7 +474,7 @@
 	}
 	up->slots = entry->slots;
 	warm_up_hear(&up->cold_limit, entry->cold_ms, now_us);
-	up->unlisted = false;
+	fleet_set_listed(up, true);
 	up->announced_leaving |= entry->leaving;
 	if (entry->leaving || fleet_has_departed(fleet, entry->id, entry->started_ms)) {
 		fleet_upstream_set_leaving(up, now_us);
@@ -473,7 +498,7 @@
 	g_hash_table_remove(fleet->put_off, id);
 	if (!up || up->state == FLEET_UPSTREAM_GONE)
 		return;
-	up->unlisted = true;
+	fleet_set_listed(up, false);
 	if (up->state == FLEET_UPSTREAM_DISPLACED) {
 		fleet_upstream_set_state(up, FLEET_UPSTREAM_GONE);
 		return;
@@ -789,6 +814,13 @@
 	return !up || warm_up_confirms(&up->cold_limit, entry->cold_ms, now_us);
 }
 
+uint64_t fleet_digest(const struct fleet *fleet, uint64_t now_us)
+{
+	if (now_us < fleet->distrust_until_us || g_hash_table_size(fleet->put_off) > 0)
+		return 0;
+	return fleet->digest;
+}
+
 const GPtrArray *fleet_service_upstreams(struct fleet *fleet, const char *service)
 {
 	static GPtrArray empty;
@@ -1021,6 +1053,7 @@
 {
 	GPtrArray *upstreams = g_hash_table_lookup(fleet->by_service, up->service);
 
+	fleet_set_listed(up, false);
 	if (g_hash_table_lookup(fleet->by_id, up->id) == up)
 		g_hash_table_remove(fleet->by_id, up->id);
 	if (g_hash_table_lookup(fleet->by_address, up->address) == up)
--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -183,6 +183,7 @@
 		.query_sent_us = now_us,
 		.config_version = delegation_config_version(delegation),
 		.list = store_watch_list_position(delegation->watch),
+		.list_digest = fleet_digest(delegation->env->fleet, env_now_us()),
 	};
 	g_autoptr(GByteArray) bytes = g_byte_array_new();
 
@@ -454,6 +455,7 @@
 	};
 	g_autoptr(GByteArray) bytes = g_byte_array_new();
 	struct delegation_dependent *dependent;
+	bool differs;
 
 	/* The sender counts as a dependent even when this instance is not healthy: with dependents
 	 * it confirms the configuration more often and so becomes healthy. */
@@ -471,9 +473,11 @@
 			delegate_hurry(delegation->choice, now_us);
 		return;
 	}
+	differs = store_watch_check_list(delegation->watch, query->address, query->list,
+					 query->list_digest);
 	if (query->config_version < reply.config_version)
 		delegation_send_config(delegation, query->address, query->config_version);
-	if (store_position_is_after(reply.list, query->list))
+	if (differs || store_position_is_after(reply.list, query->list))
 		delegation_update_list(delegation, query->address, dependent);
 }
 
--- a/src/serve/delegation_message.c
+++ b/src/serve/delegation_message.c
@@ -4,8 +4,8 @@
 
 /* era, version */
 #define DELEGATION_POSITION_TYPE "(tt)"
-/* address, time sent (us), version of the configuration, position of the list */
-#define DELEGATION_QUERY_TYPE "(stt" DELEGATION_POSITION_TYPE ")"
+/* address, time sent (us), version of the configuration, position and digest of the list */
+#define DELEGATION_QUERY_TYPE "(stt" DELEGATION_POSITION_TYPE "t)"
 /* position of the store, names of zones */
 #define DELEGATION_EVACUATED_TYPE "(" DELEGATION_POSITION_TYPE "as)"
 /* address, time sent (us), age (us), version of the configuration, positions of the store and of
@@ -46,9 +46,10 @@
 
 void delegation_encode_query(GByteArray *out, const struct delegation_query *query)
 {
-	delegation_append(out, g_variant_new(DELEGATION_QUERY_TYPE, query->address,
-					     query->query_sent_us, query->config_version,
-					     query->list.era, query->list.version));
+	delegation_append(out,
+			  g_variant_new(DELEGATION_QUERY_TYPE, query->address, query->query_sent_us,
+					query->config_version, query->list.era, query->list.version,
+					query->list_digest));
 }
 
 bool delegation_decode_query(const void *buf, size_t len, struct delegation_query *out,
@@ -57,8 +58,8 @@
 	*owner = delegation_parse(DELEGATION_QUERY_TYPE, buf, len);
 	if (!*owner)
 		return false;
-	g_variant_get(*owner, "(&stt(tt))", &out->address, &out->query_sent_us,
-		      &out->config_version, &out->list.era, &out->list.version);
+	g_variant_get(*owner, "(&stt(tt)t)", &out->address, &out->query_sent_us,
+		      &out->config_version, &out->list.era, &out->list.version, &out->list_digest);
 	return true;
 }
 
--- a/src/serve/delegation_message.h
+++ b/src/serve/delegation_message.h
@@ -33,6 +33,7 @@
 	uint64_t query_sent_us;	    /**< clock of the sender; echoed in the reply */
 	uint64_t config_version;    /**< of the sender's configuration; 0: none */
 	struct store_position list; /**< of the sender's instance list; zeros: none */
+	uint64_t list_digest;	    /**< by fleet_digest(); 0: none */
 };
 
 /** The evacuated zones that an instance knows. */
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -21,6 +21,8 @@
 #define STORE_WATCH_CONFIG_PACE_MS   150
 #define STORE_WATCH_TICK_MS	     250
 #define STORE_WATCH_CONFIG_MAX_BYTES (8U << 20)
+/* A whole list for each dependent of a large group takes seconds of its link. */
+#define STORE_WATCH_DIFFERS_INTERVAL_US (60ULL * 1000 * 1000)
 /* Items of a configuration decoded at a time: 0.2 ms, or 2 ms on a tenth of a core. */
 #define STORE_WATCH_DECODE_ITEMS 16
 
@@ -72,6 +74,7 @@
 	/* Changes from another position than that of the list were applied: nothing leads on from
 	 * the list but a whole one. */
 	bool list_is_mixed;
+	uint64_t differed_us; /* when a dependent had another list; 0 before */
 	struct evacuation *evacuation;
 	GBytes *config_text;   /* of the configuration in force */
 	GBytes *previous_text; /* of the one before; NULL when there is none */
@@ -96,6 +99,7 @@
 static void store_watch_start_decode(struct store_watch *watch,
 				     const struct store_watch_decode *decode);
 static void store_watch_on_decode(uv_idle_t *idle);
+static void store_watch_mix_list(struct store_watch *watch);
 static uint64_t store_watch_retry_ms(struct store_watch *watch, uint32_t failures);
 static void store_watch_on_timer(uv_timer_t *timer);
 static void store_watch_on_tick(uv_timer_t *timer);
@@ -248,6 +252,42 @@
 	}
 }
 
+/* Makes a call at once. The answer to an open one may be from the time before. */
+static void store_watch_send_now(struct store_watch_table *table)
+{
+	if (table->call)
+		table->watch->env->store_client->ops->cancel(table->call);
+	table->call = NULL;
+	table->immediate = true;
+	store_watch_send_after(table, 0);
+}
+
+bool store_watch_check_list(struct store_watch *watch, const char *address,
+			    struct store_position position, uint64_t digest)
+{
+#if defined(FL_FAULT_NO_COMPARE)
+	/* Deliberate defect, which the tests have to detect: lists are not compared. */
+	digest = 0;
+#endif
+	uint64_t now_us = env_now_us();
+	uint64_t own_digest = fleet_digest(watch->env->fleet, now_us);
+	char version[24];
+
+	if (!watch->watching || position.version == 0 || digest == 0 || own_digest == 0 ||
+	    digest == own_digest || position.era != watch->list_position.era ||
+	    position.version != watch->list_position.version)
+		return false;
+	if (watch->differed_us && now_us - watch->differed_us < STORE_WATCH_DIFFERS_INTERVAL_US)
+		return true;
+	watch->differed_us = now_us;
+	snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, position.version);
+	log_event(LOG_STORE_LIST_DIFFERS, "dependent", address, "version", version, NULL);
+	metric_add(watch->env->metric, METRIC_LIST_DIFFERENCES, 1);
+	store_watch_mix_list(watch);
+	store_watch_send_now(&watch->tables[1]);
+	return false;
+}
+
 void store_watch_set_probing(struct store_watch *watch, bool probing)
 {
 	watch->probing = probing;
@@ -314,17 +354,19 @@
 }
 
 /* Tells whether changes of the list may be applied: it has a position that they do not precede, and
- * there are none missing in between. */
+ * there are none missing in between. A whole list of the same position corrects it. */
 static bool store_watch_accepts(const struct store_watch *watch,
 				const struct store_watch_changes *changes)
 {
+	if (changes->complete)
+		return !store_position_is_after(watch->list_position, changes->to);
 	if (!store_position_is_after(changes->to, watch->list_position))
 		return false;
 #if defined(FL_FAULT_IGNORE_GAP)
 	/* Deliberate defect, which the tests have to detect: some are missing. */
 	return true;
 #endif
-	return changes->complete || watch->list_is_mixed ||
+	return watch->list_is_mixed ||
 	       (watch->tables[1].has_data &&
 		!store_position_is_after(changes->from, watch->list_position));
 }
@@ -447,16 +489,8 @@
 
 void store_watch_recheck_zones(struct store_watch *watch)
 {
-	struct store_watch_table *table = &watch->tables[0];
-
-	if (!watch->watching)
-		return;
-	/* The answer to the open call may be from the time before. */
-	if (table->call)
-		watch->env->store_client->ops->cancel(table->call);
-	table->call = NULL;
-	table->immediate = true;
-	store_watch_send_after(table, 0);
+	if (watch->watching)
+		store_watch_send_now(&watch->tables[0]);
 }
 
 void store_watch_read_now(struct store_watch *watch, bool config, bool list)
--- a/src/serve/store_watch.h
+++ b/src/serve/store_watch.h
@@ -72,6 +72,16 @@
 /** Starts or ends the watch of both tables. Open calls are not cancelled at the end, but no other
  * follows. */
 void store_watch_set_watching(struct store_watch *watch, bool watching);
+/**
+ * Compares the instance list with that of a dependent, if both are of the same position. If they
+ * differ, one of them is wrong for an unknown reason, and the list is read whole, at most once a
+ * minute.
+ * @param address of the dependent, for the log
+ * @param digest by fleet_digest(); 0 is not compared
+ * @return true if the lists differ although this one was read whole lately: the dependent needs it
+ */
+bool store_watch_check_list(struct store_watch *watch, const char *address,
+			    struct store_position position, uint64_t digest);
 /** Sets whether the instance may be a delegate, so that it has to know whether the store answers it
  * again after failures. */
 void store_watch_set_probing(struct store_watch *watch, bool probing);
--- a/test/test_delegation_message.c
+++ b/test/test_delegation_message.c
@@ -153,6 +153,27 @@
 	}
 }
 
+static void test_query(void)
+{
+	struct delegation_query query = { .address = "127.0.0.1:1",
+					  .query_sent_us = 5,
+					  .config_version = 6,
+					  .list = { 2, 7 },
+					  .list_digest = UINT64_MAX - 1 };
+	struct delegation_query received;
+	g_autoptr(GByteArray) bytes = g_byte_array_new();
+	g_autoptr(GVariant) owner = NULL;
+
+	delegation_encode_query(bytes, &query);
+	g_assert_true(delegation_decode_query(bytes->data, bytes->len, &received, &owner));
+	g_assert_cmpstr(received.address, ==, query.address);
+	g_assert_cmpuint(received.query_sent_us, ==, query.query_sent_us);
+	g_assert_cmpuint(received.config_version, ==, query.config_version);
+	g_assert_cmpuint(received.list.era, ==, query.list.era);
+	g_assert_cmpuint(received.list.version, ==, query.list.version);
+	g_assert_cmpuint(received.list_digest, ==, query.list_digest);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -160,5 +181,6 @@
 	g_test_add_func("/delegation-message/part", test_part);
 	g_test_add_func("/delegation-message/rejected", test_rejected);
 	g_test_add_func("/delegation-message/evacuated", test_evacuated);
+	g_test_add_func("/delegation-message/query", test_query);
 	return g_test_run();
 }
--- a/test/test_view.c
+++ b/test/test_view.c
@@ -185,15 +185,23 @@
 	g_ptr_array_unref(changes.rows);
 }
 
-/* The delegate sends the whole list to an instance that is behind. */
+/* The delegate compares its list with that of an instance, and sends the whole list if the instance
+ * is behind. */
 static void view_query(struct view_world *world, uint32_t from)
 {
 	const struct store_watch *watch = world->instances[from]->watch;
 	struct store_watch *delegate = world->instances[world->delegate]->watch;
 	struct store_watch_changes *list;
+	bool differs;
 
-	if (from == world->delegate || !store_position_is_after(store_watch_list_position(delegate),
-								store_watch_list_position(watch)))
+	if (from == world->delegate)
+		return;
+	differs = store_watch_check_list(
+		delegate, view_ids[from], store_watch_list_position(watch),
+		fleet_digest(world->instances[from]->env.fleet, env_now_us()));
+	store_instance_settle();
+	if (!differs && !store_position_is_after(store_watch_list_position(delegate),
+						 store_watch_list_position(watch)))
 		return;
 	list = store_watch_list(delegate);
 	view_queue_message(world, from, list);
@@ -293,8 +301,6 @@
 /* Lets the delegate read what is left, and the others learn it. */
 static void view_world_settle(struct view_world *world)
 {
-	for (uint32_t i = 0; i < VIEW_INSTANCES; i++)
-		view_configure(world->instances[i], 0);
 	view_answer(world, world->instances[world->delegate], view_version(world), false);
 	view_answer(world, world->instances[world->delegate], view_version(world), false);
 	for (uint32_t i = 0; i < VIEW_INSTANCES; i++) {
@@ -397,6 +403,34 @@
 	return difference;
 }
 
+/* Returns how often the delegate found a difference. */
+static uint64_t view_difference_count(const struct view_world *world)
+{
+	uint64_t count = 0;
+
+	for (uint32_t i = 0; i < VIEW_INSTANCES; i++)
+		count += metric_get(world->instances[i]->env.metric, METRIC_LIST_DIFFERENCES);
+	return count;
+}
+
+/* Loses an entry of an instance, as an unknown fault would, and lets the instances go on.
+ * @return what is wrong after that, to be freed, or NULL */
+static char *view_lose_entry(struct view_world *world, uint32_t draw)
+{
+	struct store_instance *instance = world->instances[draw % VIEW_INSTANCES];
+	uint32_t id = draw / VIEW_INSTANCES % VIEW_IDS;
+
+	if (!view_entry(world, id))
+		return NULL;
+	fleet_remove_entry(instance->env.fleet, view_ids[id], 0, env_now_us());
+	view_world_settle(world);
+	view_world_settle(world);
+	if (view_difference_count(world) != 1)
+		return g_strdup_printf("the loss of %s at instance %u is not noticed", view_ids[id],
+				       draw % VIEW_INSTANCES);
+	return view_compare(world);
+}
+
 /* Plays a sequence. @return what differs at its end, to be freed, or NULL */
 static char *view_play(const GArray *operations)
 {
@@ -406,8 +440,15 @@
 	view_world_init(&world);
 	for (guint i = 0; i < operations->len; i++)
 		view_apply(&world, &g_array_index(operations, struct view_operation, i));
+	for (uint32_t i = 0; i < VIEW_INSTANCES; i++)
+		view_configure(world.instances[i], 0);
 	view_world_settle(&world);
 	difference = view_compare(&world);
+	if (!difference && view_difference_count(&world) > 0)
+		difference = g_strdup("lists of the same position differ");
+	if (!difference && operations->len > 0)
+		difference = view_lose_entry(
+			&world, g_array_index(operations, struct view_operation, 0).draw);
 	view_world_clear(&world);
 	return difference;
 }
