Tests: a table of the framing of requests

One row for each rule of RFC 9112 that the server meets, with what becomes of the message. What is passed on although it is not as the grammar has it is allowed there: two blanks in the request line (3), a folded line that becomes a blank (5.2); a blank behind a chunk size is read as the one before an extension.

--- a/test/test_http.c
+++ b/test/test_http.c
@@ -791,6 +791,108 @@
 	expect_refused(head, "HTTP/1.1 431");
 }
 
+#define POST_HEAD "POST /a HTTP/1.1\r\nHost: h\r\n"
+#define NEXT	  "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+#define CHUNKED	  POST_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+/* A message and what becomes of it: refused with a status and a close, or passed on. */
+struct framing_case {
+	const char *rule; /* section of RFC 9112, and what it is about */
+	const char *bytes;
+	const char *status; /* with which it is refused; NULL when it is passed on */
+	const char *passed; /* targets and headers of what is passed on */
+};
+
+static const struct framing_case request_cases[] = {
+	{ "2.2 empty line ahead", "\r\n" NEXT, NULL, "GET /next;host=h|" },
+	{ "2.2 line feeds alone", "GET /a HTTP/1.1\nHost: h\n\n" NEXT, NULL,
+	  "GET /a;GET /next;host=h|host=h|" },
+	{ "2.2 carriage return in a value", "GET /a HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n" NEXT,
+	  "400", NULL },
+	{ "2.2 blank before the first field", "GET /a HTTP/1.1\r\n X: a\r\nHost: h\r\n\r\n" NEXT,
+	  "400", NULL },
+	{ "2.3 version with two digits", "GET /a HTTP/1.10\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "2.3 version in lower case", "GET /a http/1.1\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "3 two blanks, may be read as one", "GET  /a HTTP/1.1\r\nHost: h\r\n\r\n" NEXT, NULL,
+	  "GET /a;GET /next;host=h|host=h|" },
+	{ "3.1 unknown method", "GETX /a HTTP/1.1\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "3.2 two Host", "GET /a HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "3.2 no Host", "GET /a HTTP/1.1\r\nX: 1\r\n\r\n", "400", NULL },
+	{ "3.2.3 CONNECT", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "5 no colon", "GET /a HTTP/1.1\r\nHost: h\r\nX\r\n\r\n", "400", NULL },
+	{ "5 no name", "GET /a HTTP/1.1\r\nHost: h\r\n: 1\r\n\r\n", "400", NULL },
+	{ "5.1 blank before the colon", "GET /a HTTP/1.1\r\nHost: h\r\nX : 1\r\n\r\n", "400",
+	  NULL },
+	{ "5.1 tab before the colon", "GET /a HTTP/1.1\r\nHost: h\r\nX\t: 1\r\n\r\n", "400", NULL },
+	{ "5.2 folded line, may become a blank",
+	  "GET /a HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n" NEXT, NULL,
+	  "GET /a;GET /next;x=a b;host=h|host=h|" },
+	{ "6.1 both lengths",
+	  POST_HEAD "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" NEXT, "400",
+	  NULL },
+	{ "6.1 unknown coding", POST_HEAD "Transfer-Encoding: gzip\r\n\r\n" NEXT, "400", NULL },
+	{ "6.1 chunked is not the last",
+	  POST_HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 chunked twice",
+	  POST_HEAD "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "6.1 coding in upper case", POST_HEAD "Transfer-Encoding: CHUNKED\r\n\r\n0\r\n\r\n" NEXT,
+	  NULL, "POST /a;GET /next;host=h|host=h|" },
+	{ "6.2 sign", POST_HEAD "Content-Length: +5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 negative", POST_HEAD "Content-Length: -5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 hexadecimal", POST_HEAD "Content-Length: 0x5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 no digits", POST_HEAD "Content-Length:\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 two numbers", POST_HEAD "Content-Length: 5 5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 list", POST_HEAD "Content-Length: 5, 5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 twice the same",
+	  POST_HEAD "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello" NEXT, "400", NULL },
+	{ "6.2 too large", POST_HEAD "Content-Length: 99999999999999999999\r\n\r\n" NEXT, "400",
+	  NULL },
+	{ "7.1 sign of a chunk", CHUNKED "+5\r\nhello\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 prefix of a chunk", CHUNKED "0x5\r\nhello\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 blank before a size", CHUNKED " 5\r\nhello\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 blank behind a size, as before an extension",
+	  CHUNKED "5 \r\nhello\r\n0\r\n\r\n" NEXT, NULL, "POST /a;GET /next;host=h|host=h|" },
+	{ "7.1 line feed behind a size", CHUNKED "5\nhello\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 chunk too long", CHUNKED "5\r\nhelloX\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "7.1 size too large", CHUNKED "fffffffffffffffff\r\nhello\r\n0\r\n\r\n" NEXT, "400",
+	  NULL },
+	{ "7.1.1 extension", CHUNKED "5;a=b\r\nhello\r\n0\r\n\r\n" NEXT, NULL,
+	  "POST /a;GET /next;host=h|host=h|" },
+	{ "7.1.2 trailer", CHUNKED "0\r\nX: 1\r\n\r\n" NEXT, NULL,
+	  "POST /a;GET /next;host=h|host=h|" },
+};
+
+/* Every rule of RFC 9112 on the framing of requests: docs/design/framing.md. */
+static void test_request_framing(void)
+{
+	uint32_t failed = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(request_cases); i++) {
+		const struct framing_case *c = &request_cases[i];
+		g_autofree char *refusal = g_strdup_printf("HTTP/1.1 %s ", c->status);
+		g_autofree char *response = NULL;
+		g_autofree char *passed = NULL;
+		struct server_fixture server;
+		bool closed;
+		bool right;
+		int fd;
+
+		server_fixture_init(&server);
+		fd = server_fixture_connect(&server);
+		response = server_fixture_exchange(&server, fd, c->bytes, &closed);
+		passed = g_strconcat(server.targets->str, server.headers->str, NULL);
+		right = c->status ? g_str_has_prefix(response, refusal) && closed && !*passed
+				  : strcmp(passed, c->passed) == 0;
+		if (!right)
+			g_test_message("violation: %s: passed on '%s', answered '%.12s', closed %d",
+				       c->rule, passed, response, closed);
+		failed += !right;
+		close(fd);
+		server_fixture_clear(&server);
+	}
+	g_assert_cmpuint(failed, ==, 0);
+}
+
 static void test_pipelined(void)
 {
 	struct server_fixture server;
@@ -1003,6 +1105,7 @@
 	g_test_add_func("/http/server/framing", test_bad_requests);
 	g_test_add_func("/http/server/pipelined", test_pipelined);
 	g_test_add_func("/http/server/trailers", test_trailers);
+	g_test_add_func("/http/server/framing-table", test_request_framing);
 	g_test_add_func("/http/server/continue", test_expect_continue);
 	g_test_add_func("/http/server/gone", test_disconnect);
 	g_test_add_func("/http/server/slow-head", test_header_timeout);
