HTTP: messages of other versions than HTTP/1 are refused

http_parser accepts any version and, for requests, none: GET /a without a version and HTTP/2.0 were passed on as if they were HTTP/1.1, and a response with HTTP/2.0 counted as an answer. RFC 9112, 2.3: nothing is known of their framing. Found by the table of framing, no caller was seen to send them.

Requests are answered 400, responses are invalid.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -587,7 +587,9 @@
 		.headers = conn->headers,
 	};
 
-	if (client_conn_has_unknown_end(parser, !no_body) || !client_conn_store_header(conn))
+	/* http_parser accepts any version. */
+	if (parser->http_major != 1 || client_conn_has_unknown_end(parser, !no_body) ||
+	    !client_conn_store_header(conn))
 		return -1;
 	conn->head_complete = true;
 	client_conn_parse_keep_alive(conn, &head);
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -632,7 +632,9 @@
 	req->keep_alive = http_should_keep_alive(parser) && !req->http10;
 	req->method = g_strdup(http_method_str((enum http_method)parser->method));
 	req->head_only = parser->method == HTTP_HEAD;
-	if (parser->upgrade || req->host_count > 1 || (req->host_count == 0 && !req->http10))
+	/* http_parser accepts any version, and none. */
+	if (parser->http_major != 1 || parser->upgrade || req->host_count > 1 ||
+	    (req->host_count == 0 && !req->http10))
 		conn->refusal_status = 400;
 	if (!conn->refusal_status && parser->content_length != UINT64_MAX &&
 	    parser->content_length > conn->srv->max_body_bytes)
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -506,6 +506,33 @@
 
 /* A response with an invalid status is not taken for an answer: alone, after an interim one, after
  * an empty line and after one to another call. */
+/* Heads of responses that are not valid, each before a body of two bytes. */
+static const char *const invalid_heads[] = {
+	"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+};
+
+/* Framing by which the body could be taken for another one: docs/design/framing.md. */
+static void test_response_framing(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid_heads); i++) {
+		const struct mock_response responses[] = { { .bytes = invalid_heads[i] },
+							   { .bytes = OK_RESPONSE } };
+		struct mock_server server;
+		struct call_outcome outcome;
+
+		mock_server_init(&server, responses, G_N_ELEMENTS(responses));
+		outcome = mock_server_call(&server, NULL, NULL, 0, 2000);
+		if (outcome.result != HTTP_CALL_BROKEN)
+			g_test_message("violation: result %d of '%s'", (int)outcome.result,
+				       invalid_heads[i]);
+		expect_outcome(outcome, HTTP_CALL_BROKEN, "");
+		expect_outcome(mock_server_call(&server, NULL, NULL, 0, 2000), HTTP_CALL_OK, "hi");
+		g_assert_cmpuint(server.connections, ==, 2);
+		mock_server_clear(&server);
+	}
+}
+
 /* review/10: a header whose name is invalid is passed on beside a length of our own. */
 static void test_field_names(void)
 {
@@ -811,8 +838,10 @@
 	  "400", NULL },
 	{ "2.2 blank before the first field", "GET /a HTTP/1.1\r\n X: a\r\nHost: h\r\n\r\n" NEXT,
 	  "400", NULL },
+	{ "2.3 version 2", "GET /a HTTP/2.0\r\nHost: h\r\n\r\n", "400", NULL },
 	{ "2.3 version with two digits", "GET /a HTTP/1.10\r\nHost: h\r\n\r\n", "400", NULL },
 	{ "2.3 version in lower case", "GET /a http/1.1\r\nHost: h\r\n\r\n", "400", NULL },
+	{ "3 no version", "GET /a\r\nHost: h\r\n\r\n", "400", NULL },
 	{ "3 two blanks, may be read as one", "GET  /a HTTP/1.1\r\nHost: h\r\n\r\n" NEXT, NULL,
 	  "GET /a;GET /next;host=h|host=h|" },
 	{ "3.1 unknown method", "GETX /a HTTP/1.1\r\nHost: h\r\n\r\n", "400", NULL },
@@ -1094,6 +1123,7 @@
 	g_test_add_func("/http/client/resend", test_resend);
 	g_test_add_func("/http/client/broken", test_broken_responses);
 	g_test_add_func("/http/client/field-names", test_field_names);
+	g_test_add_func("/http/client/framing-table", test_response_framing);
 	g_test_add_func("/http/client/invalid-status", test_invalid_status);
 	g_test_add_func("/http/client/split-status", test_split_status);
 	g_test_add_func("/http/client/early", test_early_response);
