HTTP: a body in other codings than chunks alone is refused

A request or a response with Transfer-Encoding: gzip, chunked was taken for one in chunks: the chunks were decoded, the header dropped, and the coded body passed on as if it were plain. HTTP/1.0 has no codings, and one with Transfer-Encoding was read in chunks too. RFC 9112, 6.1. Found by the table of framing; http_parser looks only at the last coding.

Transfer-Encoding is accepted once, as chunked, with HTTP/1.1. Requests are answered 400, responses are invalid.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -563,12 +563,29 @@
 	       parser->status_code == HTTP_CLIENT_NOT_MODIFIED || (call && call->is_head_request);
 }
 
+/* Tells whether the body is coded in chunks alone. http_parser also accepts other codings before
+ * chunked, and codings of HTTP/1.0, which has none. */
+static bool client_conn_is_chunked_alone(const struct client_conn *conn)
+{
+	uint32_t count = 0;
+	bool chunked = true;
+
+	for (guint i = 0; i + 1 < conn->headers->len; i += 2) {
+		if (strcmp(conn->headers->pdata[i], "transfer-encoding") != 0)
+			continue;
+		count++;
+		chunked &= g_ascii_strcasecmp(conn->headers->pdata[i + 1], "chunked") == 0;
+	}
+	return count == 1 && chunked && conn->parser.http_minor > 0;
+}
+
 /* Tells whether the end of the response cannot be found: its transfer coding is not known, or it
  * switches to a protocol that was not asked for. */
-static bool client_conn_has_unknown_end(const http_parser *parser, bool has_body)
+static bool client_conn_has_unknown_end(const struct client_conn *conn, bool has_body)
 {
-	return parser->status_code == HTTP_CLIENT_SWITCHING_PROTOCOLS ||
-	       (has_body && parser->uses_transfer_encoding && !(parser->flags & F_CHUNKED));
+	return conn->parser.status_code == HTTP_CLIENT_SWITCHING_PROTOCOLS ||
+	       (has_body && conn->parser.uses_transfer_encoding &&
+		!client_conn_is_chunked_alone(conn));
 }
 
 /* Returns what http_parser is to do: 0 to read the body, 1 to expect none, -1 to stop. */
@@ -588,8 +605,8 @@
 	};
 
 	/* http_parser accepts any version. */
-	if (parser->http_major != 1 || client_conn_has_unknown_end(parser, !no_body) ||
-	    !client_conn_store_header(conn))
+	if (parser->http_major != 1 || !client_conn_store_header(conn) ||
+	    client_conn_has_unknown_end(conn, !no_body))
 		return -1;
 	conn->head_complete = true;
 	client_conn_parse_keep_alive(conn, &head);
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -87,8 +87,9 @@
 	void (*on_drained)(void *ctx);
 	void *ctx;
 	uint16_t status;
-	uint32_t host_count; /* Host headers received; more than one is refused */
-	bool dispatched;     /* passed to the handler */
+	uint32_t host_count;   /* Host headers received; more than one is refused */
+	uint32_t coding_count; /* Transfer-Encoding headers received */
+	bool dispatched;       /* passed to the handler */
 	bool keep_alive;
 	bool http10;
 	bool chunked;		/* the response has chunked transfer coding */
@@ -597,6 +598,11 @@
 		g_free(conn->req->host);
 		conn->req->host = g_strdup(header.value);
 	}
+	/* http_parser also accepts other codings before chunked, whose body would be passed on
+	 * without its coding. */
+	if (strcmp(header.name, "transfer-encoding") == 0 &&
+	    (conn->req->coding_count++ > 0 || g_ascii_strcasecmp(header.value, "chunked") != 0))
+		conn->refusal_status = 400;
 	if (strcmp(header.name, "expect") == 0)
 		conn->req->expect_continue = g_ascii_strcasecmp(header.value, "100-continue") == 0;
 	g_array_append_val(conn->req->headers, header);
@@ -632,9 +638,9 @@
 	req->keep_alive = http_should_keep_alive(parser) && !req->http10;
 	req->method = g_strdup(http_method_str((enum http_method)parser->method));
 	req->head_only = parser->method == HTTP_HEAD;
-	/* http_parser accepts any version, and none. */
-	if (parser->http_major != 1 || parser->upgrade || req->host_count > 1 ||
-	    (req->host_count == 0 && !req->http10))
+	/* http_parser accepts any version, and none; HTTP/1.0 has no codings. */
+	if (parser->http_major != 1 || (req->http10 && req->coding_count > 0) || parser->upgrade ||
+	    req->host_count > 1 || (req->host_count == 0 && !req->http10))
 		conn->refusal_status = 400;
 	if (!conn->refusal_status && parser->content_length != UINT64_MAX &&
 	    parser->content_length > conn->srv->max_body_bytes)
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -510,6 +510,14 @@
 static const char *const invalid_heads[] = {
 	"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nhi",
 	"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+	"2\r\nhi\r\n0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n"
+	"2\r\nhi\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+	"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nhi",
 };
 
 /* Framing by which the body could be taken for another one: docs/design/framing.md. */
@@ -860,10 +868,18 @@
 	  POST_HEAD "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" NEXT, "400",
 	  NULL },
 	{ "6.1 unknown coding", POST_HEAD "Transfer-Encoding: gzip\r\n\r\n" NEXT, "400", NULL },
+	{ "6.1 coding before chunked",
+	  POST_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "6.1 coding before chunked, two lines",
+	  POST_HEAD "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" NEXT,
+	  "400", NULL },
 	{ "6.1 chunked is not the last",
 	  POST_HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" NEXT, "400", NULL },
 	{ "7.1 chunked twice",
 	  POST_HEAD "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n" NEXT, "400", NULL },
+	{ "6.1 coding with HTTP/1.0",
+	  "POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400",
+	  NULL },
 	{ "6.1 coding in upper case", POST_HEAD "Transfer-Encoding: CHUNKED\r\n\r\n0\r\n\r\n" NEXT,
 	  NULL, "POST /a;GET /next;host=h|host=h|" },
 	{ "6.2 sign", POST_HEAD "Content-Length: +5\r\n\r\nhello" NEXT, "400", NULL },
