HTTP server: every Connection header names headers to drop

Of several Connection headers only the first was heeded, so the headers that the others name were passed on to upstreams. RFC 9110, 7.6.1, has a proxy remove them. Found by the table of framing.

All of them are looked at. A row of /http/server/framing-table, which gave y=2;z=3 before and gives z=3 now.

--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -420,6 +420,20 @@
 	return false;
 }
 
+/* Returns whether a Connection header, of which there may be several, names a header. */
+static bool http_req_lists_hop_by_hop(const struct http_req *req, const char *name)
+{
+	for (guint i = 0; i < req->headers->len; i++) {
+		const struct http_header *header =
+			&g_array_index(req->headers, struct http_header, i);
+
+		if (strcmp(header->name, "connection") == 0 &&
+		    header_list_contains(header->value, name))
+			return true;
+	}
+	return false;
+}
+
 void http_req_each_header(const struct http_req *req,
 			  void (*each)(void *ctx, const char *name, const char *value), void *ctx)
 {
@@ -427,7 +441,6 @@
 						  "te",	     "trailer",	   "transfer-encoding",
 						  "upgrade", "expect",	   "content-length",
 						  NULL };
-	const char *listed = http_req_header((struct http_req *)req, "connection");
 
 	for (guint i = 0; i < req->headers->len; i++) {
 		const struct http_header *header =
@@ -436,7 +449,7 @@
 		if (g_strv_contains(hop_by_hop, header->name) ||
 		    g_str_has_prefix(header->name, "proxy-"))
 			continue;
-		if (!header_list_contains(listed, header->name))
+		if (!http_req_lists_hop_by_hop(req, header->name))
 			each(ctx, header->name, header->value);
 	}
 }
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -905,6 +905,10 @@
 	  "POST /a;GET /next;host=h|host=h|" },
 	{ "7.1.2 trailer", CHUNKED "0\r\nX: 1\r\n\r\n" NEXT, NULL,
 	  "POST /a;GET /next;host=h|host=h|" },
+	{ "7.6.1 of RFC 9110, fields named by two Connection",
+	  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: x\r\nConnection: y\r\nX: 1\r\nY: 2\r\n"
+	  "Z: 3\r\n\r\n" NEXT,
+	  NULL, "GET /a;GET /next;z=3;host=h|host=h|" },
 };
 
 /* Every rule of RFC 9112 on the framing of requests: docs/design/framing.md. */
