Fleet: an entry that is still missing does not end its lapse

Upstreams whose entries had expired around an outage of the store were given up early by an instance that got the whole list after the changes: the list states no lapse, so its upstreams became leaving at once instead of 2 s later, and got no new requests.

An entry that is unlisted already is not removed again; a lapse goes on to its end, which fleet_tick() finds. /store-watch/whole-list-during-lapse: leaving before, lapsed now.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -496,7 +496,8 @@
 	struct fleet_upstream *up = g_hash_table_lookup(fleet->by_id, id);
 
 	g_hash_table_remove(fleet->put_off, id);
-	if (!up || up->state == FLEET_UPSTREAM_GONE)
+	/* That it is still missing says nothing new: a lapse goes on to its end. */
+	if (!up || up->unlisted)
 		return;
 	fleet_set_listed(up, false);
 	if (up->state == FLEET_UPSTREAM_DISPLACED) {
--- a/test/test_store_watch.c
+++ b/test/test_store_watch.c
@@ -454,6 +454,37 @@
 	store_instance_destroy(delegate);
 }
 
+/* Lapsed entries are given up early when the whole list arrives again, without a word of the
+ * outage: the query of a dependent and the changes crossed. */
+static void test_whole_list_during_lapse(void)
+{
+	static const char *const first[] = { "a", "b", NULL };
+	struct store_instance *delegate = create_watching();
+	struct store_instance *dependent = create_watching();
+	struct store_watch_changes expired = { .from = { 1, 20 },
+					       .to = { 1, 30 },
+					       .lapse_ms = 2000,
+					       .rows = g_ptr_array_new_with_free_func(g_free) };
+	struct store_watch_changes *list;
+
+	store_instance_settle();
+	answer_list(dependent, 20, first);
+	store_watch_set_watching(dependent->watch, false);
+	g_ptr_array_add(expired.rows, list_row("a", true));
+	store_watch_apply_changes(dependent->watch, &expired);
+	g_assert_cmpstr(state_of(dependent, "a"), ==, "lapsed");
+	answer_list(delegate, 30, (const char *const[]){ "b", NULL });
+	list = store_watch_list(delegate->watch);
+	store_watch_apply_changes(dependent->watch, list);
+	g_assert_cmpuint(store_watch_list_position(dependent->watch).version, ==, 30);
+	g_assert_cmpstr(state_of(dependent, "a"), ==, "lapsed");
+	g_assert_cmpstr(state_of(dependent, "b"), ==, "ready");
+	store_watch_changes_free(list);
+	g_ptr_array_unref(expired.rows);
+	store_instance_destroy(dependent);
+	store_instance_destroy(delegate);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -473,5 +504,6 @@
 	g_test_add_func("/store-watch/removed-and-listed-in-one-answer",
 			test_removed_and_listed_in_one_answer);
 	g_test_add_func("/store-watch/overtaken-answer", test_overtaken_answer);
+	g_test_add_func("/store-watch/whole-list-during-lapse", test_whole_list_during_lapse);
 	return g_test_run();
 }
