Fleet: a tick visits the upstreams that entries put off have left

After a restoration of the store an instance could read freed memory: the tick listed the upstreams, then let the entries take effect that were put off, and visited the list. An entry of another start or address replaces an upstream, which is freed when no request uses it.

/fleet/put-off-replaces: heap-use-after-free in fleet_tick() before.

--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -530,10 +530,12 @@
 
 void fleet_tick(struct fleet *fleet, uint64_t now_us)
 {
-	g_autoptr(GList) all = g_hash_table_get_values(fleet->by_id);
+	g_autoptr(GList) all = NULL;
 
+	/* Frees upstreams that are replaced. */
 	if (now_us >= fleet->distrust_until_us && g_hash_table_size(fleet->put_off) > 0)
 		fleet_put_back(fleet, now_us);
+	all = g_hash_table_get_values(fleet->by_id);
 	for (GList *link = all; link; link = link->next) {
 		struct fleet_upstream *up = link->data;
 
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -778,6 +778,22 @@
 	fleet_destroy(fleet);
 }
 
+/* An upstream is used after it was freed when an entry that was put off replaces it. */
+static void test_put_off_replaces(void)
+{
+	struct fleet *fleet = create_fleet();
+	struct fleet_entry again = engine_entry("again", "10.0.0.4:80", 9);
+	struct fleet_entry old = engine_entry("again", "10.0.0.3:80", 5);
+
+	fleet_put_entry(fleet, &again, 1 * S);
+	fleet_distrust_entries(fleet, 3 * S);
+	fleet_put_entry(fleet, &old, 3 * S);
+	g_assert_cmpstr(fleet_upstream_address(fleet_find(fleet, "again")), ==, "10.0.0.4:80");
+	fleet_tick(fleet, 9 * S);
+	g_assert_cmpstr(fleet_upstream_address(fleet_find(fleet, "again")), ==, "10.0.0.3:80");
+	fleet_destroy(fleet);
+}
+
 /* Entries of a restored list that are older than what is known wait until they have proved to be
  * right, or are removed. */
 static void test_restored(void)
@@ -1274,6 +1290,7 @@
 	g_test_add_func("/fleet/silent", test_silent);
 	g_test_add_func("/fleet/overdue", test_overdue);
 	g_test_add_func("/fleet/restored", test_restored);
+	g_test_add_func("/fleet/put-off-replaces", test_put_off_replaces);
 	g_test_add_func("/fleet/departure", test_departure);
 	g_test_add_func("/fleet/departure-ends", test_departure_ends);
 	g_test_add_func("/fleet/departure-instances", test_departure_instances);
