--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -30,6 +30,8 @@
 #include <time.h>
 
 #define SOAK_LOOP_STEP_MS 2
+/* End of the log that is printed when a process exited unexpectedly. */
+#define SOAK_EXIT_LOG_BYTES 20000
 /* Guarantees with a time bound are checked on instances without a fault for this long. */
 #define SOAK_UNDISTURBED_MS 4000
 /* Until no request reaches a replica that announced its shutdown. */
@@ -674,6 +676,7 @@
 static void update_instance(struct soak *soak, struct instance *instance)
 {
 	uint64_t now = now_ms();
+	uint64_t size;
 
 	if (instance->sigcont_at_ms && now >= instance->sigcont_at_ms) {
 		testbed_signal(instance->gateway, SIGCONT);
@@ -705,6 +708,9 @@
 	} else if (!instance->exit_expected && !instance->restart_at_ms &&
 		   instance->gateway->process && testbed_has_exited(instance->gateway)) {
 		violation(soak, "%s exited unexpectedly", instance->gateway->name);
+		size = testbed_log_size(instance->gateway);
+		print_log(instance->gateway,
+			  size > SOAK_EXIT_LOG_BYTES ? size - SOAK_EXIT_LOG_BYTES : 0);
 		instance->restart_at_ms = now;
 	}
 }
