Delegation: what the bus dropped is not counted as on its way

Cause: the first query of a new instance opens the connection to it; the bus drops messages meanwhile, and the delegate noted the dropped list as sent, so that the next queries got none for 3 s (1 s for single changes). Conclusion: the next query brings what was dropped; nothing else changes.

--- a/src/serve/delegation.c
+++ b/src/serve/delegation.c
@@ -46,7 +46,7 @@
 	struct store_position list; /* of its list, as its last query stated */
 	uint64_t since_us;	    /* time of its first query */
 	uint64_t queried_us;	    /* time of its last query */
-	uint64_t resent_us;	    /* when it last got what it lacked; 0: never */
+	uint64_t resent_us;	    /* when it was last sent what it lacked; 0: never, or dropped */
 };
 
 struct delegation {
@@ -364,32 +364,37 @@
 	return delegation_send(delegation, address, type, &message);
 }
 
-static void delegation_send_list(struct delegation *delegation, const char *address,
+/* Sends the whole list. @return false when it was dropped */
+static bool delegation_send_list(struct delegation *delegation, const char *address,
 				 uint64_t now_us)
 {
 	GBytes *packed = delegation_pack_list(delegation, now_us);
 
-	if (packed && delegation_send_bytes(delegation, address, DELEGATION_MSG_CHANGES, packed))
-		metric_add(delegation->env->metric, METRIC_BUS_LISTS_SENT, 1);
+	if (!packed || !delegation_send_bytes(delegation, address, DELEGATION_MSG_CHANGES, packed))
+		return false;
+	metric_add(delegation->env->metric, METRIC_BUS_LISTS_SENT, 1);
+	return true;
 }
 
 struct delegation_resend {
 	struct delegation *delegation;
 	const char *address;
+	bool sent; /* none was dropped so far */
 };
 
 static void delegation_resend_change(void *ctx, GBytes *message)
 {
-	const struct delegation_resend *resend = ctx;
+	struct delegation_resend *resend = ctx;
 
-	delegation_send_bytes(resend->delegation, resend->address, DELEGATION_MSG_CHANGES, message);
+	resend->sent = resend->sent && delegation_send_bytes(resend->delegation, resend->address,
+							     DELEGATION_MSG_CHANGES, message);
 }
 
 /* Sends a dependent what its list lacks, unless that may be on its way. */
 static void delegation_update_list(struct delegation *delegation, const char *address,
 				   struct delegation_dependent *dependent)
 {
-	struct delegation_resend resend = { delegation, address };
+	struct delegation_resend resend = { delegation, address, true };
 	struct store_position newest = store_watch_list_position(delegation->watch);
 	uint64_t first_us = change_log_first_us(delegation->changes, dependent->list, newest);
 	uint64_t now_us = env_boot_us();
@@ -400,12 +405,13 @@
 		return;
 	if (first_us > dependent->since_us && now_us - first_us < DELEGATION_CROSSING_US)
 		return;
-	dependent->resent_us = now_us;
 	if (first_us)
 		change_log_foreach_since(delegation->changes, dependent->list, newest,
 					 delegation_resend_change, &resend);
 	else
-		delegation_send_list(delegation, address, now_us);
+		resend.sent = delegation_send_list(delegation, address, now_us);
+	/* Nothing is on its way when the connection to the dependent is not open yet. */
+	dependent->resent_us = resend.sent ? now_us : 0;
 }
 
 /* Returns what this instance says of itself. @param age_us age of its configuration */
