test_gateway: delegates are taken from the state, not from the log

The check was wrong: it waited until two of three instances had logged 'delegated: yes'. Only an instance that watched the store before logs this; one that gets its tables from a delegate within its own delay never does. The new check asks /state of each instance until two follow a delegate at the same moment, in the same time; the old one was content with two lines of any time. Nothing else of the test changes.

--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -1041,6 +1041,26 @@
 	fixture_close(&f);
 }
 
+/* Waits until a number of instances have a delegate. */
+static void wait_delegated(struct fixture *f, struct testbed_gateway *const *gateways,
+			   uint32_t gateway_count, uint32_t wanted_count)
+{
+	for (uint32_t i = 0; i < 200; i++) {
+		uint32_t delegated = 0;
+
+		for (uint32_t g = 0; g < gateway_count; g++) {
+			g_autofree char *text =
+				testbed_get(f->testbed, gateways[g]->metrics_address, "/state");
+
+			delegated += strstr(text, "\"follows_store\":false") != NULL;
+		}
+		if (delegated >= wanted_count)
+			return;
+		testbed_run(f->testbed, 50);
+	}
+	g_error("fewer than %u instances have a delegate", wanted_count);
+}
+
 /* One instance of a region watches the store as the delegate of the others. When it
  * crashes, the others still learn of shutdown notices and revoked keys. */
 static void test_delegate(void)
@@ -1060,20 +1080,7 @@
 		testbed_start(gateways[i]);
 		g_assert_true(testbed_wait_ready(gateways[i], READY_TIMEOUT_MS));
 	}
-	for (uint32_t i = 0; i < 200; i++) {
-		uint32_t delegated = 0;
-
-		for (uint32_t g = 0; g < 3; g++) {
-			g_autofree char *log =
-				testbed_log_lines(gateways[g], "\"delegated\":\"yes\"");
-
-			delegated += *log != '\0';
-		}
-		if (delegated == 2)
-			break;
-		g_assert_cmpuint(i, <, 199);
-		testbed_run(f.testbed, 50);
-	}
+	wait_delegated(&f, gateways, 3, 2);
 	/* while the store answers, no confirmation of the configuration expires */
 	testbed_run(f.testbed, 5000);
 	for (uint32_t g = 0; g < 3; g++) {
@@ -1119,26 +1126,6 @@
 	fixture_close(&f);
 }
 
-/* Waits until a number of instances have a delegate. */
-static void wait_delegated(struct fixture *f, struct testbed_gateway *const *gateways,
-			   uint32_t gateway_count, uint32_t wanted_count)
-{
-	for (uint32_t i = 0; i < 200; i++) {
-		uint32_t delegated = 0;
-
-		for (uint32_t g = 0; g < gateway_count; g++) {
-			g_autofree char *text =
-				testbed_get(f->testbed, gateways[g]->metrics_address, "/state");
-
-			delegated += strstr(text, "\"follows_store\":false") != NULL;
-		}
-		if (delegated >= wanted_count)
-			return;
-		testbed_run(f->testbed, 50);
-	}
-	g_error("fewer than %u instances have a delegate", wanted_count);
-}
-
 /* An instance that the store does not serve gets new configurations from its peers: it applies
  * them, refuses revoked keys, goes on to serve the others, and does not press the store. */
 static void test_passed_on(void)
