Gateway: a reload that comes during the start is carried out after it

Cause: a process without a handler ends by SIGHUP; the gateway has one only when it is set up, and the soak reloads instances that were just started. Evidence: /gateway-stop/reload-at-start sends SIGHUP while the process waits for its settings (a FIFO). Before: ended by the signal in 3 of 3 plays. After: ready, and the settings were read again, 4 of 4.

--- a/src/main/gateway.c
+++ b/src/main/gateway.c
@@ -14,6 +14,16 @@
 	return config_option ? config_option : g_getenv("FLAMINGOLATCH_SETTINGS");
 }
 
+/* Holds back SIGHUP, which ends a process without a handler, or has it delivered. */
+static void gateway_hold_reload(bool hold)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &signals, NULL);
+}
+
 int cmd_gateway(int argc, char **argv)
 {
 	static const struct gateway_adapter adapter_template = {
@@ -40,6 +50,7 @@
 		g_set_error(&error, ERR_DOMAIN, ERR_BAD_REQUEST, "a settings file is required");
 		return cli_report_error(error);
 	}
+	gateway_hold_reload(true);
 	set = gateway_settings_load(gateway_settings_path(config_option), &error);
 	if (!set)
 		return cli_report_error(error);
@@ -57,7 +68,9 @@
 		log_event(LOG_START_FAILED, "reason", error->message, NULL);
 		return err_info(err_kind_of(error))->exit_code;
 	}
+	gateway_hold_reload(false);
 	gateway_run(gateway);
+	gateway_hold_reload(true);
 	gateway_destroy(gateway);
 	return 0;
 }
--- a/test/test_gateway_stop.c
+++ b/test/test_gateway_stop.c
@@ -7,11 +7,14 @@
 #include "raw_caller.h"
 #include "raw_upstream.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #define READY_TIMEOUT_MS 20000
 #define EXIT_TIMEOUT_MS	 (TESTBED_GRACE_S * 1000)
@@ -447,6 +450,48 @@
 	fixture_close(&f);
 }
 
+/* Opens the settings file, a FIFO, when the process has begun to read it. */
+static int open_for_reader(struct testbed *testbed, const char *path)
+{
+	for (uint32_t i = 0; i < READY_TIMEOUT_MS; i++) {
+		int fd = open(path, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+
+		if (fd >= 0)
+			return fd;
+		testbed_run(testbed, 1);
+	}
+	g_error("%s has no reader", path);
+}
+
+/* A reload that is signalled while a process starts ended it. It is carried out after the start. */
+static void test_reload_at_start(void)
+{
+	struct testbed *testbed = testbed_create(40);
+	struct testbed_gateway *gateway = testbed_gateway(testbed, "gw-1", NULL);
+	g_autofree char *kept = g_strdup_printf("%s.kept", gateway->settings_file);
+	g_autofree char *log = NULL;
+	g_autofree char *text = NULL;
+	gsize len;
+	int fd;
+
+	g_assert_true(g_file_get_contents(gateway->settings_file, &text, &len, NULL));
+	g_assert_cmpint(rename(gateway->settings_file, kept), ==, 0);
+	g_assert_cmpint(mkfifo(gateway->settings_file, 0600), ==, 0);
+	testbed_start(gateway);
+	fd = open_for_reader(testbed, gateway->settings_file);
+	g_assert_cmpint(rename(kept, gateway->settings_file), ==, 0);
+	testbed_signal(gateway, SIGHUP);
+	testbed_run(testbed, 100);
+	g_assert_false(testbed_has_exited(gateway));
+	g_assert_cmpint(write(fd, text, len), ==, (gssize)len);
+	close(fd);
+	testbed_configure(testbed, NULL, NULL);
+	g_assert_true(testbed_wait_ready(gateway, READY_TIMEOUT_MS));
+	log = testbed_log_lines(gateway, "settings-reloaded");
+	g_assert_cmpstr(log, !=, "");
+	testbed_destroy(testbed);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -461,5 +506,6 @@
 	g_test_add_func("/gateway-stop/queued", test_queued);
 	g_test_add_func("/gateway-stop/before-configuration", test_before_configuration);
 	g_test_add_func("/gateway-stop/caller-left", test_caller_left);
+	g_test_add_func("/gateway-stop/reload-at-start", test_reload_at_start);
 	return g_test_run();
 }
