Peer exchange: instances that start together find each other

Callers saw: calls beyond the limit of a cold upstream, up to three times it here, for up to 20 s after three instances had started at once. Cause: an instance reads the others' rows, then writes its own; those that do so together miss each other, and the next read is 20 s later. Conclusion: a read after the own write closes it, as of two that start together the one whose row comes last reads both.

--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -48,6 +48,9 @@
 #define PEER_EXCHANGE_FIRST_READ_MS	1500
 #define PEER_EXCHANGE_READ_INTERVAL_MS	20000
 #define PEER_EXCHANGE_READ_JITTER_MS	1000
+/* An instance that wrote its first row after it had read the others' reads again within this time:
+ * of two that start together, the one whose row is written last finds the other. */
+#define PEER_EXCHANGE_REREAD_JITTER_MS 300
 /* After a restoration of the store the rows are read at a random time in the first interval; an
  * instance that has a delegate waits this much longer for what the delegate reads. */
 #define PEER_EXCHANGE_CHECK_JITTER_MS	 1000
@@ -115,6 +118,7 @@
 	uint64_t announced_us;	 /* when the row of this instance was last written; 0 before */
 	bool announced;		 /* the store has the row of this instance */
 	bool has_read;		 /* the rows were read at least once */
+	bool reread;		 /* they are to be read again although a delegate reads them */
 	uint64_t known_since_us; /* when the rows were first known, also from a delegate */
 	bool delegated;
 	bool leaving;
@@ -793,6 +797,20 @@
 	peer_exchange_announce(timer->data);
 }
 
+/* Has the rows read again soon, also when a delegate reads them: its last read may have been before
+ * those of others that start now. */
+static void peer_exchange_reread(struct peer_exchange *exchange)
+{
+	exchange->reread = true;
+	if (exchange->read_call)
+		exchange->env->store_client->ops->cancel(exchange->read_call);
+	exchange->read_call = NULL;
+	uv_timer_start(
+		&exchange->read_timer, peer_exchange_on_read_timer,
+		(uint64_t)g_rand_int_range(exchange->env->rand, 0, PEER_EXCHANGE_REREAD_JITTER_MS),
+		0);
+}
+
 static void peer_exchange_on_announced(void *arg, const struct store_answer *answer)
 {
 	struct peer_exchange *exchange = arg;
@@ -800,6 +818,8 @@
 	exchange->announce_call = NULL;
 	exchange->announced = answer->result == STORE_OK;
 	if (exchange->announced || exchange->leaving) {
+		if (exchange->announced_us == 0 && exchange->has_read && !exchange->leaving)
+			peer_exchange_reread(exchange);
 		exchange->announce_failures = 0;
 		exchange->announced_us = env_now_us();
 		return;
@@ -848,6 +868,7 @@
 	}
 	exchange->read_failures = 0;
 	exchange->has_read = true;
+	exchange->reread = false;
 	peer_exchange_note_read(exchange);
 	g_hash_table_iter_init(&iter, exchange->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
@@ -874,7 +895,7 @@
 	struct peer_exchange *exchange = timer->data;
 	struct env *env = exchange->env;
 
-	if (exchange->delegated && exchange->announced) {
+	if (exchange->delegated && exchange->announced && !exchange->reread) {
 		uv_timer_start(timer, peer_exchange_on_read_timer, PEER_EXCHANGE_READ_INTERVAL_MS,
 			       0);
 		return;
