HTTP client: a connection carries one call under each id

A move of KV memory that met a late copy of an earlier refusal of its request ended as refused, and a second request of a caller under the same id could get the answer to the first. Cause: the id in a response names the request. Conclusion: the connection remembers the ids, so that no call can forget to say where its request has been.

--- a/include/flamingolatch/http_client.h
+++ b/include/flamingolatch/http_client.h
@@ -10,9 +10,9 @@
  * next one on the connection, and the connection is not reused.
  *
  * A response names a request, but not which sending of it: a second copy of the
- * response to an earlier sending passes matches(). A request that may be sent
- * again therefore has http_call_request::used_conns, which keeps it off the
- * connections that carried it before.
+ * response to an earlier call under the same id passes matches(). Calls whose
+ * responses bear an id therefore state it in http_call_request::id, and a
+ * connection carries at most one call under each id.
  *
  * Order of calls: http_client_create(), any number of http_call_start(),
  * http_client_destroy() when no call is open. A call ends exactly once: with
@@ -76,10 +76,9 @@
 	uint64_t timeout_ms;
 	uint64_t connect_timeout_ms; /**< 0: HTTP_CLIENT_CONNECT_TIMEOUT_MS */
 	bool new_connection;	     /**< open a connection for this call only; it is not reused */
-	/** Numbers, as uint64_t, of the connections that carried earlier sendings of the same
-	 * request. The call uses none of them, and appends its own when it sends. Must stay valid
-	 * until the call ends; NULL for a request that is sent once. */
-	GArray *used_conns;
+	/** Id that the response will bear. The call is not sent on a connection that carried
+	 * another one with this id. NULL when responses bear none. */
+	const char *id;
 };
 
 /** Default time to connect. Allows for three lost SYN packets between regions. */
--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -16,7 +16,9 @@
 #define HTTP_CLIENT_MAX_HEADERS 128
 /* Bytes on a connection before the response to its call: interim responses, and responses to other
  * calls, whose bodies may be long. */
-#define HTTP_CLIENT_MAX_SKIPPED_BYTES	(256U << 10)
+#define HTTP_CLIENT_MAX_SKIPPED_BYTES (256U << 10)
+/* A connection is closed after this many calls with an id, which it remembers. */
+#define HTTP_CLIENT_MAX_CARRIED		1024
 #define HTTP_CLIENT_SWITCHING_PROTOCOLS 101
 #define HTTP_CLIENT_NO_CONTENT		204
 #define HTTP_CLIENT_NOT_MODIFIED	304
@@ -61,7 +63,8 @@
 	uv_timer_t timer;
 	uint64_t timeout_ms;
 	uint64_t connect_timeout_ms;
-	GArray *used_conns; /* owned by the caller; may be NULL */
+	uint32_t id_hash;
+	bool has_id; /* id_hash is valid */
 	bool new_connection;
 	bool is_head_request;
 	bool connect_started; /* set when the timer first expires; later expiries are timeouts */
@@ -85,7 +88,7 @@
 	struct http_client *client;
 	struct http_call *call; /* NULL when idle or closing */
 	char *pool_key;
-	uint64_t number; /* differs from those of all other connections of the client */
+	GArray *carried; /* uint32_t, hashes of the ids of its calls */
 	GString *output; /* request being written */
 	http_parser parser;
 	GPtrArray *headers; /* name, value, name, value, ...; names in lower case */
@@ -213,7 +216,8 @@
 	call->address = g_strdup(req->address);
 	call->pool_key = g_strdup_printf("%s %s", req->address, req->scope ? req->scope : "");
 	call->new_connection = req->new_connection;
-	call->used_conns = req->used_conns;
+	call->has_id = req->id;
+	call->id_hash = req->id ? g_str_hash(req->id) : 0;
 	call->timeout_ms = req->timeout_ms;
 	call->connect_timeout_ms =
 		req->connect_timeout_ms ? req->connect_timeout_ms : HTTP_CLIENT_CONNECT_TIMEOUT_MS;
@@ -405,6 +409,7 @@
 	g_string_free(conn->name, TRUE);
 	g_string_free(conn->value, TRUE);
 	g_ptr_array_free(conn->headers, TRUE);
+	g_array_free(conn->carried, TRUE);
 	if (conn->output)
 		g_string_free(conn->output, TRUE);
 	g_free(conn->pool_key);
@@ -826,12 +831,12 @@
 	conn->response_complete = false;
 	conn->skipped_bytes = 0;
 	conn->mismatched = false;
-	conn->no_reuse = call->new_connection;
+	if (call->has_id)
+		g_array_append_val(conn->carried, call->id_hash);
+	conn->no_reuse = call->new_connection || conn->carried->len >= HTTP_CLIENT_MAX_CARRIED;
 	conn->output = call->request;
 	call->request = NULL;
 	call->sent = true;
-	if (call->used_conns)
-		g_array_append_val(call->used_conns, conn->number);
 	conn->writing = true;
 	conn->write.data = conn;
 	buf = uv_buf_init(conn->output->str, (unsigned int)conn->output->len);
@@ -902,11 +907,12 @@
 	conn->headers = g_ptr_array_new_with_free_func(g_free);
 	conn->name = g_string_new(NULL);
 	conn->value = g_string_new(NULL);
+	conn->carried = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	uv_tcp_init(call->client->loop, &conn->tcp);
 	conn->tcp.data = conn;
 	conn->connect.data = conn;
 	call->conn = conn;
-	conn->number = ++call->client->counts.connects;
+	call->client->counts.connects++;
 	if (uv_tcp_connect(&conn->connect, &conn->tcp, (const struct sockaddr *)&addr,
 			   client_conn_on_connect) != 0) {
 		call->conn = NULL;
@@ -931,15 +937,16 @@
 	       (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/* Tells whether a connection carried an earlier sending of the request of a call. */
+/* Tells whether a connection carried another call with the id of a call. Two ids with the same hash
+ * only cost a connection. */
 static bool client_conn_has_carried(const struct client_conn *conn, const struct http_call *call)
 {
 #if defined(FL_FAULT_RESEND_ON_CONNECTION)
 	/* Deliberate defect, which the tests have to detect: any idle connection will do. */
 	return false;
 #endif
-	for (guint i = 0; call->used_conns && i < call->used_conns->len; i++) {
-		if (g_array_index(call->used_conns, uint64_t, i) == conn->number)
+	for (guint i = 0; call->has_id && i < conn->carried->len; i++) {
+		if (g_array_index(conn->carried, uint32_t, i) == call->id_hash)
 			return true;
 	}
 	return false;
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -119,7 +119,7 @@
 		.body = body,
 		.body_len = body_len,
 		.timeout_ms = left_ms + RELAY_DEADLINE_SLACK_MS,
-		.used_conns = request->used_conns,
+		.id = request->decoded.id,
 	};
 	g_autofree char *headers = NULL;
 
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -59,7 +59,8 @@
 					 .scope = fleet_upstream_scope(request->attempt.up),
 					 .method = "POST",
 					 .headers = "Content-Type: application/json\r\n",
-					 .timeout_ms = RELAY_MIGRATE_TIMEOUT_MS };
+					 .timeout_ms = RELAY_MIGRATE_TIMEOUT_MS,
+					 .id = request->decoded.id };
 
 	env->protocol->encode_migration(&migration, &path, &body);
 	req.path = path;
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -56,7 +56,6 @@
 	request->last_progress_us = request->arrived_us;
 	request->tried = g_ptr_array_new_with_free_func(relay_unref_upstream);
 	request->migrate_tried = g_ptr_array_new_with_free_func(relay_unref_upstream);
-	request->used_conns = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	request->response_body = g_string_new(NULL);
 	request->response_headers = g_string_new(NULL);
 	relay->env->protocol->decode(req, &request->decoded);
@@ -175,6 +174,7 @@
 	req.path = path;
 	req.address = fleet_upstream_address(request->kv_copy_source);
 	req.scope = fleet_upstream_scope(request->kv_copy_source);
+	req.id = request->decoded.id;
 	release = g_new0(struct relay_release, 1);
 	release->relay = request->relay;
 	release->up = fleet_upstream_ref(request->kv_copy_source);
@@ -241,7 +241,6 @@
 	event_stream_destroy(request->events);
 	g_ptr_array_free(request->tried, TRUE);
 	g_ptr_array_free(request->migrate_tried, TRUE);
-	g_array_free(request->used_conns, TRUE);
 	g_string_free(request->response_body, TRUE);
 	g_string_free(request->response_headers, TRUE);
 	protocol_request_clear(&request->decoded);
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -89,7 +89,6 @@
 	char *kv_copy_handle; /* of the latest KV copy by a migration, if it is still unused */
 	struct fleet_upstream *kv_copy_source; /* that made the copy, with a reference */
 	GPtrArray *tried;		       /* upstreams that had the request, with references */
-	GArray *used_conns;	  /* as http_call_request::used_conns, over all attempts */
 	GPtrArray *migrate_tried; /* engines that did not accept a copy, with references */
 	struct event_stream *events;
 	GString *response_body;	   /* the part that is not passed on yet */
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -265,9 +265,9 @@
 
 /* Sends one request to the mock server and runs the loop until the call ends. The caller frees
  * the body, for instance with expect_outcome(). */
-static struct call_outcome mock_server_resend(struct mock_server *server, const char *scope,
-					      const char *id, size_t body_len, uint64_t timeout_ms,
-					      GArray *used_conns)
+static struct call_outcome mock_server_send(struct mock_server *server, const char *scope,
+					    const char *id, size_t body_len, uint64_t timeout_ms,
+					    const char *request_id)
 {
 	struct call_outcome outcome = { .body = g_string_new(NULL), .id = id };
 	g_autofree char *body = g_strnfill(body_len, 'x');
@@ -278,7 +278,7 @@
 					 .body = body,
 					 .body_len = body_len,
 					 .timeout_ms = timeout_ms,
-					 .used_conns = used_conns };
+					 .id = request_id };
 
 	http_call_start(server->client, &req, &call_outcome_ops, &outcome);
 	for (uint32_t i = 0; !outcome.ended && i < LOOP_ITERATIONS_MAX; i++)
@@ -287,11 +287,11 @@
 	return outcome;
 }
 
-/* The same for a request that is sent once. */
+/* The same for a request without an id. */
 static struct call_outcome mock_server_call(struct mock_server *server, const char *scope,
 					    const char *id, size_t body_len, uint64_t timeout_ms)
 {
-	return mock_server_resend(server, scope, id, body_len, timeout_ms, NULL);
+	return mock_server_send(server, scope, id, body_len, timeout_ms, NULL);
 }
 
 struct paused_call {
@@ -398,19 +398,17 @@
 static void test_resend(void)
 {
 	static const struct mock_response responses[] = { { .bytes = OK_RESPONSE },
+							  { .bytes = OK_RESPONSE },
 							  { .bytes = OK_RESPONSE },
 							  { .bytes = OK_RESPONSE },
 							  { .bytes = OK_RESPONSE } };
-	g_autoptr(GArray) used_conns = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	struct mock_server server;
 
 	mock_server_init(&server, responses, G_N_ELEMENTS(responses));
 	for (uint32_t sending = 0; sending < 2; sending++) {
-		struct call_outcome outcome =
-			mock_server_resend(&server, NULL, "a", 0, 2000, used_conns);
+		struct call_outcome outcome = mock_server_send(&server, NULL, "a", 0, 2000, "a");
 
 		expect_outcome(outcome, HTTP_CALL_OK, "hi");
-		g_assert_cmpuint(used_conns->len, ==, sending + 1);
 	}
 	if (server.connections != 2) {
 		g_test_message("violation: both sendings on %u connection", server.connections);
@@ -420,11 +418,13 @@
 	}
 	/* Another request takes the newest idle connection. A request that may not have that one
 	 * takes the one before. */
-	expect_outcome(mock_server_call(&server, NULL, "a", 0, 2000), HTTP_CALL_OK, "hi");
-	g_array_remove_index(used_conns, 0);
-	expect_outcome(mock_server_resend(&server, NULL, "a", 0, 2000, used_conns), HTTP_CALL_OK,
-		       "hi");
+	for (uint32_t sending = 0; sending < 2; sending++)
+		expect_outcome(mock_server_send(&server, NULL, "a", 0, 2000, "b"), HTTP_CALL_OK,
+			       "hi");
 	g_assert_cmpuint(server.connections, ==, 2);
+	/* Now both have carried both. */
+	expect_outcome(mock_server_send(&server, NULL, "a", 0, 2000, "b"), HTTP_CALL_OK, "hi");
+	g_assert_cmpuint(server.connections, ==, 3);
 	mock_server_clear(&server);
 }
 
