HTTP: the name of the protocol has to be HTTP

Callers saw: nothing; a message of another protocol whose name begins with H was served, and one from an upstream passed on. Cause: http_parser of Debian is built without strict checks and compares only the first letter of the name.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -29,8 +29,9 @@
 #define HTTP_CLIENT_MAX_STATUS 599
 /* http_parser also accepts fewer digits, and leading zeros. */
 #define HTTP_CLIENT_STATUS_DIGITS 3
-/* Length of "HTTP/1.1", which http_parser checks. */
+/* Length of "HTTP/1.1". http_parser checks only the first letter and the numbers. */
 #define HTTP_CLIENT_VERSION_BYTES 8
+#define HTTP_CLIENT_NAME	  "HTTP/"
 /* Idle time allowed when the server sends no Keep-Alive timeout. */
 #define HTTP_CLIENT_KEEP_ALIVE_DEFAULT_MS 4000
 #define HTTP_CLIENT_KEEP_ALIVE_MAX_MS	  20000
@@ -483,10 +484,12 @@
 }
 
 /* Reads a byte of the status line that http_parser has accepted.
- * @return false when the status is invalid */
+ * @return false when the version or the status is invalid */
 static bool client_conn_check_status(struct client_conn *conn, char byte)
 {
-	if (++conn->line_bytes <= HTTP_CLIENT_VERSION_BYTES)
+	if (++conn->line_bytes <= strlen(HTTP_CLIENT_NAME))
+		return byte == HTTP_CLIENT_NAME[conn->line_bytes - 1];
+	if (conn->line_bytes <= HTTP_CLIENT_VERSION_BYTES)
 		return true;
 	if (g_ascii_isdigit(byte)) {
 		conn->status_digits++;
@@ -697,7 +700,7 @@
 }
 
 /* Passes bytes to http_parser, up to the end of the response to the call or an error.
- * @param valid set to false at an invalid status
+ * @param valid set to false at an invalid version or status
  * @return how many bytes were read */
 static size_t client_conn_execute(struct client_conn *conn, const char *buf, size_t len,
 				  bool *valid)
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -18,6 +18,8 @@
 #define HTTP_SERVER_DEFAULT_MAX_HEADER_BYTES  (64U << 10)
 #define HTTP_SERVER_DEFAULT_HEADER_TIMEOUT_MS 15000
 #define HTTP_SERVER_DEFAULT_IDLE_TIMEOUT_MS   60000
+/* Begin of the version of a request. */
+#define HTTP_SERVER_NAME "HTTP/"
 /* Limit of unread pipelined requests behind the current one; a client over it is disconnected. */
 #define HTTP_SERVER_MAX_PIPELINED_BYTES (256U << 10)
 
@@ -66,6 +68,12 @@
 	enum server_conn_state state;
 	uint64_t last_progress_ms; /* when the state was entered or body bytes last arrived */
 	uint32_t head_bytes;
+	struct {
+		char word[sizeof(HTTP_SERVER_NAME)]; /* begin of the last word so far */
+		uint32_t word_len;		     /* of that word */
+		bool begun;			     /* a byte other than a line end was read */
+		bool read;			     /* up to its end */
+	} request_line;
 	uint16_t refusal_status; /* HTTP status to refuse the message with, or 0 */
 	bool in_value;
 	bool served; /* at least one request was answered */
@@ -681,6 +689,7 @@
 	if (!req->path)
 		req->path = g_strdup(raw_path);
 	server_conn_set_state(conn, SERVER_CONN_HANDLING);
+	memset(&conn->request_line, 0, sizeof(conn->request_line));
 	/* A pipelined request is parsed only after the response to this one. */
 	http_parser_pause(parser, 1);
 	return 0;
@@ -831,15 +840,40 @@
 	return HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW ? 431 : 400;
 }
 
+/* Reads the request line up to its end: http_parser checks only the first letter of the name of the
+ * protocol. @return false when that is another one */
+static bool server_conn_check_request_line(struct server_conn *conn, const char *buf, size_t len)
+{
+	for (size_t i = 0; i < len && !conn->request_line.read; i++) {
+		if (buf[i] == '\r' || (buf[i] == '\n' && !conn->request_line.begun))
+			continue;
+		conn->request_line.begun = true;
+		conn->request_line.read = buf[i] == '\n';
+		if (buf[i] == ' ')
+			conn->request_line.word_len = 0;
+		else if (buf[i] != '\n' && conn->request_line.word_len < strlen(HTTP_SERVER_NAME))
+			conn->request_line.word[conn->request_line.word_len++] = buf[i];
+	}
+	return !conn->request_line.read ||
+	       (conn->request_line.word_len == strlen(HTTP_SERVER_NAME) &&
+		strcmp(conn->request_line.word, HTTP_SERVER_NAME) == 0);
+}
+
 /* Parses the input up to the end of one request at most, and hands a complete request to the
  * handler. */
 static void server_conn_parse_one(struct server_conn *conn)
 {
 	h2o_socket_t *sock = conn->sock;
 	size_t size = sock->input->size;
-	size_t used = http_parser_execute(&conn->parser, &server_conn_parser_settings,
-					  sock->input->bytes, size);
+	size_t used;
 
+	if (!server_conn_check_request_line(conn, sock->input->bytes, size)) {
+		h2o_buffer_consume(&sock->input, size);
+		server_conn_refuse(conn, 400);
+		return;
+	}
+	used = http_parser_execute(&conn->parser, &server_conn_parser_settings, sock->input->bytes,
+				   size);
 	if (conn->state == SERVER_CONN_HANDLING) {
 		struct http_req *req = conn->req;
 
