HTTP: line ends are checked where http_parser does not

A message with another byte for a line feed, or with other bytes behind the data of a chunk, was taken for valid by both sides: a strict proxy before the gateway ends it elsewhere, which is how requests are smuggled. Cause: http_parser of Debian is built without strict checks; it looks at neither the byte behind a carriage return at the end of a head, a status line, a chunk size or a message, nor at the two behind a chunk. Ten rows of the framing tables, five a side, failed before ('GET /a;GET /next' served, 'hi' a valid answer); now 400 and close, invalid and close. test_http passes. What was passed on had a length of our own, so nothing reached upstreams.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -1,6 +1,7 @@
 #include "flamingolatch/http_client.h"
 
 #include "flamingolatch/http_field.h"
+#include "flamingolatch/http_lines.h"
 
 #include <errno.h>
 #include <http_parser.h>
@@ -98,9 +99,11 @@
 	GString *name;
 	GString *value;
 	uint64_t idle_since_ms;
-	uint64_t keep_alive_ms; /* idle time after which the connection is not reused */
-	size_t header_bytes;	/* names and values of the response being read */
-	size_t skipped_bytes;	/* read before the head of the response to the call */
+	uint64_t keep_alive_ms;	 /* idle time after which the connection is not reused */
+	size_t header_bytes;	 /* names and values of the response being read */
+	size_t skipped_bytes;	 /* read before the head of the response to the call */
+	struct http_lines lines; /* of what is not part of a body */
+	const char *unchecked;	 /* begin of what is not given to lines yet, while parsing */
 	enum client_status_line status_line;
 	uint32_t line_bytes;	/* of the status line, up to the end of its status */
 	uint32_t status_digits; /* of those, the digits of the status */
@@ -653,6 +656,11 @@
 	struct client_conn *conn = parser->data;
 	struct http_call *call = conn->call;
 
+	if (!http_lines_feed(&conn->lines, conn->unchecked, (size_t)(at - conn->unchecked)))
+		return -1;
+	conn->unchecked = at + len;
+	if ((parser->flags & F_CHUNKED) && parser->content_length == 0)
+		http_lines_end_chunk(&conn->lines);
 	if (call && !conn->mismatched && call->ops->data)
 		call->ops->data(call->ctx, at, len);
 	return 0;
@@ -700,7 +708,7 @@
 }
 
 /* Passes bytes to http_parser, up to the end of the response to the call or an error.
- * @param valid set to false at an invalid version or status
+ * @param valid set to false at an invalid version, status or line end
  * @return how many bytes were read */
 static size_t client_conn_execute(struct client_conn *conn, const char *buf, size_t len,
 				  bool *valid)
@@ -714,12 +722,15 @@
 		 * digits. */
 		size_t part = conn->status_line == CLIENT_STATUS_LINE_READ ? len - used : 1;
 
+		conn->unchecked = buf + used;
 		used += http_parser_execute(parser, &client_conn_parser_settings, buf + used, part);
+		*valid = http_lines_feed(&conn->lines, conn->unchecked,
+					 (size_t)(buf + used - conn->unchecked));
 		if (HTTP_PARSER_ERRNO(parser) == HPE_PAUSED)
 			http_parser_pause(parser, 0);
 		if (HTTP_PARSER_ERRNO(parser) != HPE_OK)
 			break;
-		if (conn->status_line == CLIENT_STATUS_LINE_BEGUN)
+		if (*valid && conn->status_line == CLIENT_STATUS_LINE_BEGUN)
 			*valid = client_conn_check_status(conn, buf[used - 1]);
 	}
 	return used;
@@ -734,7 +745,7 @@
 		return;
 	if (!conn->response_begun)
 		conn->skipped_bytes += len;
-	if (conn->response_complete) {
+	if (valid && conn->response_complete) {
 		client_conn_finish_response(conn, len - used);
 	} else if (!valid || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
 		   conn->skipped_bytes > HTTP_CLIENT_MAX_SKIPPED_BYTES) {
@@ -847,6 +858,7 @@
 	conn->response_begun = false;
 	conn->response_complete = false;
 	conn->skipped_bytes = 0;
+	memset(&conn->lines, 0, sizeof(conn->lines));
 	conn->mismatched = false;
 	if (call->has_id)
 		g_array_append_val(conn->carried, call->id_hash);
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -1,6 +1,7 @@
 #include "flamingolatch/http_server.h"
 
 #include "flamingolatch/http_field.h"
+#include "flamingolatch/http_lines.h"
 #include "flamingolatch/buffer_budget.h"
 #include "flamingolatch/err.h"
 
@@ -74,6 +75,8 @@
 		bool begun;			     /* a byte other than a line end was read */
 		bool read;			     /* up to its end */
 	} request_line;
+	struct http_lines lines; /* of what is not part of a body */
+	const char *unchecked;	 /* begin of what is not given to lines yet, while parsing */
 	uint16_t refusal_status; /* HTTP status to refuse the message with, or 0 */
 	bool in_value;
 	bool served; /* at least one request was answered */
@@ -663,6 +666,11 @@
 {
 	struct server_conn *conn = parser->data;
 
+	if (!http_lines_feed(&conn->lines, conn->unchecked, (size_t)(at - conn->unchecked)))
+		return -1;
+	conn->unchecked = at + len;
+	if ((parser->flags & F_CHUNKED) && parser->content_length == 0)
+		http_lines_end_chunk(&conn->lines);
 	if (conn->req->body->len + len > conn->srv->max_body_bytes) {
 		conn->refusal_status = 413;
 		return -1;
@@ -866,15 +874,19 @@
 	h2o_socket_t *sock = conn->sock;
 	size_t size = sock->input->size;
 	size_t used;
+	bool valid;
 
 	if (!server_conn_check_request_line(conn, sock->input->bytes, size)) {
 		h2o_buffer_consume(&sock->input, size);
 		server_conn_refuse(conn, 400);
 		return;
 	}
+	conn->unchecked = sock->input->bytes;
 	used = http_parser_execute(&conn->parser, &server_conn_parser_settings, sock->input->bytes,
 				   size);
-	if (conn->state == SERVER_CONN_HANDLING) {
+	valid = http_lines_feed(&conn->lines, conn->unchecked,
+				(size_t)(sock->input->bytes + used - conn->unchecked));
+	if (valid && conn->state == SERVER_CONN_HANDLING) {
 		struct http_req *req = conn->req;
 
 		http_parser_pause(&conn->parser, 0);
@@ -882,7 +894,7 @@
 		req->dispatched = true;
 		conn->srv->open_requests++;
 		conn->srv->handler(conn->srv->handler_ctx, req);
-	} else if (conn->refusal_status || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+	} else if (!valid || conn->refusal_status || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
 		h2o_buffer_consume(&sock->input, size);
 		server_conn_refuse(conn, server_conn_refusal_status(conn));
 	} else {
