HTTP: a control character at the begin of a value is refused

Callers saw: a header whose value ended at a NUL behind the colon. Cause: http_parser checks all characters of a value but the first, and values are read as strings. Conclusion: both sides refuse it where a header is stored.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -512,7 +512,8 @@
 
 /* Adds the header that was read last to the response. Trailer fields are dropped.
  * @return false when its name is invalid: http_parser accepts blanks in it, and heeds a
- *         Transfer-Encoding or Content-Length with blanks before the colon */
+ *         Transfer-Encoding or Content-Length with blanks before the colon; also when its
+ *         value has a control character */
 static bool client_conn_store_header(struct client_conn *conn)
 {
 	char *value;
@@ -524,7 +525,8 @@
 		g_string_truncate(conn->value, 0);
 		return true;
 	}
-	if (strpbrk(conn->name->str, " \t"))
+	if (strpbrk(conn->name->str, " \t") ||
+	    !http_field_value_is_valid(conn->value->str, conn->value->len))
 		return false;
 	value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(value);
--- a/src/io/http_field.c
+++ b/src/io/http_field.c
@@ -18,3 +18,12 @@
 	}
 	return false;
 }
+
+bool http_field_value_is_valid(const char *value, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (g_ascii_iscntrl(value[i]) && value[i] != '\t')
+			return false;
+	}
+	return true;
+}
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -595,6 +595,8 @@
 		g_string_truncate(conn->value, 0);
 		return;
 	}
+	if (!http_field_value_is_valid(conn->value->str, conn->value->len))
+		conn->refusal_status = 400;
 	header.name = g_ascii_strdown(conn->name->str, (gssize)conn->name->len);
 	header.value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(header.value);
--- a/test/test_http.c
+++ b/test/test_http.c
@@ -32,6 +32,7 @@
 	enum mock_ending ending;
 	const char *later; /* sent 5 ms later on the same connection; may be NULL */
 	bool early;	   /* sent without waiting for the body of the request */
+	size_t len;	   /* of the bytes; 0: up to the NUL that ends them */
 };
 
 /* A server that answers the n-th request with the n-th response. */
@@ -158,7 +159,8 @@
 	g_string_append_len(server->received, conn->input->str, (gssize)conn->input->len);
 	g_string_truncate(conn->input, 0);
 	conn->response = response;
-	out = uv_buf_init((char *)response->bytes, (unsigned)strlen(response->bytes));
+	out = uv_buf_init((char *)response->bytes,
+			  (unsigned)(response->len ? response->len : strlen(response->bytes)));
 	conn->write.data = conn;
 	uv_write(&conn->write, stream, &out, 1, mock_conn_on_written);
 	if (response->early)
@@ -679,6 +681,21 @@
 	g_assert_cmpuint(failed, ==, 0);
 }
 
+/* A NUL at the begin of a value would end it for the gateway and not for others. */
+static void test_response_nul(void)
+{
+	static const char bytes[] = RESPONSE "X:\0b\r\nContent-Length: 2\r\n\r\nhi";
+	const struct mock_response responses[] = { { .bytes = bytes, .len = sizeof(bytes) - 1 },
+						   { .bytes = OK_RESPONSE } };
+	struct mock_server server;
+
+	mock_server_init(&server, responses, G_N_ELEMENTS(responses));
+	expect_outcome(mock_server_call(&server, NULL, NULL, 0, 2000), HTTP_CALL_BROKEN, "");
+	expect_outcome(mock_server_call(&server, NULL, NULL, 0, 2000), HTTP_CALL_OK, "hi");
+	g_assert_cmpuint(server.connections, ==, 2);
+	mock_server_clear(&server);
+}
+
 /* review/10: a header whose name is invalid is passed on beside a length of our own. */
 static void test_field_names(void)
 {
@@ -1081,6 +1098,26 @@
 	g_assert_cmpuint(failed, ==, 0);
 }
 
+/* A NUL at the begin of a value would end it for the gateway and not for others. */
+static void test_request_nul(void)
+{
+	static const char begin[] = "GET /a HTTP/1.1\r\nHost: h\r\nX:\0b";
+	struct server_fixture server;
+	g_autofree char *response = NULL;
+	bool closed;
+	int fd;
+
+	server_fixture_init(&server);
+	fd = server_fixture_connect(&server);
+	g_assert_cmpint(send(fd, begin, sizeof(begin) - 1, 0), ==, sizeof(begin) - 1);
+	response = server_fixture_exchange(&server, fd, "\r\n\r\n", &closed);
+	g_assert_true(g_str_has_prefix(response, "HTTP/1.1 400"));
+	g_assert_true(closed);
+	g_assert_cmpuint(server.requests, ==, 0);
+	close(fd);
+	server_fixture_clear(&server);
+}
+
 static void test_pipelined(void)
 {
 	struct server_fixture server;
@@ -1216,8 +1253,8 @@
 							 .data = paused_call_on_data,
 							 .end = call_outcome_on_end };
 	static const struct mock_response responses[] = {
-		{ "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none", MOCK_KEEP_OPEN, NULL, false },
-		{ "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo", MOCK_KEEP_OPEN, NULL, false }
+		{ .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none" },
+		{ .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo" }
 	};
 	struct mock_server server;
 	struct paused_call paused = { .outcome = { .body = g_string_new(NULL) } };
@@ -1254,7 +1291,7 @@
 static void test_fetch_limit(void)
 {
 	static const struct mock_response responses[] = {
-		{ "HTTP/1.1 200 OK\r\n\r\n0123456789abcdef", MOCK_KEEP_OPEN, NULL, false }
+		{ .bytes = "HTTP/1.1 200 OK\r\n\r\n0123456789abcdef" }
 	};
 	struct mock_server server;
 	struct fetched fetched = { 0 };
@@ -1283,6 +1320,7 @@
 	g_test_add_func("/http/client/broken", test_broken_responses);
 	g_test_add_func("/http/client/field-names", test_field_names);
 	g_test_add_func("/http/client/framing-table", test_response_framing);
+	g_test_add_func("/http/client/nul", test_response_nul);
 	g_test_add_func("/http/client/invalid-status", test_invalid_status);
 	g_test_add_func("/http/client/split-status", test_split_status);
 	g_test_add_func("/http/client/early", test_early_response);
@@ -1295,6 +1333,7 @@
 	g_test_add_func("/http/server/pipelined", test_pipelined);
 	g_test_add_func("/http/server/trailers", test_trailers);
 	g_test_add_func("/http/server/framing-table", test_request_framing);
+	g_test_add_func("/http/server/nul", test_request_nul);
 	g_test_add_func("/http/server/continue", test_expect_continue);
 	g_test_add_func("/http/server/gone", test_disconnect);
 	g_test_add_func("/http/server/slow-head", test_header_timeout);
