HTTP: the line of a chunk size is read strictly

A size with a byte beyond ASCII was read as another number, and anything behind a blank was skipped: a strict proxy before the gateway refuses these or ends the body elsewhere. Cause: http_parser's table of digits has zeros for bytes from 128 on, and its state behind a blank takes all bytes. Evidence: fuzz_http_server ('POST /a' passed on and not valid, '0 A7', '5 u'). Five rows of the framing tables failed before, with 200 and 'hi'; now 400 and close, invalid and close; test_http and test_http_lines pass. Conclusion: http_lines follows the structure of a chunked body, which replaces the call behind each chunk, and reads sizes itself.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -636,6 +636,7 @@
 	    client_conn_has_unknown_end(conn, !no_body))
 		return -1;
 	conn->head_complete = true;
+	conn->lines.chunked = !no_body && (parser->flags & F_CHUNKED);
 	client_conn_parse_keep_alive(conn, &head);
 	if (head.status / 100 == 1 || !call)
 		return no_body;
@@ -643,7 +644,9 @@
 		conn->mismatched = true;
 		conn->no_reuse = true;
 		conn->client->counts.mismatched++;
-		return client_conn_has_no_body(parser, NULL);
+		no_body = client_conn_has_no_body(parser, NULL);
+		conn->lines.chunked = !no_body && (parser->flags & F_CHUNKED);
+		return no_body;
 	}
 	conn->response_begun = true;
 	if (head.closes)
@@ -661,8 +664,6 @@
 	if (!http_lines_feed(&conn->lines, conn->unchecked, (size_t)(at - conn->unchecked)))
 		return -1;
 	conn->unchecked = at + len;
-	if ((parser->flags & F_CHUNKED) && parser->content_length == 0)
-		http_lines_end_chunk(&conn->lines);
 	if (call && !conn->mismatched && call->ops->data)
 		call->ops->data(call->ctx, at, len);
 	return 0;
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -658,6 +658,7 @@
 		conn->refusal_status = 413;
 	if (conn->refusal_status)
 		return -1;
+	conn->lines.chunked = parser->flags & F_CHUNKED;
 	server_conn_set_state(conn, SERVER_CONN_READING_BODY);
 	if (req->expect_continue && !req->http10)
 		g_string_append(conn->pending, "HTTP/1.1 100 Continue\r\n\r\n");
@@ -671,8 +672,6 @@
 	if (!http_lines_feed(&conn->lines, conn->unchecked, (size_t)(at - conn->unchecked)))
 		return -1;
 	conn->unchecked = at + len;
-	if ((parser->flags & F_CHUNKED) && parser->content_length == 0)
-		http_lines_end_chunk(&conn->lines);
 	if (conn->req->body->len + len > conn->srv->max_body_bytes) {
 		conn->refusal_status = 413;
 		return -1;
