HTTP: a line feed alone does not end an extension of a chunk

'0;a LF X: 1 CRLF CRLF' was a whole body here and another one for whoever ends a line there. Cause: http_parser skips an extension up to a carriage return; http_lines took the line feed for the end of the line. Conclusion: within the line of a size only CRLF ends it, for both.

--- a/src/io/http_lines.c
+++ b/src/io/http_lines.c
@@ -41,7 +41,8 @@
 		lines->has_data = lines->has_data || byte != '0';
 		return true;
 	}
-	if (!lines->has_size)
+	/* http_parser takes a line feed alone for a part of an extension */
+	if (!lines->has_size || (byte == '\n' && !lines->after_cr))
 		return false;
 	if (byte == '\n')
 		http_lines_end_size(lines);
--- a/test/test_http_lines.c
+++ b/test/test_http_lines.c
@@ -47,6 +47,7 @@
 	expect(HEAD "5\xa7\r\n", true, false);
 	expect(HEAD "5;\x01\r\n", true, false);
 	expect(HEAD "0\r\n\rX", true, false);
+	expect(HEAD "0;a\nX: 1\r\n\r\n", true, false);
 }
 
 int main(int argc, char **argv)
