HTTP client: a coding that the parser does not know is not chunked

Callers saw: a body with chunk sizes in it, '2 CRLF hi CRLF 0 CRLF CRLF', from an upstream that writes a tab behind chunked. Cause: http_parser compares the value with its trailing tab, and reads up to the end of the connection; our check compares the trimmed value. A row of /http/client/framing-table failed before ('|2...' passed on, valid); now invalid and close. The server refuses it already. Conclusion: the response is chunked only if the parser says so too.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -603,7 +603,8 @@
 		count++;
 		chunked &= g_ascii_strcasecmp(conn->headers->pdata[i + 1], "chunked") == 0;
 	}
-	return count == 1 && chunked && conn->parser.http_minor > 0;
+	return count == 1 && chunked && conn->parser.http_minor > 0 &&
+	       (conn->parser.flags & F_CHUNKED);
 }
 
 /* Tells whether the end of the response cannot be found: its transfer coding is not known, or it
