HTTP: invalid trailer fields are refused

Callers saw: nothing; trailer fields are dropped. A message with one that is not valid was passed on as whole. Cause: they were dropped before their value (server) or anything of them (client) was checked. Three rows of the framing tables failed before (200, 'hi' and the connection kept); now 400 and close, invalid and close; test_http passes. Conclusion: one check for all fields, before it is decided what to keep.

--- a/src/io/http_client.c
+++ b/src/io/http_client.c
@@ -520,14 +520,14 @@
 
 	if (conn->name->len == 0)
 		return true;
+	if (strpbrk(conn->name->str, " \t") ||
+	    !http_field_value_is_valid(conn->value->str, conn->value->len))
+		return false;
 	if (conn->head_complete) {
 		g_string_truncate(conn->name, 0);
 		g_string_truncate(conn->value, 0);
 		return true;
 	}
-	if (strpbrk(conn->name->str, " \t") ||
-	    !http_field_value_is_valid(conn->value->str, conn->value->len))
-		return false;
 	value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(value);
 	g_ptr_array_add(conn->headers, g_ascii_strdown(conn->name->str, (gssize)conn->name->len));
@@ -674,6 +674,8 @@
 {
 	struct client_conn *conn = parser->data;
 
+	if (!client_conn_store_header(conn))
+		return -1;
 	conn->response_complete = !conn->mismatched && parser->status_code / 100 != 1;
 	conn->status_line = CLIENT_STATUS_LINE_AWAITED;
 	/* client_conn_execute() reads the status line of a response that follows byte by byte. */
--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -588,22 +588,19 @@
 
 	if (conn->name->len == 0)
 		return;
+	if (strpbrk(conn->name->str, " \t") ||
+	    !http_field_value_is_valid(conn->value->str, conn->value->len))
+		conn->refusal_status = 400;
 	if (conn->state == SERVER_CONN_READING_BODY) {
-		if (strpbrk(conn->name->str, " \t"))
-			conn->refusal_status = 400;
 		g_string_truncate(conn->name, 0);
 		g_string_truncate(conn->value, 0);
 		return;
 	}
-	if (!http_field_value_is_valid(conn->value->str, conn->value->len))
-		conn->refusal_status = 400;
 	header.name = g_ascii_strdown(conn->name->str, (gssize)conn->name->len);
 	header.value = g_strndup(conn->value->str, conn->value->len);
 	g_strchomp(header.value);
 	g_string_truncate(conn->name, 0);
 	g_string_truncate(conn->value, 0);
-	if (strpbrk(header.name, " \t"))
-		conn->refusal_status = 400;
 	if (strcmp(header.name, "host") == 0) {
 		conn->req->host_count++;
 		g_free(conn->req->host);
