--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -30,8 +30,8 @@
 #include <time.h>
 
 #define SOAK_LOOP_STEP_MS 2
-/* End of the log that is printed when a process exited unexpectedly. */
-#define SOAK_EXIT_LOG_BYTES 20000
+/* End of the log that is printed with a violation whose begin is not known. */
+#define SOAK_LOG_END_BYTES 20000
 /* Guarantees with a time bound are checked on instances without a fault for this long. */
 #define SOAK_UNDISTURBED_MS 4000
 /* Until no request reaches a replica that announced its shutdown. */
@@ -236,6 +236,14 @@
 	fflush(stdout);
 }
 
+/* Prints the end of the log of a gateway. */
+static void print_log_end(const struct testbed_gateway *gateway)
+{
+	uint64_t size = testbed_log_size(gateway);
+
+	print_log(gateway, size > SOAK_LOG_END_BYTES ? size - SOAK_LOG_END_BYTES : 0);
+}
+
 /* configuration and API keys */
 
 static void publish_config(struct soak *soak)
@@ -689,7 +697,6 @@
 static void update_instance(struct soak *soak, struct instance *instance)
 {
 	uint64_t now = now_ms();
-	uint64_t size;
 
 	if (instance->sigcont_at_ms && now >= instance->sigcont_at_ms) {
 		testbed_signal(instance->gateway, SIGCONT);
@@ -721,9 +728,7 @@
 	} else if (!instance->exit_expected && !instance->restart_at_ms &&
 		   instance->gateway->process && testbed_has_exited(instance->gateway)) {
 		violation(soak, "%s exited unexpectedly", instance->gateway->name);
-		size = testbed_log_size(instance->gateway);
-		print_log(instance->gateway,
-			  size > SOAK_EXIT_LOG_BYTES ? size - SOAK_EXIT_LOG_BYTES : 0);
+		print_log_end(instance->gateway);
 		instance->restart_at_ms = now;
 	}
 }
@@ -891,9 +896,11 @@
 	 * stop or a reload; a stream does if its replica is sound. */
 	if ((!stream || g_strcmp0(soak->options.only, SOAK_FAULT_STOP) == 0) && record.arrivals &&
 	    (status == 0 || answer->broken) && !request->caller_left &&
-	    request->instance->harmed_ms < answer->sent_ms)
+	    request->instance->harmed_ms < answer->sent_ms) {
 		violation(soak, "%s %s reached a replica and got no whole answer", path,
 			  answer->id);
+		print_log_end(request->instance->gateway);
+	}
 	if (status != 200 || request->caller_left)
 		return;
 	if (!stream && !answer->broken &&
