Testbed: settings are changed without waiting for the disk

Seen: gateway_uneven-upstreams failed once in a run of all tests (load 20), and in 17 of 24 plays 16 at a time beside a build and a clone: calls refused as unconfirmed (675 of 700 served and the like). Cause: the test replaces the settings with g_file_set_contents(), which waits until the file is on the disk; meanwhile its loop, which is the store's too, does not answer, and keys grow stale as they should. Evidence: in 14 logs of that run 'settings-reloaded' of the gateways stands before and after one gap of up to 9.2 s that ends at 05:56:00.34 in all of them, which are separate tests; the gateways log store-lost in it. Without builds beside, 0 of 16 plays of the same binary failed.

--- a/test/test_gateway.c
+++ b/test/test_gateway.c
@@ -715,14 +715,7 @@
 		g_assert_false(has_sent_speeds(&scene, i));
 	}
 	for (uint32_t i = 0; i < LIMIT_GATEWAY_COUNT; i++) {
-		g_autofree char *settings = NULL;
-		g_autofree char *text = NULL;
-
-		g_assert_true(g_file_get_contents(scene.gateways[i]->settings_file, &settings, NULL,
-						  NULL));
-		text = g_strconcat(settings, "load:\n  speed_spread: 2.0\n", NULL);
-		g_assert_true(
-			g_file_set_contents(scene.gateways[i]->settings_file, text, -1, NULL));
+		testbed_add_settings(scene.gateways[i], "load:\n  speed_spread: 2.0\n");
 		testbed_signal(scene.gateways[i], SIGHUP);
 	}
 	limit_scene_send(&scene, 300);
--- a/test/test_gateway_evacuation.c
+++ b/test/test_gateway_evacuation.c
@@ -66,12 +66,9 @@
 /* Adds the bound to the settings, which end with the others. */
 static void set_bound(const struct testbed_gateway *gateway)
 {
-	g_autofree char *text = NULL;
-	g_autofree char *with = NULL;
+	g_autofree char *bound = g_strdup_printf("  evacuate_ms: %d\n", BOUND_MS);
 
-	g_assert_true(g_file_get_contents(gateway->settings_file, &text, NULL, NULL));
-	with = g_strdup_printf("%s  evacuate_ms: %d\n", text, BOUND_MS);
-	g_assert_true(g_file_set_contents(gateway->settings_file, with, -1, NULL));
+	testbed_add_settings(gateway, bound);
 }
 
 static void start_gateway(struct fixture *f)
--- a/test/test_gateway_hedge.c
+++ b/test/test_gateway_hedge.c
@@ -156,8 +156,7 @@
 /* @param share the setting load.hedge_share */
 static void fixture_open(struct fixture *f, const char *share)
 {
-	g_autofree char *text = NULL;
-	g_autofree char *all = NULL;
+	g_autofree char *load = NULL;
 
 	*f = (struct fixture){ .testbed = testbed_create(17) };
 	testbed_set_call_timeout(f->testbed, CALL_TIMEOUT_MS);
@@ -166,10 +165,9 @@
 	for (uint32_t i = 0; i < UPSTREAMS; i++)
 		add_upstream(f, i);
 	f->gateway = testbed_gateway(f->testbed, "gw-1", NULL);
-	g_assert_true(g_file_get_contents(f->gateway->settings_file, &text, NULL, NULL));
 	/* Without an answer for this long, a call would be sent elsewhere without hedging. */
-	all = g_strdup_printf("%sload:\n  answer_ms: 60000\n  hedge_share: %s\n", text, share);
-	g_assert_true(g_file_set_contents(f->gateway->settings_file, all, -1, NULL));
+	load = g_strdup_printf("load:\n  answer_ms: 60000\n  hedge_share: %s\n", share);
+	testbed_add_settings(f->gateway, load);
 	testbed_start(f->gateway);
 	g_assert_true(testbed_wait_ready(f->gateway, READY_TIMEOUT_MS));
 	testbed_run(f->testbed, LIST_MS);
@@ -494,13 +492,9 @@
 {
 	struct testbed *testbed = testbed_create(18);
 	struct testbed_gateway *gateway = testbed_gateway(testbed, "gw-1", NULL);
-	g_autofree char *text = NULL;
-	g_autofree char *all = NULL;
 	g_autofree char *lines = NULL;
 
-	g_assert_true(g_file_get_contents(gateway->settings_file, &text, NULL, NULL));
-	all = g_strdup_printf("%sload:\n  hedge_share: 0.21\n", text);
-	g_assert_true(g_file_set_contents(gateway->settings_file, all, -1, NULL));
+	testbed_add_settings(gateway, "load:\n  hedge_share: 0.21\n");
 	testbed_start(gateway);
 	g_assert_true(testbed_wait_exit(gateway, READY_TIMEOUT_MS));
 	lines = testbed_log_lines(gateway, "load.hedge_share");
--- a/test/testbed/testbed.c
+++ b/test/testbed/testbed.c
@@ -323,6 +323,17 @@
 		g_error("%s", error->message);
 }
 
+/* g_file_set_contents() waits for the disk when it replaces a file, for seconds beside builds, and
+ * the test's loop is that of the store and the upstreams. */
+void testbed_add_settings(const struct testbed_gateway *gateway, const char *lines)
+{
+	FILE *file = fopen(gateway->settings_file, "a");
+
+	g_assert_nonnull(file);
+	g_assert_cmpint(fputs(lines, file), >=, 0);
+	g_assert_cmpint(fclose(file), ==, 0);
+}
+
 void testbed_signal(struct testbed_gateway *gateway, int signal)
 {
 	if (gateway->process)
--- a/test/testbed/testbed.h
+++ b/test/testbed/testbed.h
@@ -119,6 +119,8 @@
 struct testbed_gateway *testbed_gateway_in_zone(struct testbed *testbed, const char *name,
 						const char *zone, const char *store);
 void testbed_start(struct testbed_gateway *gateway);
+/** Adds lines to the end of a gateway's settings, which it reads when it starts or reloads. */
+void testbed_add_settings(const struct testbed_gateway *gateway, const char *lines);
 /** Sends a signal; does nothing when the gateway does not run. */
 void testbed_signal(struct testbed_gateway *gateway, int signal);
 /** Returns true when the process has ended, and reaps it. */
