--- a/src/io/http_server.c
+++ b/src/io/http_server.c
@@ -1,9 +1,9 @@
 #include "flamingolatch/http_server.h"
 
-#include "flamingolatch/http_field.h"
-#include "flamingolatch/http_lines.h"
 #include "flamingolatch/buffer_budget.h"
 #include "flamingolatch/err.h"
+#include "flamingolatch/http_field.h"
+#include "flamingolatch/http_lines.h"
 
 #include <h2o.h>
 #include <http_parser.h>
