--- a/test/test_sending.c
+++ b/test/test_sending.c
@@ -309,7 +309,7 @@
 	call->id = id;
 	call->sending = world->ran->len;
 	g_array_append_val(world->ran, ran);
-	path = g_strdup_printf("/%u/%u/%u", id, call->sending, owner);
+	path = g_strdup_printf("/%u/%u/%u", id, call->sending, (uint32_t)owner);
 	req.path = path;
 	req.id = id_text;
 	world->open[id][owner] = call;
