Log: the end of a stream whose engine was asked to stop it

The end of a stream stated neither its framing nor whether the call that stops the generation is open or was lost, a call that is cancelled with its stream left no line, and move-failed did not say which kind of call it was. Change: stream-ended-in-stop (619, a warning, so that a burst does not drop it) with framing, state and status of that call; move-failed states whether the call was the last one and whether the stream had ended. No change of logic.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -64,6 +64,7 @@
 	X(LOG_STREAM_FOREIGN_BYTES, 616, WARNING, "stream-foreign-bytes", "An engine sent bytes in a stream that are no event after the last one; the attempt ends.") \
 	X(LOG_HEDGE_SENT, 617, INFO, "hedge-sent", "A call that is not answered yet was sent to a second upstream as well.") \
 	X(LOG_HEDGE_ENDED, 618, INFO, "hedge-ended", "The second call of a request ended; the field outcome says how.") \
+	X(LOG_STREAM_ENDED_IN_STOP, 619, WARNING, "stream-ended-in-stop", "A stream was closed properly although its engine was asked to stop it for the last copy; stop and status tell how that call stands.") \
 	X(LOG_UPSTREAM_STATE, 620, INFO, "upstream-state", "An upstream was added to the instance list or changed its state.") \
 	X(LOG_UPSTREAM_ENTRY_INVALID, 621, WARNING, "upstream-broken", "An entry of the instance list could not be decoded.") \
 	X(LOG_UPSTREAM_LIMIT, 622, INFO, "upstream-limit", "An upstream names another limit of requests a second, or none any more.") \
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -186,6 +186,8 @@
 	request->stream = false;
 	request->unframed = false;
 	request->closed_in_stop = false;
+	request->stop_asked = false;
+	request->stop_status = 0;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
 	request->comment_bytes = 0;
@@ -533,6 +535,17 @@
 	relay_finish_streamed(request);
 }
 
+static void relay_log_end_in_stop(const struct relay_request *request)
+{
+	g_autofree char *status = g_strdup_printf("%u", request->stop_status);
+	g_autofree char *events = g_strdup_printf("%" G_GUINT64_FORMAT, request->event_count);
+
+	log_event(LOG_STREAM_ENDED_IN_STOP, "request", relay_request_id(request), "upstream",
+		  relay_upstream_id(request), "framing", request->unframed ? "none" : "framed",
+		  "stop", request->migrate_stopping ? "open" : "ended", "status", status, "events",
+		  events, NULL);
+}
+
 void relay_end_call(struct relay_request *request, enum http_call_result result, bool sent)
 {
 	struct fleet_upstream *up = request->attempt.up;
@@ -540,6 +553,8 @@
 	uint64_t now_us = env_now_us();
 
 	request->call = NULL;
+	if (complete && request->stream && request->stop_asked)
+		relay_log_end_in_stop(request);
 	/* The migration stopped the generation; relay_on_migrated() resumes it. */
 	if (request->migrate_stopping && (!complete || (request->stream && request->unframed))) {
 		request->closed_in_stop = complete;
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -68,6 +68,7 @@
 	req.body_len = strlen(body);
 	request->migrate_last = last;
 	request->migrate_stopping = last;
+	request->stop_asked |= last;
 	request->migrate_sent_us = env_now_us();
 	request->migrate_call =
 		fetch_start(env->http_client, &req, RELAY_MIGRATE_RESPONSE_MAX_BYTES, NULL,
@@ -259,7 +260,9 @@
 
 	log_event(LOG_MIGRATION_FAILED, "request", relay_request_id(request), "upstream",
 		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason",
-		  relay_migration_reason(target), "status", status, "move_ms", took, NULL);
+		  relay_migration_reason(target), "status", status, "last",
+		  request->migrate_last ? "true" : "false", "stream",
+		  request->call ? "open" : "ended", "move_ms", took, NULL);
 	g_ptr_array_add(request->migrate_tried, fleet_upstream_ref(target));
 	if (!request->call && relay_resume_at_source(request, handle))
 		return;
@@ -300,6 +303,8 @@
 	g_autofree char *handle = kv_copy.handle;
 
 	request->migrate_call = NULL;
+	if (request->migrate_last)
+		request->stop_status = answer->status;
 	relay_note_broken_call(request->attempt.up, answer);
 	metric_observe(request->relay->env->metric, METRIC_MIGRATION_CALL_US,
 		       env_now_us() - request->migrate_sent_us);
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -119,6 +119,7 @@
 	uint64_t expected_output_tokens;
 	uint32_t attempt_count; /* attempts that ended and may have run */
 	uint16_t status;	/* HTTP status of the current response; 0 before */
+	uint16_t stop_status;	/* of the answer to the call that stops the generation; 0: none */
 	enum relay_phase phase;
 	bool response_started; /* the response's head was passed on */
 	bool may_have_run;     /* in an earlier attempt */
@@ -130,6 +131,7 @@
 	bool stream;	       /* the current response is a stream of events */
 	bool unframed;	       /* the current response ends with its connection */
 	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
+	bool stop_asked;       /* the same, at any time in the current attempt */
 	bool closed_in_stop;   /* the unframed stream was closed properly while it was to stop */
 	bool migrate_last;     /* the latest migration call stops the generation */
 	bool withheld;	       /* the current attempt was not sent because of an evacuation */
