--- a/test/test_gateway_cut.c
+++ b/test/test_gateway_cut.c
@@ -835,6 +835,8 @@
 	const char *stream;	 /* its answer to a request */
 	const char *stop_answer; /* to the second call, at which the stream is closed; NULL: the
 				    calls are cut */
+	bool holds_stop;	 /* the test answers the second call and closes the stream */
+	uint64_t stop;		 /* number of the connection of the second call, if so */
 	GPtrArray *streams;	 /* struct raw_conn that it streams on */
 	uint32_t calls;
 	uint32_t resumed; /* requests that go on at the other engine */
@@ -858,6 +860,13 @@
 		raw_conn_write(conn, MOVE_ANSWER);
 		return;
 	}
+	if (script->holds_stop) {
+		if (script->calls == 2)
+			script->stop = raw_conn_number(conn);
+		else
+			raw_conn_write(conn, script->stop_answer);
+		return;
+	}
 	raw_conn_close(script->streams->pdata[0]);
 	raw_conn_write(script->streams->pdata[0], "");
 	raw_conn_write_later(conn, script->stop_answer, MOVE_ANSWER_MS, false);
@@ -986,6 +995,105 @@
 	}
 }
 
+enum stop_loss {
+	STOP_LOST_FIRST,  /* the answer is lost, then the stream ends */
+	STOP_LOST_LAST,	  /* the stream ends, then the answer is lost */
+	STOP_ASKED_AGAIN, /* the answer is lost; the next call finds no such run; the stream ends */
+	STOP_UNANSWERED,
+	STOP_ANSWERED /* after the end of the stream */
+};
+
+/* Ends the stream properly, with its last chunk if it has any. */
+static void end_stopped_stream(const struct move_script *script)
+{
+	struct raw_conn *conn = script->streams->pdata[0];
+
+	raw_conn_close(conn);
+	raw_conn_write(conn, strstr(script->stream, "chunked") ? "0\r\n\r\n" : "");
+}
+
+/* Answers the call that stops the generation, or resets its connection. */
+static void end_stop_call(const struct fixture *f, const struct move_script *script,
+			  const char *answer)
+{
+	struct raw_conn *conn = raw_upstream_find_conn(f->raw[0], script->stop);
+
+	if (!conn)
+		return;
+	if (!answer)
+		raw_conn_reset(conn);
+	raw_conn_write(conn, answer ? answer : "");
+}
+
+static void play_stop(struct fixture *f, const struct move_script *script, enum stop_loss loss)
+{
+	if (loss == STOP_LOST_FIRST || loss == STOP_ASKED_AGAIN) {
+		end_stop_call(f, script, NULL);
+		for (uint32_t ms = 0;
+		     loss == STOP_ASKED_AGAIN && ms < MOVE_TIMEOUT_MS && script->calls < 3;
+		     ms += 10)
+			testbed_run(f->testbed, 10);
+		testbed_run(f->testbed, MOVE_ANSWER_MS);
+	}
+	end_stopped_stream(script);
+	testbed_run(f->testbed, MOVE_ANSWER_MS);
+	if (loss == STOP_LOST_LAST || loss == STOP_ANSWERED)
+		end_stop_call(f, script, loss == STOP_ANSWERED ? script->stop_answer : NULL);
+	testbed_run(f->testbed, loss == STOP_UNANSWERED ? MOVE_TIMEOUT_MS : 300);
+}
+
+/* A stream that is closed properly after its engine was asked to stop it is whole only if the
+ * engine answers that it stopped nothing. */
+static void test_stopped_stream_completed(void)
+{
+	static const char *const streams[] = { STREAM_HEAD "\r\n" THREE_EVENTS, BEFORE_STREAM };
+	static const struct {
+		enum stop_loss loss;
+		const char *answer;
+		const char *body; /* that the caller gets */
+		bool whole;
+	} cases[] = {
+		{ STOP_LOST_FIRST, NO_SUCH_RUN, THREE_EVENTS, false },
+		{ STOP_LOST_LAST, NO_SUCH_RUN, THREE_EVENTS, false },
+		{ STOP_ASKED_AGAIN, NO_SUCH_RUN, THREE_EVENTS, false },
+		{ STOP_UNANSWERED, NO_SUCH_RUN, THREE_EVENTS, false },
+		{ STOP_ANSWERED, NO_SUCH_RUN, THREE_EVENTS, true },
+		{ STOP_ANSWERED, MOVE_ANSWER, THREE_EVENTS TWO_EVENTS, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(streams); i++) {
+		size_t k = i / G_N_ELEMENTS(streams);
+		struct move_script script = { .stream = streams[i % G_N_ELEMENTS(streams)],
+					      .stop_answer = cases[k].answer,
+					      .holds_stop = true };
+		struct raw_caller caller;
+		struct cut_result got;
+		struct fixture f;
+		g_autofree char *lines = NULL;
+
+		move_open(&f, &script, &caller, 1);
+		for (uint32_t ms = 0; ms < MOVE_TIMEOUT_MS && script.calls < 2; ms += 10)
+			testbed_run(f.testbed, 10);
+		g_assert_cmpuint(script.stop, >, 0);
+		play_stop(&f, &script, cases[k].loss);
+		raw_caller_read(&caller, SIZE_MAX);
+		got = parse_result(&caller, false);
+		lines = testbed_log_lines(f.gateway, "stream-ended-in-stop");
+		g_test_message("%s", lines);
+		g_test_message("case %zu, %s: %u calls, %u resumed, whole %d, closed %d, body "
+			       "\"%s\"",
+			       k, i % G_N_ELEMENTS(streams) ? "chunked" : "unframed", script.calls,
+			       script.resumed, got.whole, got.closed, got.body->str);
+		if (got.whole != cases[k].whole || strcmp(got.body->str, cases[k].body) != 0)
+			g_test_fail();
+		g_assert_true(got.whole || got.closed);
+		g_string_free(got.body, TRUE);
+		raw_caller_close(&caller);
+		g_ptr_array_free(script.streams, TRUE);
+		fixture_close(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1002,5 +1110,6 @@
 	g_test_add_func("/gateway-cut/stream-http10", test_stream_http10);
 	g_test_add_func("/gateway-cut/move-cut", test_move_cut);
 	g_test_add_func("/gateway-cut/move-stop", test_move_stop);
+	g_test_add_func("/gateway-cut/stopped-stream-completed", test_stopped_stream_completed);
 	return g_test_run();
 }
