Relay: a stream that may have been stopped does not end as whole

Cause: the end of a stream was taken for the end of its generation although a call of ours may have ended it. relay_end_call() waited for the answer to that call only if the stream broke or was unframed; the last chunk completed it at once. Any end of the call, also a lost answer, cleared migrate_stopping, and a later close then counted as the generation's own, also when the next call found no such run because the lost one had stopped it. Change: stream_stop.h keeps the doubt from the first call until the stream ends. Whole is a stream that was closed properly only if each call that could have stopped it was answered with a refusal (404, 409, not executed) or never sent; with an open call its answer is waited for, and otherwise the response is aborted, so that the caller sees that it is not whole. A cancelled call is a lost one. Cost: a whole stream whose end meets a lost answer is aborted; nothing that the engine sends tells it from a stopped one.

--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -658,7 +658,7 @@
 	const struct gateway_load_settings *load = &request->relay->env->settings->load;
 	uint64_t silent_ms = (now_us - request->last_progress_us) / 1000;
 
-	if (!request->call || request->migrate_stopping ||
+	if (!request->call || request->stop.asked ||
 	    now_us < request->stall_checked_us + RELAY_STALL_CHECK_MS * 1000)
 		return false;
 	if (request->phase == RELAY_STREAMING && request->event_count > 0)
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -186,7 +186,7 @@
 	request->stream = false;
 	request->unframed = false;
 	request->closed_in_stop = false;
-	request->stop_asked = false;
+	stream_stop_reset(&request->stop);
 	request->stop_status = 0;
 	request->first_event_us = 0;
 	request->attempt_event_count = 0;
@@ -542,7 +542,7 @@
 
 	log_event(LOG_STREAM_ENDED_IN_STOP, "request", relay_request_id(request), "upstream",
 		  relay_upstream_id(request), "framing", request->unframed ? "none" : "framed",
-		  "stop", request->migrate_stopping ? "open" : "ended", "status", status, "events",
+		  "stop", request->stop.asked ? "open" : "ended", "status", status, "events",
 		  events, NULL);
 }
 
@@ -550,13 +550,14 @@
 {
 	struct fleet_upstream *up = request->attempt.up;
 	bool complete = result == HTTP_CALL_OK && !request->invalid_response;
+	bool stopped = request->stream && stream_stop_judge(&request->stop) == STREAM_STOP_PARTIAL;
 	uint64_t now_us = env_now_us();
 
 	request->call = NULL;
-	if (complete && request->stream && request->stop_asked)
+	if (complete && request->stream && stream_stop_judge(&request->stop) != STREAM_STOP_WHOLE)
 		relay_log_end_in_stop(request);
-	/* The migration stopped the generation; relay_on_migrated() resumes it. */
-	if (request->migrate_stopping && (!complete || (request->stream && request->unframed))) {
+	/* relay_on_migrated() decides whether the generation was stopped or over. */
+	if (request->stop.asked) {
 		request->closed_in_stop = complete;
 		return;
 	}
@@ -579,7 +580,7 @@
 	request->attempt_count++;
 	if (result == HTTP_CALL_BROKEN)
 		relay_report_crash(request, up);
-	if (!complete) {
+	if (!complete || stopped) {
 		request->relay->on_attempt_end(
 			request, result == HTTP_CALL_TIMEOUT ? ATTEMPT_SILENT : ATTEMPT_BROKEN);
 		return;
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -67,8 +67,9 @@
 	req.body = body;
 	req.body_len = strlen(body);
 	request->migrate_last = last;
-	request->migrate_stopping = last;
-	request->stop_asked |= last;
+	request->migrate_not_run = false;
+	if (last)
+		stream_stop_ask(&request->stop);
 	request->migrate_sent_us = env_now_us();
 	request->migrate_call =
 		fetch_start(env->http_client, &req, RELAY_MIGRATE_RESPONSE_MAX_BYTES, NULL,
@@ -177,7 +178,7 @@
 bool relay_has_unneeded_copy(const struct relay_request *request)
 {
 	/* A copy that has stopped the generation is not ended: it is what remains of it. */
-	if (request->kv_copy.up && !request->migrate_stopping &&
+	if (request->kv_copy.up && !request->stop.asked &&
 	    fleet_upstream_is_evacuated(request->kv_copy.up))
 		return true;
 	return request->kv_copy.up && !request->migrate_call && request->attempt.up &&
@@ -236,11 +237,27 @@
 	relay_start_attempt(request, target, source, handle);
 }
 
-/* Tells whether a stream that was closed while its engine was asked to stop it was over: the engine
- * then has no such run. */
-static bool relay_was_over(const struct relay_request *request, uint16_t code)
+/* Tells whether a stream that was closed while its engine was asked to stop it was over. */
+static bool relay_was_over(const struct relay_request *request)
 {
-	return request->closed_in_stop && code == 404 && !relay_is_stream_cut(request);
+	return request->closed_in_stop && stream_stop_judge(&request->stop) == STREAM_STOP_WHOLE &&
+	       !relay_is_stream_cut(request);
+}
+
+/* Returns what the end of a call that stops the generation says. The engine has no such run with
+ * 404, and is busy with another call with 409.
+ * @param has_copy the answer names a KV copy, which it does of a generation that was stopped */
+static enum stream_stop_answer relay_stop_answer(const struct relay_request *request,
+						 const struct fetch_response *answer, bool has_copy)
+{
+	if (has_copy)
+		return STREAM_STOP_STOPPED;
+	if (!answer->sent)
+		return STREAM_STOP_REFUSED;
+	if (answer->result == HTTP_CALL_OK &&
+	    (answer->status == 404 || answer->status == 409 || request->migrate_not_run))
+		return STREAM_STOP_REFUSED;
+	return STREAM_STOP_UNKNOWN;
 }
 
 /* Returns why a migration did not reach its target. */
@@ -269,7 +286,7 @@
 	relay_cancel_migration(request);
 	if (request->call)
 		return;
-	if (relay_was_over(request, code))
+	if (relay_was_over(request))
 		relay_finish_streamed(request);
 	else
 		request->relay->on_attempt_end(request, ATTEMPT_BROKEN);
@@ -288,6 +305,8 @@
 
 	/* A late copy of it could not be told from the answer to the next call. */
 	fetch_disable_reuse(request->migrate_call);
+	request->migrate_not_run =
+		request->relay->env->protocol->classify_answer(head) == PROTOCOL_NOT_RUN;
 	relay_note_upstream(request, request->attempt.up, request->sent_us, head);
 }
 
@@ -303,8 +322,10 @@
 	g_autofree char *handle = kv_copy.handle;
 
 	request->migrate_call = NULL;
-	if (request->migrate_last)
+	if (request->migrate_last) {
 		request->stop_status = answer->status;
+		stream_stop_answer(&request->stop, relay_stop_answer(request, answer, valid));
+	}
 	relay_note_broken_call(request->attempt.up, answer);
 	metric_observe(request->relay->env->metric, METRIC_MIGRATION_CALL_US,
 		       env_now_us() - request->migrate_sent_us);
@@ -331,7 +352,6 @@
 		return;
 	}
 	request->migrate_target = NULL;
-	request->migrate_stopping = false;
 	if (done && request->caller && !relay_is_quiet(target) &&
 	    relay_may_send_to(request, target))
 		relay_migration_done(request, target, handle);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -210,7 +210,8 @@
 	if (request->migrate_call)
 		fetch_cancel(request->migrate_call);
 	request->migrate_call = NULL;
-	request->migrate_stopping = false;
+	if (request->stop.asked)
+		stream_stop_answer(&request->stop, STREAM_STOP_UNKNOWN);
 	if (request->migrate_target)
 		fleet_upstream_unref(request->migrate_target);
 	request->migrate_target = NULL;
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -20,6 +20,7 @@
 #include "flamingolatch/event_stream.h"
 #include "flamingolatch/fetch.h"
 #include "flamingolatch/http_server.h"
+#include "flamingolatch/stream_stop.h"
 
 struct relay_request;
 struct relay_hedge;
@@ -121,24 +122,24 @@
 	uint16_t status;	/* HTTP status of the current response; 0 before */
 	uint16_t stop_status;	/* of the answer to the call that stops the generation; 0: none */
 	enum relay_phase phase;
-	bool response_started; /* the response's head was passed on */
-	bool may_have_run;     /* in an earlier attempt */
-	bool from_copy;	       /* the current attempt resumes from a KV copy */
-	bool resumed;	       /* the current attempt resumes from a KV copy or after an event */
-	bool discard;	       /* the current response is not passed on */
-	bool invalid_response; /* malformed, not from the service of the upstream, or not a stream
-				* although one was started */
-	bool stream;	       /* the current response is a stream of events */
-	bool unframed;	       /* the current response ends with its connection */
-	bool migrate_stopping; /* the engine was asked to stop the generation for the last copy */
-	bool stop_asked;       /* the same, at any time in the current attempt */
-	bool closed_in_stop;   /* the unframed stream was closed properly while it was to stop */
-	bool migrate_last;     /* the latest migration call stops the generation */
-	bool withheld;	       /* the current attempt was not sent because of an evacuation */
-	bool first_attempt;    /* the current attempt is no retry and no hedged request */
-	bool hedge_sent;       /* a hedged request was sent */
-	bool hedge_withheld;   /* a hedged request was due and not sent */
-	bool not_run;	       /* the upstream states that it did not run the request */
+	struct stream_stop stop; /* of the current attempt, for the last copy of its KV cache */
+	bool response_started;	 /* the response's head was passed on */
+	bool may_have_run;	 /* in an earlier attempt */
+	bool from_copy;		 /* the current attempt resumes from a KV copy */
+	bool resumed;		 /* the current attempt resumes from a KV copy or after an event */
+	bool discard;		 /* the current response is not passed on */
+	bool invalid_response;	 /* malformed, not from the service of the upstream, or not a stream
+				  * although one was started */
+	bool stream;		 /* the current response is a stream of events */
+	bool unframed;		 /* the current response ends with its connection */
+	bool closed_in_stop;	 /* the stream was closed properly while it was to stop */
+	bool migrate_last;	 /* the latest migration call stops the generation */
+	bool migrate_not_run;	 /* the engine states that it did not carry that call out */
+	bool withheld;		 /* the current attempt was not sent because of an evacuation */
+	bool first_attempt;	 /* the current attempt is no retry and no hedged request */
+	bool hedge_sent;	 /* a hedged request was sent */
+	bool hedge_withheld;	 /* a hedged request was due and not sent */
+	bool not_run;		 /* the upstream states that it did not run the request */
 };
 
 /** @name Creation, finish and cancellation
