Instance list: software versions of upstreams, in the log and the state

Neither the instance list nor the lines of placements and migrations had a software version, and no line said that a request takes up a stream. Change: the version of an entry is decoded, compared, passed on to dependents and part of the digest of the list; upstream-state, request-placed and stream-taken-over name it, request-placed also the last event that the caller has and the request that it resumes (Resumes). An entry without a version is valid, one with a version that is no name is not. No decision on a request looks at it yet.

--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -53,6 +53,7 @@
 	const char *service;
 	const char *address; /**< "IP:port" */
 	const char *zone;
+	const char *software_version; /**< NULL when unknown */
 	uint64_t started_ms; /**< wall clock time of the upstream's start; 0 when unknown */
 	uint32_t slots;	     /**< requests that it works on at once; 0 when unknown */
 	uint64_t age_ms;  /**< time since its start; 0 when unknown. Not a difference of entries */
@@ -86,7 +87,8 @@
 void fleet_destroy(struct fleet *fleet);
 
 /** Adds an upstream, or updates it from its entry. An entry with another start time, address,
- * service or zone is a new incarnation, which replaces the upstream that had its id. */
+ * service, zone or software version is a new incarnation, which replaces the upstream that had its
+ * id. */
 void fleet_put_entry(struct fleet *fleet, const struct fleet_entry *entry, uint64_t now_us);
 /**
  * Records that an entry is no longer listed.
@@ -153,9 +155,9 @@
  * frees the array, which owns its strings. */
 GPtrArray *fleet_ids(struct fleet *fleet);
 uint32_t fleet_count(const struct fleet *fleet);
-/** Returns a digest of the listed entries: of their ids, services, addresses, zones and start
- * times. Two fleets with the same entries have the same digest, however they came to have them. 0
- * while entries are put off, see fleet_distrust_entries(). */
+/** Returns a digest of the listed entries: of their ids, services, addresses, zones, software
+ * versions and start times. Two fleets with the same entries have the same digest, however they
+ * came to have them. 0 while entries are put off, see fleet_distrust_entries(). */
 uint64_t fleet_digest(const struct fleet *fleet, uint64_t now_us);
 /** Calls @p callback for every known upstream. */
 void fleet_foreach(struct fleet *fleet, void (*callback)(void *ctx, struct fleet_upstream *up),
@@ -179,6 +181,9 @@
 uint64_t fleet_upstream_started_ms(const struct fleet_upstream *up);
 const char *fleet_upstream_address(const struct fleet_upstream *up);
 const char *fleet_upstream_zone(const struct fleet_upstream *up);
+/** Returns "" when it is unknown. A restart with another version is a new
+ * incarnation. */
+const char *fleet_upstream_software_version(const struct fleet_upstream *up);
 /** Returns the region of its zone, or NULL when the zone is unknown. */
 const char *fleet_upstream_region(const struct fleet_upstream *up);
 enum fleet_upstream_state fleet_upstream_state(const struct fleet_upstream *up);
--- a/include/flamingolatch/protocol.h
+++ b/include/flamingolatch/protocol.h
@@ -19,7 +19,9 @@
 	char *key;	     /**< API key, or NULL */
 	char *headers;	     /**< header lines to forward unchanged, each ended by CRLF */
 	char *last_event_id; /**< last event that the caller has, to resume a stream, or NULL */
-	uint64_t wait_ms;    /**< time until the caller's deadline; 0 when it sent none */
+	/** Id of the request that brought the first event of the stream that is resumed, or NULL */
+	char *resumes_id;
+	uint64_t wait_ms; /**< time until the caller's deadline; 0 when it sent none */
 	uint64_t prompt_tokens;
 	uint64_t max_output_tokens;
 	uint64_t hinted_output_tokens; /**< the caller's hint of the output length; 0 for none */
--- a/include/flamingolatch/store_client.h
+++ b/include/flamingolatch/store_client.h
@@ -44,11 +44,12 @@
 	char *id;	     /**< key of the row: id of the upstream or instance */
 	char *text;	     /**< STORE_TABLE_OWN: what was written */
 	char *service;
-	char *address;	     /**< "IP:port" */
-	char *zone;	     /**< of the upstream; STORE_TABLE_CONFIG: the evacuated zone */
-	uint64_t started_ms; /**< wall clock of the upstream's start; 0 when unknown */
-	uint32_t slots;	     /**< requests that it processes at once; 0 when unknown */
-	uint32_t cold_ms;    /**< remaining time for which it is slow after its start */
+	char *address;		/**< "IP:port" */
+	char *software_version; /**< of the upstream */
+	char *zone;		/**< of the upstream; STORE_TABLE_CONFIG: the evacuated zone */
+	uint64_t started_ms;	/**< wall clock of the upstream's start; 0 when unknown */
+	uint32_t slots;		/**< requests that it processes at once; 0 when unknown */
+	uint32_t cold_ms;	/**< remaining time for which it is slow after its start */
 	bool leaving;
 	bool removed;	/**< the row was removed */
 	bool malformed; /**< the row does not decode */
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -30,6 +30,7 @@
 	char *service;
 	char *address;
 	char *zone;
+	char *software_version;
 	uint64_t started_ms;
 	uint64_t first_listed_us; /* when its entry first appeared */
 	uint64_t leaving_since_us;
@@ -98,6 +99,7 @@
 	g_free(up->service);
 	g_free(up->address);
 	g_free(up->zone);
+	g_free(up->software_version);
 	g_free(up);
 }
 
@@ -132,6 +134,7 @@
 	g_free((char *)entry->service);
 	g_free((char *)entry->address);
 	g_free((char *)entry->zone);
+	g_free((char *)entry->software_version);
 	g_free(entry);
 }
 
@@ -222,12 +225,17 @@
 	return !fleet->services || fleet_array_has(fleet->services, service);
 }
 
+static const char *fleet_entry_version(const struct fleet_entry *entry)
+{
+	return entry->software_version ? entry->software_version : "";
+}
+
 static uint64_t fleet_entry_digest(const struct fleet_entry *entry)
 {
 	/* A service or zone of another writer may hold any printable character. */
-	g_autofree char *text =
-		g_strdup_printf("%s\n%s\n%s\n%s\n%" G_GUINT64_FORMAT, entry->id, entry->service,
-				entry->address, entry->zone, entry->started_ms);
+	g_autofree char *text = g_strdup_printf("%s\n%s\n%s\n%s\n%s\n%" G_GUINT64_FORMAT, entry->id,
+						entry->service, entry->address, entry->zone,
+						fleet_entry_version(entry), entry->started_ms);
 
 	return XXH3_64bits(text, strlen(text));
 }
@@ -252,6 +260,7 @@
 	up->service = g_strdup(entry->service);
 	up->address = g_strdup(entry->address);
 	up->zone = g_strdup(entry->zone);
+	up->software_version = g_strdup(fleet_entry_version(entry));
 	up->started_ms = entry->started_ms;
 	up->first_listed_us = now_us;
 	up->configured = fleet_is_configured(fleet, entry->service);
@@ -423,6 +432,7 @@
 	copy->service = g_strdup(entry->service);
 	copy->address = g_strdup(entry->address);
 	copy->zone = g_strdup(entry->zone);
+	copy->software_version = g_strdup(entry->software_version);
 	g_hash_table_replace(fleet->put_off, (char *)copy->id, copy);
 }
 
@@ -461,10 +471,10 @@
 		fleet_put_off(fleet, entry);
 		return;
 	}
-	if (up &&
-	    (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
-	     strcmp(up->address, entry->address) != 0 || strcmp(up->service, entry->service) != 0 ||
-	     strcmp(up->zone, entry->zone) != 0)) {
+	if (up && (up->state == FLEET_UPSTREAM_GONE || up->started_ms != entry->started_ms ||
+		   strcmp(up->address, entry->address) != 0 ||
+		   strcmp(up->service, entry->service) != 0 || strcmp(up->zone, entry->zone) != 0 ||
+		   strcmp(up->software_version, fleet_entry_version(entry)) != 0)) {
 		fleet_replace(fleet, up, now_us);
 		up = NULL;
 	}
@@ -800,7 +810,9 @@
 	if (!up || up->unlisted || g_hash_table_contains(fleet->put_off, entry->id) ||
 	    up->started_ms != entry->started_ms || up->slots != entry->slots ||
 	    strcmp(up->address, entry->address) != 0 || strcmp(up->service, entry->service) != 0 ||
-	    strcmp(up->zone, entry->zone) != 0 || up->announced_leaving != entry->leaving)
+	    strcmp(up->zone, entry->zone) != 0 ||
+	    strcmp(up->software_version, fleet_entry_version(entry)) != 0 ||
+	    up->announced_leaving != entry->leaving)
 		return false;
 	return up->state == FLEET_UPSTREAM_DISPLACED ||
 	       up->state ==
@@ -872,6 +884,7 @@
 					     .service = up->service,
 					     .address = up->address,
 					     .zone = up->zone,
+					     .software_version = up->software_version,
 					     .started_ms = up->started_ms,
 					     .slots = up->slots,
 					     .cold_ms = warm_up_cold_ms(&up->cold_limit, now_us),
@@ -932,6 +945,11 @@
 	return up->zone;
 }
 
+const char *fleet_upstream_software_version(const struct fleet_upstream *up)
+{
+	return up->software_version;
+}
+
 const char *fleet_upstream_region(const struct fleet_upstream *up)
 {
 	return up->fleet->region_of(up->fleet->ctx, up->zone);
--- a/src/serve/delegation_message.c
+++ b/src/serve/delegation_message.c
@@ -12,9 +12,9 @@
  * the list, state, evacuated zones */
 #define DELEGATION_REPLY_TYPE                                                                      \
 	"(sttt" DELEGATION_POSITION_TYPE DELEGATION_POSITION_TYPE "u" DELEGATION_EVACUATED_TYPE ")"
-/* id, service, address, zone, start (wall clock, ms), remaining slow start (ms), slots, leaving,
- * removed */
-#define DELEGATION_CHANGE_TYPE "(ssssttubb)"
+/* id, service, address, zone, software version, start (wall clock, ms), remaining slow start (ms),
+ * slots, leaving, removed */
+#define DELEGATION_CHANGE_TYPE "(sssssttubb)"
 /* from position, to position, how long removed entries count as lapsed (ms), complete, changes */
 #define DELEGATION_CHANGES_TYPE                                                                    \
 	"(" DELEGATION_POSITION_TYPE DELEGATION_POSITION_TYPE "uba" DELEGATION_CHANGE_TYPE ")"
@@ -147,9 +147,11 @@
 		g_variant_builder_add(&row_builder, DELEGATION_CHANGE_TYPE, change->id,
 				      delegation_text_or_empty(change->service),
 				      delegation_text_or_empty(change->address),
-				      delegation_text_or_empty(change->zone), change->started_ms,
-				      (guint64)change->cold_ms, (guint32)change->slots,
-				      change->leaving, change->removed || change->malformed);
+				      delegation_text_or_empty(change->zone),
+				      delegation_text_or_empty(change->software_version),
+				      change->started_ms, (guint64)change->cold_ms,
+				      (guint32)change->slots, change->leaving,
+				      change->removed || change->malformed);
 	}
 	delegation_append(out, g_variant_new(DELEGATION_CHANGES_TYPE, changes->from.era,
 					     changes->from.version, changes->to.era,
@@ -165,6 +167,7 @@
 	g_free(change->service);
 	g_free(change->address);
 	g_free(change->zone);
+	g_free(change->software_version);
 	g_free(change);
 }
 
@@ -188,8 +191,8 @@
 	out->lapse_ms = lapse_ms;
 	out->rows = g_ptr_array_new_with_free_func(delegation_change_free);
 	while (g_variant_iter_next(iter, DELEGATION_CHANGE_TYPE, &row.id, &row.service,
-				   &row.address, &row.zone, &row.started_ms, &cold_ms, &slots,
-				   &leaving, &removed)) {
+				   &row.address, &row.zone, &row.software_version, &row.started_ms,
+				   &cold_ms, &slots, &leaving, &removed)) {
 		row.cold_ms = (uint32_t)cold_ms;
 		row.slots = slots;
 		row.leaving = leaving;
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -22,23 +22,25 @@
 	const struct upstream_speed *speed = fleet_upstream_speed((struct fleet_upstream *)up);
 	const struct upstream_quiet *quiet = fleet_upstream_quiet((struct fleet_upstream *)up);
 
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I, "
-			 "s:s, s:I, s:f, s:f, s:f, s:b}",
-			 "id", fleet_upstream_id(up), "service", fleet_upstream_service(up),
-			 "address", fleet_upstream_address(up), "zone", fleet_upstream_zone(up),
-			 "state", fleet_upstream_state_name(fleet_upstream_state(up)), "own",
-			 dump_load(fleet_upstream_own_load((struct fleet_upstream *)up)), "peers",
-			 dump_load(&peers), "failure_share", fleet_upstream_failure_share(up),
-			 "suspended", fleet_upstream_suspended(up, now_us), "on_probation",
-			 fleet_upstream_on_probation(up), "silent_ms",
-			 (json_int_t)(fleet_upstream_silent_us(up, now_us) / 1000), "limit_per_s",
-			 limit->limited ? limit->limit_per_s : -1.0, "limit_share", limit->share,
-			 "quiet_ms", (json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000),
-			 "cold_phase", warm_up_phase_name(warm_up_phase(cold, now_us)), "cold_ms",
-			 (json_int_t)warm_up_cold_ms(cold, now_us), "cold_own_per_s",
-			 warm_up_rate_per_s(cold, now_us), "speed",
-			 speed->factor > 0.0 ? speed->factor : 1.0, "speed_confidence",
-			 speed->confidence, "speed_in_effect", speed->in_effect);
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:s, s:o, s:o, s:f, s:b, s:b, s:I, s:f, s:f, s:I, "
+		"s:s, s:I, s:f, s:f, s:f, s:b}",
+		"id", fleet_upstream_id(up), "service", fleet_upstream_service(up), "address",
+		fleet_upstream_address(up), "zone", fleet_upstream_zone(up), "version",
+		fleet_upstream_software_version(up), "state",
+		fleet_upstream_state_name(fleet_upstream_state(up)), "own",
+		dump_load(fleet_upstream_own_load((struct fleet_upstream *)up)), "peers",
+		dump_load(&peers), "failure_share", fleet_upstream_failure_share(up), "suspended",
+		fleet_upstream_suspended(up, now_us), "on_probation",
+		fleet_upstream_on_probation(up), "silent_ms",
+		(json_int_t)(fleet_upstream_silent_us(up, now_us) / 1000), "limit_per_s",
+		limit->limited ? limit->limit_per_s : -1.0, "limit_share", limit->share, "quiet_ms",
+		(json_int_t)(upstream_quiet_left_us(quiet, now_us) / 1000), "cold_phase",
+		warm_up_phase_name(warm_up_phase(cold, now_us)), "cold_ms",
+		(json_int_t)warm_up_cold_ms(cold, now_us), "cold_own_per_s",
+		warm_up_rate_per_s(cold, now_us), "speed",
+		speed->factor > 0.0 ? speed->factor : 1.0, "speed_confidence", speed->confidence,
+		"speed_in_effect", speed->in_effect);
 }
 
 static json_t *dump_evacuated(const struct store_watch *store_watch)
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -280,7 +280,7 @@
 	cold_start_on_upstream(gateway->env.cold_start, up);
 	log_event(LOG_UPSTREAM_STATE, "upstream", fleet_upstream_id(up), "service",
 		  fleet_upstream_service(up), "address", fleet_upstream_address(up), "zone",
-		  fleet_upstream_zone(up), "state",
+		  fleet_upstream_zone(up), "version", fleet_upstream_software_version(up), "state",
 		  fleet_upstream_state_name(fleet_upstream_state(up)), "was",
 		  fleet_upstream_state_name(was), NULL);
 	if (fleet_upstream_state(up) >= FLEET_UPSTREAM_DISPLACED)
--- a/src/serve/protocol.c
+++ b/src/serve/protocol.c
@@ -10,6 +10,7 @@
 	g_free(request->key);
 	g_free(request->headers);
 	g_free(request->last_event_id);
+	g_free(request->resumes_id);
 	g_free(request->prompt_parts);
 	*request = (struct protocol_request){ 0 };
 }
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -156,11 +156,13 @@
 	log_event(LOG_REQUEST_PLACED, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "customer",
 		  request->customer ? request->customer->name : "-", "upstream",
-		  fleet_upstream_id(up), "state",
+		  fleet_upstream_id(up), "version", fleet_upstream_software_version(up), "state",
 		  fleet_upstream_state_name(fleet_upstream_state(up)), "candidates", candidates,
 		  "load", load, "waited_ms", waited, "config", version, "prompt", prompt, "output",
 		  output, "backup",
-		  request->backup.up ? fleet_upstream_id(request->backup.up) : "-", NULL);
+		  request->backup.up ? fleet_upstream_id(request->backup.up) : "-", "last_event",
+		  relay_last_event_id(request), "resumes",
+		  request->decoded.resumes_id ? request->decoded.resumes_id : "-", NULL);
 }
 
 static void relay_count_admission_refusal(const struct relay_request *request,
--- a/src/serve/relay_migrate.c
+++ b/src/serve/relay_migrate.c
@@ -34,7 +34,8 @@
 
 	log_event(LOG_STREAM_RESUMED, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "from", relay_upstream_id(request), "to",
-		  fleet_upstream_id(up), "reason", reason, "last_event",
+		  fleet_upstream_id(up), "from_version", relay_upstream_version(request),
+		  "to_version", fleet_upstream_software_version(up), "reason", reason, "last_event",
 		  request->last_event_id ? request->last_event_id : "", "age_ms", age, NULL);
 	metric_add(request->relay->env->metric, METRIC_RESUMES, 1);
 	/* A copy that is being made is of the attempt that ends. */
@@ -228,9 +229,10 @@
 						(env_now_us() - request->migrate_sent_us) / 1000);
 
 	log_event(LOG_STREAM_RESUMED, "request", relay_request_id(request), "from",
-		  relay_upstream_id(request), "to", fleet_upstream_id(target), "reason", "moved",
-		  "last_event", request->last_event_id ? request->last_event_id : "", "move_ms",
-		  took, NULL);
+		  relay_upstream_id(request), "to", fleet_upstream_id(target), "from_version",
+		  relay_upstream_version(request), "to_version",
+		  fleet_upstream_software_version(target), "reason", "moved", "last_event",
+		  request->last_event_id ? request->last_event_id : "", "move_ms", took, NULL);
 	metric_add(request->relay->env->metric, METRIC_RESUMES, 1);
 	relay_cancel_attempt(request);
 	relay_forget_copy(request);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -525,6 +525,18 @@
 	return request->attempt_upstream_id ? request->attempt_upstream_id : "-";
 }
 
+const char *relay_upstream_version(const struct relay_request *request)
+{
+	return request->attempt.up ? fleet_upstream_software_version(request->attempt.up) : "";
+}
+
+const char *relay_last_event_id(const struct relay_request *request)
+{
+	if (request->last_event_id)
+		return request->last_event_id;
+	return request->decoded.last_event_id ? request->decoded.last_event_id : "-";
+}
+
 uint64_t relay_compute_fingerprint(const struct relay_request *request)
 {
 	const struct http_req *req = request->caller;
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -215,6 +215,11 @@
 const char *relay_route_name(const struct relay_request *request);
 /** Returns the id of the upstream of the current attempt, "-" before the first. */
 const char *relay_upstream_id(const struct relay_request *request);
+/** Returns the software version of the upstream that has the request, "" when none has or it is
+ * unknown. */
+const char *relay_upstream_version(const struct relay_request *request);
+/** Returns the id of the last event that the caller has, "-" before the first. */
+const char *relay_last_event_id(const struct relay_request *request);
 /** Returns the hash that is kept as relay_request::fingerprint. */
 uint64_t relay_compute_fingerprint(const struct relay_request *request);
 /** Returns the ids of the first parts of the prompt, separated by commas, "-" for none. */
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -198,6 +198,7 @@
 	g_free(change->service);
 	g_free(change->address);
 	g_free(change->zone);
+	g_free(change->software_version);
 	g_free(change);
 }
 
@@ -546,6 +547,7 @@
 	row->service = g_strdup(entry->service);
 	row->address = g_strdup(entry->address);
 	row->zone = g_strdup(entry->zone);
+	row->software_version = g_strdup(entry->software_version);
 	row->started_ms = entry->started_ms;
 	row->slots = entry->slots;
 	row->cold_ms = entry->cold_ms;
@@ -914,6 +916,7 @@
 		.service = row->service,
 		.address = row->address,
 		.zone = row->zone,
+		.software_version = row->software_version,
 		.started_ms = row->started_ms,
 		.slots = row->slots,
 		/* 0 when it is unknown, or later than the clock here says. */
--- a/test/test_delegation_message.c
+++ b/test/test_delegation_message.c
@@ -39,6 +39,7 @@
 		row->service = i % 3 ? "engines" : "claims";
 		row->zone = i % 2 ? "zone-a" : "zone-b";
 		row->started_ms = 1700000000000ULL + g_rand_int(rand) % 3600000;
+		row->software_version = i % 4 ? "v2" : "";
 		row->slots = 4;
 		row->leaving = i % 50 == 0;
 		g_ptr_array_add(list.rows, row);
@@ -68,6 +69,7 @@
 		g_assert_cmpstr(row->address, ==, sent->address);
 		g_assert_cmpstr(row->service, ==, sent->service);
 		g_assert_cmpstr(row->zone, ==, sent->zone);
+		g_assert_cmpstr(row->software_version, ==, sent->software_version);
 		g_assert_cmpuint(row->started_ms, ==, sent->started_ms);
 		g_assert_cmpuint(row->slots, ==, sent->slots);
 		g_assert_true(row->leaving == sent->leaving);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -612,6 +612,9 @@
 	other.zone = "n3";
 	g_assert_false(fleet_has_entry(fleet, &other));
 	other = entry;
+	other.software_version = "v2";
+	g_assert_false(fleet_has_entry(fleet, &other));
+	other = entry;
 	other.service = "others";
 	g_assert_false(fleet_has_entry(fleet, &other));
 	/* an answer announced its shutdown, which its entry does not say */
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -152,6 +152,8 @@
 	static const char *const members[] = {
 		",\"slots\":1e300",
 		",\"slots\":-1",
+		",\"version\":1",
+		",\"version\":\"\"",
 		",\"slots\":\"8\"",
 		",\"slots\":99999999999",
 		",\"slots\":9999999999999999999999",
@@ -204,6 +206,7 @@
 	g_assert_cmpuint(change->slots, ==, 48);
 	g_assert_cmpuint(change->cold_ms, ==, 900);
 	g_assert_cmpuint(change->started_ms, ==, 1700000000123);
+	g_assert_cmpstr(change->software_version, ==, "v1");
 	platform_change_free(change);
 	g_assert_true(upstream_is_malformed(""));
 	g_assert_true(upstream_is_malformed("\xff\xfe"));
