test_gateway_migration: streams go on at another software version, known red

Tests: an engine leaves while the others have another version than that which began its generation (moved), the engines have three versions when a generation is placed (backup), and a resumable stream breaks after some events (resumed). Seen: two copies are asked for, a backup is named, and the stream is resumed, each at an engine of another version.

--- a/test/test_gateway_migration.c
+++ b/test/test_gateway_migration.c
@@ -44,6 +44,7 @@
 	char *id;
 	char *ip;
 	const char *zone;
+	const char *version; /* of its software, as it is listed */
 	struct script script;
 	uint64_t stream;  /* number of the connection with its generation; 0: none */
 	char *request;	  /* id of the generation */
@@ -54,6 +55,8 @@
 	uint32_t last_copy_calls; /* that stopped the generation */
 	uint32_t releases;
 	uint32_t generations;
+	uint32_t resumed; /* requests that go on after an event */
+	uint32_t backups; /* requests that named an engine for a backup */
 	uint32_t short_calls;
 };
 
@@ -76,11 +79,12 @@
 /* Writes the entry of an engine. @param state NULL removes it */
 static void engine_list(struct engine *engine, const char *state)
 {
-	g_autofree char *entry =
-		g_strdup_printf("{\"service\":\"" TESTBED_ENGINE_SERVICE
-				"\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"slots\":48,"
-				"\"state\":\"%s\",\"cold_left_ms\":0,\"seq_no\":1,\"born\":1}",
-				engine->ip, ENGINE_PORT, engine->zone, state ? state : "");
+	g_autofree char *entry = g_strdup_printf(
+		"{\"service\":\"" TESTBED_ENGINE_SERVICE
+		"\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"%s\","
+		"\"slots\":48,\"state\":\"%s\",\"cold_left_ms\":0,\"seq_no\":1,"
+		"\"born\":1}",
+		engine->ip, ENGINE_PORT, engine->zone, engine->version, state ? state : "");
 
 	mock_store_put(engine->fixture->platform, "servers", engine->id, state ? entry : NULL);
 }
@@ -222,10 +226,12 @@
 		raw_conn_write(conn, answer);
 		if (engine->script.answers_copies_twice)
 			raw_conn_write_later(conn, answer, engine->script.copy_delay_ms, false);
-	} else if (strstr(request, " /quick/")) {
+	} else if (strstr(request, " /quick/") && !strstr(request, " /quick/stream/")) {
 		engine_on_short_call(engine, conn, id);
 	} else {
 		engine->generations += !from;
+		engine->resumed += after != NULL;
+		engine->backups += strstr(request, "X-Flamingolatch-Kv-Backup: ") != NULL;
 		if (from) {
 			g_free(engine->taken_over);
 			engine->taken_over = g_strdup(from);
@@ -251,6 +257,7 @@
 		engine->id = g_strdup_printf("engine-%u", i);
 		engine->ip = testbed_ip(f->testbed, ENGINE_HOST + i);
 		engine->zone = i && !one_zone ? "z2" : "z1";
+		engine->version = "v1";
 		engine->raw = raw_upstream_create(testbed_loop(f->testbed), engine->ip, ENGINE_PORT,
 						  engine_on_request, engine);
 		engine_list(engine, "ready");
@@ -666,6 +673,123 @@
 	}
 }
 
+/* Lists all engines but one with another version, each with its own or all with one. */
+static void list_other_versions(struct fixture *f, const struct engine *source,
+				const char *const versions[ENGINE_COUNT])
+{
+	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
+		if (&f->engines[i] == source)
+			continue;
+		f->engines[i].version = versions[i];
+		engine_list(&f->engines[i], "ready");
+	}
+	fixture_run(f, LIST_MS);
+}
+
+/* A generation does not go on at an engine of another software version when its engine leaves. It
+ * goes on as soon as one of the same version is there, and to its end where it is otherwise. */
+static void test_moved_to_other_version(void)
+{
+	static const char *const others[ENGINE_COUNT] = { "v2", "v2", "v3" };
+	struct script script = { .copy_answer_ms = STEP_MS };
+
+	for (uint32_t i = 0; i < 2; i++) {
+		struct testbed_answer answer;
+		struct engine *source;
+		struct engine *same;
+		struct fixture f;
+
+		fixture_open(&f, true);
+		source = start_generation(&f, &script, &answer);
+		list_other_versions(&f, source, others);
+		engine_list(source, "draining");
+		fixture_run(&f, 2 * START_MS);
+		g_assert_cmpuint(source->copy_calls, ==, 0);
+		g_assert_null(find_taken_over(&f));
+		same = &f.engines[source == &f.engines[0] ? 1 : 0];
+		if (i == 1) {
+			same->version = "v1";
+			engine_list(same, "ready");
+			wait_taken_over(&f);
+			g_assert_true(find_taken_over(&f) == same);
+		}
+		check_complete(&f, &answer);
+		fixture_close(&f);
+	}
+}
+
+/* No backup of a generation is kept at an engine of another software version, where it could not go
+ * on. */
+static void test_backup_at_other_version(void)
+{
+	static const char *const versions[ENGINE_COUNT] = { "v1", "v2", "v3" };
+	struct script script = { 0 };
+	struct testbed_answer answer;
+	struct engine *source;
+	struct fixture f;
+
+	fixture_open(&f, true);
+	list_other_versions(&f, NULL, versions);
+	source = start_generation(&f, &script, &answer);
+	g_assert_cmpuint(source->backups, ==, 0);
+	engine_stop_stream(source);
+	g_assert_true(testbed_wait(f.testbed, &answer, TIMEOUT_MS));
+	g_assert_null(find_taken_over(&f));
+	g_assert_true(answer.broken);
+	g_assert_true(testbed_is_prefix(&answer, OUTPUT_TOKENS));
+	testbed_answer_clear(&answer);
+	fixture_close(&f);
+}
+
+/* A stream that may be resumed goes on after its last event at an engine of the same software
+ * version only. */
+static void test_resumed_at_other_version(void)
+{
+	static const struct testbed_request resumable = { .path = "/quick/stream/",
+							  .key = TESTBED_KEY,
+							  .output_tokens = OUTPUT_TOKENS,
+							  .wait_ms = 6000 };
+	static const char *const others[ENGINE_COUNT] = { "v2", "v2", "v2" };
+	struct script script = { 0 };
+
+	for (uint32_t i = 0; i < 2; i++) {
+		struct testbed_answer answer;
+		struct engine *source = NULL;
+		uint32_t resumed = 0;
+		struct fixture f;
+
+		fixture_open(&f, true);
+		testbed_begin(f.gateway, &resumable, &answer);
+		fixture_run(&f, START_MS);
+		for (uint32_t k = 0; k < ENGINE_COUNT; k++) {
+			if (f.engines[k].generations)
+				source = &f.engines[k];
+		}
+		g_assert_nonnull(source);
+		source->script = script;
+		if (i == 0)
+			list_other_versions(&f, source, others);
+		engine_stop_stream(source);
+		fixture_run(&f, START_MS);
+		for (uint32_t k = 0; k < ENGINE_COUNT; k++)
+			resumed += f.engines[k].resumed;
+		g_test_message("%s versions: %u resumed, broken %d", i ? "same" : "other", resumed,
+			       answer.broken);
+		g_assert_cmpuint(resumed, ==, i);
+		g_assert_cmpuint(source->resumed, ==, 0);
+		if (i == 0) {
+			g_assert_true(answer.broken);
+			g_assert_true(testbed_is_prefix(&answer, OUTPUT_TOKENS));
+			testbed_answer_clear(&answer);
+		} else {
+			for (uint32_t k = 0; k < ENGINE_COUNT; k++)
+				f.engines[k].generations = k == 0;
+			check_complete(&f, &answer);
+		}
+		fixture_close(&f);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -678,5 +802,9 @@
 	g_test_add_func("/gateway-migration/evacuated-after-stop", test_evacuated_after_stop);
 	g_test_add_func("/gateway-migration/evacuated-both", test_evacuated_both);
 	g_test_add_func("/gateway-migration/invalid-status", test_invalid_status);
+	g_test_add_func("/gateway-migration/moved-to-other-version", test_moved_to_other_version);
+	g_test_add_func("/gateway-migration/backup-at-other-version", test_backup_at_other_version);
+	g_test_add_func("/gateway-migration/resumed-at-other-version",
+			test_resumed_at_other_version);
 	return g_test_run();
 }
