Relay: a stream that has begun goes on at the same software version

Cause: placement did not know the version of an upstream, so a migration, a backup and a retry of a resumable stream went to any engine of the service. Change: the first event binds a request to the version of its upstream. Selection (dispatch_need::software_version) and each later send leave out upstreams of other versions; a backup is kept at an engine of the version of the first one. A generation whose version has no other engine stays where it is. Evidence: /gateway-migration/moved-to-other-version, backup-at-other-version and resumed-at-other-version failed before and pass now; the tests of migrations, cuts, regions and evacuation pass. Conclusion: mends streams that go on within one answer. A caller that takes a stream up with another request is not covered yet.

--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -74,10 +74,17 @@
 	return !need->allows || need->allows(need->allows_ctx, up);
 }
 
+static bool dispatch_has_version(const struct fleet_upstream *up, const struct dispatch_need *need)
+{
+	return !need->software_version ||
+	       strcmp(fleet_upstream_software_version(up), need->software_version) == 0;
+}
+
 /* Tells whether a request may go to an upstream at all. */
 static bool dispatch_is_permitted(const struct fleet_upstream *up, const struct dispatch_need *need)
 {
-	return !fleet_upstream_is_evacuated(up) && dispatch_is_allowed(up, need);
+	return !fleet_upstream_is_evacuated(up) && dispatch_has_version(up, need) &&
+	       dispatch_is_allowed(up, need);
 }
 
 /* Tells whether an upstream may be sent a request as far as its state goes; it may be full, over
@@ -790,6 +797,8 @@
 	double fill;
 
 	other.avoid = main;
+	if (main)
+		other.software_version = fleet_upstream_software_version(main);
 	/* A copy that saves a running generation may use the reserve. */
 	other.admission.class = ADMISSION_NONE;
 	up = dispatch_select_engine(dispatch, &other, &decision);
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -48,6 +48,9 @@
 	const GPtrArray *excluded; /**< upstreams not to be selected; may be NULL */
 	const struct fleet_upstream
 		*avoid; /**< one more upstream not to be selected; may be NULL */
+	/** Only upstreams of this software version; NULL for any. It must stay valid while the
+	 * request is queued. */
+	const char *software_version;
 	const struct fleet_upstream *distance_from; /**< NULL counts distances from this instance */
 	/** Tells whether the request may go to an upstream at all. Asked at each selection, since
 	 * the configuration may change while a request is queued. NULL: to any. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -339,8 +339,11 @@
 {
 	struct dispatch_need need = { .service = request->service_name };
 
+	if (!dispatch_has_upstream(request->relay->dispatch, &need))
+		return "no-upstream";
+	need.software_version = request->software_version;
 	return dispatch_has_upstream(request->relay->dispatch, &need) ? "no-allowed-upstream"
-								      : "no-upstream";
+								      : "no-upstream-of-version";
 }
 
 static void relay_place(struct relay_request *request)
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -397,6 +397,9 @@
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
 	request->comment_bytes = 0;
+	if (!request->software_version)
+		request->software_version =
+			g_strdup(fleet_upstream_software_version(request->attempt.up));
 	request->event_count++;
 	request->attempt_event_count++;
 	relay_update_used(request);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -252,6 +252,7 @@
 		fleet_upstream_unref(request->kv_copy_source);
 	g_free(request->attempt_upstream_id);
 	g_free(request->last_event_id);
+	g_free(request->software_version);
 	g_free(request);
 	relay->request_freed = true;
 }
@@ -634,9 +635,17 @@
 				   fleet_upstream_region(up));
 }
 
+/* Tells whether the events of an upstream fit those that the caller has. */
+static bool relay_has_version(const struct relay_request *request, const struct fleet_upstream *up)
+{
+	return !request->software_version ||
+	       strcmp(fleet_upstream_software_version(up), request->software_version) == 0;
+}
+
 bool relay_may_send_to(struct relay_request *request, const struct fleet_upstream *up)
 {
-	return !fleet_upstream_is_evacuated(up) && relay_allows_upstream(request, up);
+	return !fleet_upstream_is_evacuated(up) && relay_has_version(request, up) &&
+	       relay_allows_upstream(request, up);
 }
 
 /* Returns the expected time from the placement of a generation to its first event, in ms. */
@@ -704,6 +713,7 @@
 		.admission = relay_admission_item(request),
 		.run_once = !route_allows_rerun(request->route),
 		.excluded = request->tried,
+		.software_version = request->software_version,
 		.allows = relay_allows_upstream,
 		.allows_ctx = request,
 	};
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -96,6 +96,7 @@
 	GString *response_headers; /* names and values in turn, each ended by a zero byte */
 	char *attempt_upstream_id; /* of the current attempt */
 	char *last_event_id;	   /* of the last event passed on to the caller */
+	char *software_version;	   /* at which the stream began and has to go on; NULL before */
 	uint64_t arrived_us;
 	uint64_t deadline_us;
 	uint64_t queue_deadline_us;    /* end of the queue timeout, at most deadline_us */
@@ -242,8 +243,8 @@
 /** Tells whether the regions that the newest configuration allows for the request include an
  * upstream's. @param ctx struct relay_request */
 bool relay_allows_upstream(void *ctx, const struct fleet_upstream *up);
-/** Tells whether the request may be sent to an upstream now: its region is allowed, and its zone
- * not evacuated. */
+/** Tells whether the request may be sent to an upstream now: its region is allowed, its zone not
+ * evacuated, and a stream that has begun goes on at the same software version. */
 bool relay_may_send_to(struct relay_request *request, const struct fleet_upstream *up);
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
