Store client: single rows, conditional writes and rows in parts

Cause: what must outlive all instances, such as the version at which a stream began, needs a row for each stream, read alone, and writes that depend on the version of a row. Each row is decoded with its version. The port says that a condition counts as an entry, since the store takes 100 of both together, that the position of a conflict is valid, and that ids are UTF-8: a commit with another id is sent without a body, so that no part of it is written. store_watch has a name for the new result.

--- a/include/flamingolatch/store_client.h
+++ b/include/flamingolatch/store_client.h
@@ -19,11 +19,15 @@
 #include "flamingolatch/route.h"
 #include "flamingolatch/store_history.h"
 
+#define STORE_COMMIT_MAX_WRITES 100
+
 enum store_table {
 	STORE_TABLE_CONFIG,    /**< the operator's: the configuration and the evacuated zones */
 	STORE_TABLE_UPSTREAMS, /**< the instance list */
 	STORE_TABLE_OWN,       /**< the system's own rows: one for each gateway instance, and others
 				* whose keys have a prefix */
+	STORE_TABLE_STREAMS,   /**< the system's own: a row for each stream that may be taken up, in
+				* parts */
 	STORE_TABLE_COUNT
 };
 
@@ -33,7 +37,9 @@
 	STORE_HISTORY_GONE, /**< the changes since that version are lost, or there is no such
 			     * version; read the table */
 	STORE_REFUSED,	    /**< the store did nothing; try again later */
-	STORE_NO_ANSWER,    /**< no answer, or one that does not decode */
+	STORE_CONFLICT,	    /**< a condition did not hold, nothing was written */
+	STORE_NO_ANSWER,    /**< no answer, or one that does not decode; a write may take effect,
+			     * even later */
 	STORE_RESULT_COUNT
 };
 
@@ -42,11 +48,12 @@
 	GBytes *config_text; /**< STORE_TABLE_CONFIG: the configuration, not decoded yet; NULL when
 			      * the row is that of an evacuated zone */
 	char *id;	     /**< key of the row: id of the upstream or instance */
-	char *text;	     /**< STORE_TABLE_OWN: what was written */
+	char *text;	     /**< STORE_TABLE_OWN, STORE_TABLE_STREAMS: what was written */
 	char *service;
 	char *address;		/**< "IP:port" */
 	char *software_version; /**< of the upstream */
 	char *zone;		/**< of the upstream; STORE_TABLE_CONFIG: the evacuated zone */
+	uint64_t row_version;	/**< of the last write of the row; 0 when unknown */
 	uint64_t started_ms;	/**< wall clock of the upstream's start; 0 when unknown */
 	uint32_t slots;		/**< requests that it processes at once; 0 when unknown */
 	uint32_t cold_ms;	/**< remaining time for which it is slow after its start */
@@ -55,9 +62,26 @@
 	bool malformed; /**< the row does not decode */
 };
 
+/** A row of the system's own tables. Part and id are UTF-8 of at most 200 bytes. */
+struct store_key {
+	enum store_table table;
+	/** Rows of one part are written together; "" for a table without parts. */
+	const char *part;
+	const char *id;
+};
+
+/** A write of store_ops::commit. */
+struct store_write {
+	const char *id;	     /**< as in struct store_key */
+	const char *text;    /**< NULL removes the row */
+	bool conditional;    /**< on the version of the row */
+	uint64_t if_version; /**< that the row must have; 0: it must be absent */
+};
+
 struct store_answer {
 	enum store_result result;
-	/** To watch from; valid with STORE_OK. The era is valid with STORE_HISTORY_GONE too. */
+	/** To watch from; valid with STORE_OK and STORE_CONFLICT. The era is valid with
+	 * STORE_HISTORY_GONE too. */
 	struct store_position position;
 	uint64_t received_bytes;  /**< in the bodies of all responses of the call */
 	const GPtrArray *changes; /**< struct store_change; borrowed for the callback */
@@ -82,6 +106,18 @@
 	/** Writes a row of STORE_TABLE_OWN; removes it when @p text is NULL. */
 	struct store_call *(*put)(void *ctx, const char *id, const char *text, store_answer_cb cb,
 				  void *arg);
+	/** Reads one row: the answer has one change, or none when the row is absent. */
+	struct store_call *(*read_row)(void *ctx, const struct store_key *key, store_answer_cb cb,
+				       void *arg);
+	/** Writes rows of one part of one of the system's own tables, all or none.
+	 *  With STORE_OK the position is that of the write; with STORE_CONFLICT the changes are the
+	 *  current rows of those with a condition, where an absent one is missing or marked as
+	 *  removed. With an id or a part that is not UTF-8 nothing is written.
+	 *  @param writes at most STORE_COMMIT_MAX_WRITES, where one with a condition counts as two;
+	 *         each row once */
+	struct store_call *(*commit)(void *ctx, enum store_table table, const char *part,
+				     const struct store_write *writes, uint32_t count,
+				     store_answer_cb cb, void *arg);
 	/** @name Decoding of a configuration
 	 * A large one takes longer than a stream may pause, so it is decoded in parts.
 	 * @{ */
--- a/src/serve/store_watch.c
+++ b/src/serve/store_watch.c
@@ -84,7 +84,8 @@
 };
 
 static const char *const store_watch_result_names[STORE_RESULT_COUNT] = { "ok", "history-gone",
-									  "refused", "no-answer" };
+									  "refused", "conflict",
+									  "no-answer" };
 
 static const char *const store_watch_table_names[] = { "configuration", "upstreams" };
 
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -304,6 +304,41 @@
 	g_assert_true(change->malformed && !change->removed);
 }
 
+/* Each row has the version of its last write; one that is no version counts as unknown. Both of the
+ * system's own tables have texts. */
+static void test_rows_version(void)
+{
+	const char *text = "{\"rows\":[{\"key\":\"config\",\"value\":\"e30=\",\"row_version\":11},"
+			   "{\"key\":\"evacuate/z1\",\"value\":\"e30=\",\"row_version\":12},"
+			   "{\"key\":\"evacuate/z2\",\"deleted\":true,\"row_version\":13},"
+			   "{\"key\":\"evacuate/z3\",\"value\":\"e30=\"},"
+			   "{\"key\":\"evacuate/z4\",\"value\":\"e30=\",\"row_version\":\"15\"},"
+			   "{\"key\":\"evacuate/z5\",\"value\":\"e30=\",\"row_version\":-1},"
+			   "{\"key\":\"evacuate/z6\",\"value\":\"e30=\",\"row_version\":"
+			   "9007199254740993}],\"row_version\":90}";
+	static const uint64_t versions[] = { 11, 12, 13, 0, 0, 0, 9007199254740993 };
+	uint64_t version;
+
+	for (int table = 0; table < STORE_TABLE_COUNT; table++) {
+		g_autoptr(GPtrArray) changes = g_ptr_array_new_with_free_func(platform_change_free);
+		bool is_text = table == STORE_TABLE_OWN || table == STORE_TABLE_STREAMS;
+
+		g_assert_true(platform_decode_rows(text, strlen(text), (enum store_table)table,
+						   changes, &version, NULL, NULL));
+		g_assert_cmpuint(version, ==, 90);
+		g_assert_cmpuint(changes->len, ==, G_N_ELEMENTS(versions));
+		for (guint i = 0; i < changes->len; i++) {
+			const struct store_change *change = changes->pdata[i];
+			/* the configuration comes last among the rows of its table */
+			guint number = table == STORE_TABLE_CONFIG ? (i + 1) % changes->len : i;
+
+			g_assert_cmpuint(change->row_version, ==, versions[number]);
+			g_assert_true(change->removed == (number == 2));
+			g_assert_cmpstr(change->text, ==, is_text && number != 2 ? "{}" : NULL);
+		}
+	}
+}
+
 /* A request as an HTTP server received and decoded it. */
 struct decoded {
 	uv_loop_t loop;
@@ -526,6 +561,7 @@
 	g_test_add_func("/platform/rows", test_rows);
 	g_test_add_func("/platform/rows-evacuation", test_rows_evacuation);
 	g_test_add_func("/platform/rows-upstreams", test_rows_upstreams);
+	g_test_add_func("/platform/rows-version", test_rows_version);
 	g_test_add_func("/platform/request", test_request);
 	g_test_add_func("/platform/forged", test_reserved_headers);
 	g_test_add_func("/platform/move", test_migration);
