--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -13,13 +13,16 @@
 #define MOCK_ENDLESS_CHUNK_BYTES 65536
 #define MOCK_TOKENS_PER_EVENT	 4
 #define MOCK_DRAIN_EVENT_COUNT	 1
-#define MOCK_OWN_TABLE		 "flamingolatch"
+#define MOCK_OWN_TABLE_PREFIX	 "flamingolatch"
+#define MOCK_TX_MAX_ENTRIES	 100 /* limit of the platform's protocol */
 
 /* The head of another answer, which ends with a blank line as an event does. */
 static const char mock_garbage[] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
+/* A row is named by its table, part and key. */
 struct mock_row {
 	char *table;
+	char *part;
 	char *key;
 	char *text; /* NULL when removed */
 	uint64_t version;
@@ -68,6 +71,7 @@
 	char *id;
 	char *service;
 	char *zone;
+	char *software_version; /* NULL: none in the entry */
 	char *address;
 	char *listed_address; /* address in the entry of the instance list */
 	GPtrArray *jobs;
@@ -115,6 +119,7 @@
 	struct mock_row *row = data;
 
 	g_free(row->table);
+	g_free(row->part);
 	g_free(row->key);
 	g_free(row->text);
 	g_free(row);
@@ -217,6 +222,7 @@
 	g_free(upstream->id);
 	g_free(upstream->service);
 	g_free(upstream->zone);
+	g_free(upstream->software_version);
 	g_free(upstream->address);
 	g_free(upstream->listed_address);
 	g_free(upstream);
@@ -248,12 +254,13 @@
 /* commands: the store */
 
 static struct mock_row *mock_store_find_row(struct mock_platform *platform, const char *table,
-					    const char *key)
+					    const char *part, const char *key)
 {
 	for (guint i = 0; i < platform->rows->len; i++) {
 		struct mock_row *row = platform->rows->pdata[i];
 
-		if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0)
+		if (strcmp(row->table, table) == 0 && strcmp(row->part, part) == 0 &&
+		    strcmp(row->key, key) == 0)
 			return row;
 	}
 	return NULL;
@@ -275,19 +282,29 @@
 	}
 }
 
-void mock_store_put(struct mock_platform *platform, const char *table, const char *key,
-		    const char *text)
+/* Writes a row with the current version of the store, which the caller has increased. Answers no
+ * watches, as a transaction shows all of its rows at once. */
+static void mock_store_set_row(struct mock_platform *platform, const char *table, const char *part,
+			       const char *key, const char *text)
 {
-	struct mock_row *row = mock_store_find_row(platform, table, key);
+	struct mock_row *row = mock_store_find_row(platform, table, part, key);
 
 	if (row)
 		g_ptr_array_remove(platform->rows, row);
 	row = g_new0(struct mock_row, 1);
 	row->table = g_strdup(table);
+	row->part = g_strdup(part);
 	row->key = g_strdup(key);
 	row->text = g_strdup(text);
-	row->version = ++platform->version;
+	row->version = platform->version;
 	g_ptr_array_add(platform->rows, row);
+}
+
+void mock_store_put(struct mock_platform *platform, const char *table, const char *key,
+		    const char *text)
+{
+	platform->version++;
+	mock_store_set_row(platform, table, "", key, text);
 	mock_store_answer_watchers(platform, table);
 }
 
@@ -318,6 +335,7 @@
 
 	(void)ctx;
 	copy->table = g_strdup(row->table);
+	copy->part = g_strdup(row->part);
 	copy->key = g_strdup(row->key);
 	copy->text = g_strdup(row->text);
 	copy->version = row->version;
@@ -340,7 +358,7 @@
 		const struct mock_row *row = platform->rows->pdata[i];
 
 		if (row->version > platform->backup_version &&
-		    strcmp(row->table, MOCK_OWN_TABLE) != 0)
+		    !g_str_has_prefix(row->table, MOCK_OWN_TABLE_PREFIX))
 			g_ptr_array_add(platform->lost_rows, mock_row_copy(row, NULL));
 	}
 	g_ptr_array_free(platform->rows, TRUE);
@@ -356,17 +374,20 @@
 	for (guint i = 0; i < platform->lost_rows->len; i++) {
 		const struct mock_row *row = platform->lost_rows->pdata[i];
 		const struct mock_row *current =
-			mock_store_find_row(platform, row->table, row->key);
+			mock_store_find_row(platform, row->table, row->part, row->key);
 
-		if (!current || current->version <= platform->backup_version)
-			mock_store_put(platform, row->table, row->key, row->text);
+		if (current && current->version > platform->backup_version)
+			continue;
+		platform->version++;
+		mock_store_set_row(platform, row->table, row->part, row->key, row->text);
+		mock_store_answer_watchers(platform, row->table);
 	}
 	g_ptr_array_set_size(platform->lost_rows, 0);
 }
 
 const char *mock_store_text(struct mock_platform *platform, const char *table, const char *key)
 {
-	const struct mock_row *row = mock_store_find_row(platform, table, key);
+	const struct mock_row *row = mock_store_find_row(platform, table, "", key);
 
 	return row ? row->text : NULL;
 }
@@ -391,8 +412,8 @@
 
 static json_t *mock_row_json(const struct mock_row *row)
 {
-	json_t *out = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part", "", "key",
-				row->key, "row_version", (json_int_t)row->version);
+	json_t *out = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part", row->part,
+				"key", row->key, "row_version", (json_int_t)row->version);
 
 	if (row->text) {
 		g_autofree char *value =
@@ -422,34 +443,63 @@
 	return strcmp((*left)->key, (*right)->key);
 }
 
-/* Returns the key after which a page begins, NULL for the first page. The range starts at that key
- * followed by a zero byte, which cannot be part of a C string. */
-static char *mock_store_page_after(const struct http_req *req)
+/* An end of a range of keys. A C string cannot hold the zero byte that may follow the key. */
+struct mock_bound {
+	char *key;     /* NULL: the range has no such end */
+	bool is_after; /* after the key itself: a zero byte followed it */
+};
+
+static struct mock_bound mock_store_bound(const struct http_req *req, const char *name)
 {
-	const char *from = strstr(http_req_query(req), "&from=");
-	const char *end = from ? strstr(from, "%00") : NULL;
+	g_auto(GStrv) params = g_strsplit(http_req_query(req), "&", 0);
+	g_autofree char *prefix = g_strdup_printf("%s=", name);
+	struct mock_bound bound = { 0 };
 
-	return end ? g_uri_unescape_segment(from + strlen("&from="), end, NULL) : NULL;
+	for (uint32_t i = 0; params[i] && !bound.key; i++) {
+		const char *text = params[i] + strlen(prefix);
+		const char *end;
+
+		if (!g_str_has_prefix(params[i], prefix))
+			continue;
+		end = strstr(text, "%00");
+		bound.is_after = end != NULL;
+		bound.key = g_uri_unescape_segment(text, end ? end : text + strlen(text), NULL);
+	}
+	return bound;
+}
+
+/* Tells whether the bound comes after a key. */
+static bool mock_bound_is_behind(const struct mock_bound *bound, const char *key)
+{
+	int order = strcmp(key, bound->key);
+
+	return order < 0 || (order == 0 && bound->is_after);
 }
 
 /* Appends the rows of a page. @return true when there are more */
 static bool mock_store_append_page(struct http_req *req, GPtrArray *matching, json_t *rows)
 {
-	g_autofree char *after = mock_store_page_after(req);
+	struct mock_bound from = mock_store_bound(req, "from");
+	struct mock_bound to = mock_store_bound(req, "to");
 	g_autofree char *limit_text = http_req_query_param(req, "limit");
 	uint64_t limit = limit_text ? strtoull(limit_text, NULL, 10) : MOCK_PAGE_MAX_ROWS;
+	bool more = false;
 
 	g_ptr_array_sort(matching, mock_row_compare_key);
-	for (guint i = 0; i < matching->len; i++) {
+	for (guint i = 0; i < matching->len && !more; i++) {
 		const struct mock_row *row = matching->pdata[i];
 
-		if (after && strcmp(row->key, after) <= 0)
+		if ((from.key && mock_bound_is_behind(&from, row->key)) ||
+		    (to.key && !mock_bound_is_behind(&to, row->key)))
 			continue;
 		if (json_array_size(rows) >= MIN(limit, MOCK_PAGE_MAX_ROWS))
-			return true;
-		json_array_append_new(rows, mock_row_json(row));
+			more = true;
+		else
+			json_array_append_new(rows, mock_row_json(row));
 	}
-	return false;
+	g_free(from.key);
+	g_free(to.key);
+	return more;
 }
 
 static void mock_store_answer_rows(struct mock_platform *platform, struct http_req *req,
@@ -457,13 +507,14 @@
 {
 	json_t *rows = json_array();
 	g_autoptr(GPtrArray) matching = g_ptr_array_new();
+	g_autofree char *part = http_req_query_param(req, "part");
 	bool more = false;
 
 	for (guint i = 0; i < platform->rows->len; i++) {
 		struct mock_row *row = platform->rows->pdata[i];
 
 		if (strcmp(row->table, table) != 0 || (is_watch && row->version <= since) ||
-		    (!is_watch && !row->text))
+		    (!is_watch && (!row->text || strcmp(row->part, part ? part : "") != 0)))
 			continue;
 		if (is_watch)
 			json_array_append_new(rows, mock_row_json(row));
@@ -528,41 +579,141 @@
 	http_req_set_callbacks(req, mock_pending_answer_on_gone, NULL, pending);
 }
 
-static void mock_store_on_write(struct mock_platform *platform, struct http_req *req)
+/* A row that an entry of a transaction names; strings are borrowed from the entry. */
+struct mock_row_name {
+	const char *table; /* NULL when a text is missing */
+	const char *part;
+	const char *key;
+};
+
+static struct mock_row_name mock_tx_row_name(const json_t *entry)
 {
-	size_t len;
-	const char *body = http_req_body(req, &len);
-	json_t *root = json_loadb(body, len, 0, NULL);
-	json_t *row;
+	struct mock_row_name name = {
+		.part = json_string_value(json_object_get(entry, "part")),
+		.key = json_string_value(json_object_get(entry, "key")),
+	};
+
+	if (name.part && name.key)
+		name.table = json_string_value(json_object_get(entry, "table"));
+	return name;
+}
+
+/* Tells whether a transaction follows the protocol: each entry names a row, all of one part. */
+static bool mock_tx_is_valid(const json_t *root)
+{
+	static const char *const kinds[] = { "expected_rev", "writes", "remove" };
+	const char *part = NULL;
+	size_t count = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		const json_t *entries = json_object_get(root, kinds[i]);
+		const json_t *entry;
+		size_t j;
+
+		count += json_array_size(entries);
+		json_array_foreach(entries, j, entry)
+		{
+			struct mock_row_name name = mock_tx_row_name(entry);
+
+			if (!name.table || (part && strcmp(part, name.part) != 0) ||
+			    (i == 0 && !json_is_integer(json_object_get(entry, "row_version"))) ||
+			    (i == 1 && !json_is_string(json_object_get(entry, "value"))))
+				return false;
+			part = name.part;
+		}
+	}
+	return json_is_object(root) && count <= MOCK_TX_MAX_ENTRIES;
+}
+
+/* Appends the current rows of those with a condition. @return true when all conditions hold */
+static bool mock_tx_check(struct mock_platform *platform, const json_t *expected, json_t *rows)
+{
+	bool all_hold = true;
+	const json_t *entry;
 	size_t i;
 
-	json_array_foreach(json_object_get(root, "writes"), i, row)
+	json_array_foreach(expected, i, entry)
 	{
+		struct mock_row_name name = mock_tx_row_name(entry);
+		const struct mock_row *row =
+			mock_store_find_row(platform, name.table, name.part, name.key);
+		bool exists = row && row->text;
+
+		if (json_integer_value(json_object_get(entry, "row_version")) !=
+		    (exists ? (json_int_t)row->version : 0))
+			all_hold = false;
+		if (exists)
+			json_array_append_new(rows, mock_row_json(row));
+	}
+	return all_hold;
+}
+
+/* Applies the entries of a transaction, all with one version. */
+static void mock_tx_apply(struct mock_platform *platform, const json_t *root)
+{
+	g_autoptr(GHashTable) tables = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	const char *table;
+	const json_t *entry;
+	size_t i;
+
+	platform->version++;
+	json_array_foreach(json_object_get(root, "writes"), i, entry)
+	{
+		struct mock_row_name name = mock_tx_row_name(entry);
 		gsize size;
 		g_autofree guchar *value =
-			g_base64_decode(json_string_value(json_object_get(row, "value")), &size);
+			g_base64_decode(json_string_value(json_object_get(entry, "value")), &size);
 		g_autofree char *text = g_strndup((const char *)value, size);
 
-		mock_store_put(platform, json_string_value(json_object_get(row, "table")),
-			       json_string_value(json_object_get(row, "key")), text);
+		mock_store_set_row(platform, name.table, name.part, name.key, text);
+		g_hash_table_add(tables, (gpointer)name.table);
 	}
-	json_array_foreach(json_object_get(root, "remove"), i, row)
+	json_array_foreach(json_object_get(root, "remove"), i, entry)
 	{
-		mock_store_put(platform, json_string_value(json_object_get(row, "table")),
-			       json_string_value(json_object_get(row, "key")), NULL);
+		struct mock_row_name name = mock_tx_row_name(entry);
+
+		mock_store_set_row(platform, name.table, name.part, name.key, NULL);
+		g_hash_table_add(tables, (gpointer)name.table);
 	}
-	json_decref(root);
+	g_hash_table_iter_init(&iter, tables);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&table, NULL))
+		mock_store_answer_watchers(platform, table);
+}
+
+static void mock_store_on_write(struct mock_platform *platform, struct http_req *req)
+{
+	size_t len;
+	const char *body = http_req_body(req, &len);
+	json_t *root = json_loadb(body, len, 0, NULL);
+	json_t *rows = json_array();
+
 	platform->answer_count++;
-	mock_reply_json(req, 200, json_pack("{s:I}", "row_version", (json_int_t)platform->version));
+	if (!mock_tx_is_valid(root)) {
+		http_req_reply(req, 400, NULL, "", 0);
+	} else if (!mock_tx_check(platform, json_object_get(root, "expected_rev"), rows)) {
+		mock_reply_json(req, 412,
+				json_pack("{s:O, s:I, s:I}", "rows", rows, "row_version",
+					  (json_int_t)platform->version, "now_ms",
+					  (json_int_t)uv_now(platform->loop)));
+	} else {
+		mock_tx_apply(platform, root);
+		mock_reply_json(req, 200,
+				json_pack("{s:I}", "row_version", (json_int_t)platform->version));
+	}
+	json_decref(rows);
+	json_decref(root);
 }
 
 /* Counts the reads of the instance list that start at its first page.
  * @return true when this page gets no answer */
 static bool mock_store_loses_page(struct mock_platform *platform, const struct http_req *req)
 {
-	g_autofree char *after = mock_store_page_after(req);
+	struct mock_bound from = mock_store_bound(req, "from");
+	bool is_first = !from.key;
 
-	if (!after) {
+	g_free(from.key);
+	if (is_first) {
 		platform->list_read_count++;
 		return false;
 	}
@@ -629,8 +780,11 @@
 		upstream->leaving_ms ? "draining" : "ready", "cold_left_ms",
 		(int)mock_upstream_cold_left_ms(upstream), "seq_no",
 		(json_int_t)upstream->platform->version, "born", (json_int_t)upstream->started_ms);
-	char *text = json_dumps(root, JSON_COMPACT);
+	char *text;
 
+	if (upstream->software_version)
+		json_object_set_new(root, "version", json_string(upstream->software_version));
+	text = json_dumps(root, JSON_COMPACT);
 	mock_store_put(upstream->platform, "servers", upstream->id, text);
 	free(text);
 	json_decref(root);
@@ -649,6 +803,7 @@
 	upstream->id = g_strdup(conf->id);
 	upstream->service = g_strdup(conf->service);
 	upstream->zone = g_strdup(conf->zone);
+	upstream->software_version = g_strdup(conf->software_version);
 	upstream->jobs = g_ptr_array_new();
 	upstream->arrivals_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
 	upstream->copies_ms = g_array_new(FALSE, FALSE, sizeof(guint64));
@@ -1098,6 +1253,18 @@
 	return g_hash_table_size(platform->kv_copies);
 }
 
+uint32_t mock_store_row_count(const struct mock_platform *platform, const char *table)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < platform->rows->len; i++) {
+		const struct mock_row *row = platform->rows->pdata[i];
+
+		count += row->text && strcmp(row->table, table) == 0;
+	}
+	return count;
+}
+
 uint32_t mock_store_list_read_count(const struct mock_platform *platform)
 {
 	return platform->list_read_count;
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -32,8 +32,9 @@
 	const char *id;
 	const char *service;
 	const char *zone;
-	const char *address; /**< IP to bind */
-	uint16_t port;	     /**< 0 selects a free one */
+	const char *software_version; /**< NULL leaves it out of the entry */
+	const char *address;	      /**< IP to bind */
+	uint16_t port;		      /**< 0 selects a free one */
 	bool engine;
 	uint32_t work_ms; /**< time until the answer, or until the first event of a stream */
 	uint32_t pace_ms; /**< between events */
@@ -86,7 +87,7 @@
 void mock_platform_destroy(struct mock_platform *platform);
 /** Returns the address of the store, "IP:port". */
 const char *mock_platform_address(const struct mock_platform *platform);
-/** Writes a row, or removes it when @p text is NULL. */
+/** Writes a row of the empty part, or removes it when @p text is NULL. */
 void mock_store_put(struct mock_platform *platform, const char *table, const char *key,
 		    const char *text);
 void mock_store_set_mode(struct mock_platform *platform, enum mock_store_mode mode);
@@ -102,8 +103,10 @@
 /** Writes the rows of the operator and of the upstreams again that the last restoration lost, and
  * removes those that had been removed, unless they were written since. */
 void mock_store_rewrite(struct mock_platform *platform);
-/** Returns the text of a row, borrowed; NULL when there is none. */
+/** Returns the text of a row of the empty part, borrowed; NULL when there is none. */
 const char *mock_store_text(struct mock_platform *platform, const char *table, const char *key);
+/** Returns the number of rows of a table, over all parts. */
+uint32_t mock_store_row_count(const struct mock_platform *platform, const char *table);
 /** Leaves the next @p count requests for pages of the instance list unanswered; first pages do not
  * count and are answered. */
 void mock_store_lose_pages(struct mock_platform *platform, uint32_t count);
@@ -136,7 +139,7 @@
 void mock_upstream_unlist(struct mock_upstream *upstream);
 /** Writes the entry. */
 void mock_upstream_list(struct mock_upstream *upstream);
-/** Changes the behaviour; id, service, zone and address stay. */
+/** Changes the behaviour; id, service, zone, version and address stay. */
 void mock_upstream_configure(struct mock_upstream *upstream, const struct mock_upstream_conf *conf);
 /** Makes the upstream cold for a time, which its answers state from now on, and its entry from the
  * next mock_upstream_list() on. */
