Log: a caller takes up a stream, with the versions that the instance lists

Callers got streams whose later events came from another software version, after they had resumed them with a request of their own (ORDER). Cause of this commit: no line told whether the instance that resumes a stream knew the other version, so that a missing record could not be told from a lagging view. Change: stream-taken-up names the request that began the stream, the last event, the versions of the listed upstreams and the age of the view.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -91,6 +91,7 @@
 	X(LOG_REGION_UNKNOWN, 645, WARNING, "region-unknown", "A route or customer is restricted to a region that has no zone in the settings; nothing is sent there.") \
 	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was loaded again.") \
 	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the previous settings stay in force.") \
+	X(LOG_STREAM_TAKEN_UP, 660, INFO, "stream-taken-up", "A caller takes up a stream that another answer began; versions are those of the upstreams that this instance lists, view_age_ms the age of its configuration.") \
 	X(LOG_SUPPRESSED, 690, WARNING, "log-suppressed", "Log lines were dropped since the last event of this kind.")
 // clang-format on
 
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -165,6 +165,37 @@
 		  request->decoded.resumes_id ? request->decoded.resumes_id : "-", NULL);
 }
 
+/* Returns the software versions of the listed upstreams of the request's service, separated by
+ * commas. */
+static char *relay_dup_listed_versions(const struct relay_request *request)
+{
+	const GPtrArray *ups =
+		fleet_service_upstreams(request->relay->env->fleet, request->service_name);
+	g_autoptr(GPtrArray) versions = g_ptr_array_new();
+
+	for (guint i = 0; i < ups->len; i++) {
+		const char *version = fleet_upstream_software_version(ups->pdata[i]);
+
+		if (!g_ptr_array_find_with_equal_func(versions, version, g_str_equal, NULL))
+			g_ptr_array_add(versions, (gpointer)version);
+	}
+	g_ptr_array_add(versions, NULL);
+	return g_strjoinv(",", (char **)versions->pdata);
+}
+
+/* Logs that the caller takes up a stream that another answer began. */
+static void relay_log_taken_up(const struct relay_request *request)
+{
+	g_autofree char *versions = relay_dup_listed_versions(request);
+	uint64_t age_us = freshness_age_us(&request->relay->env->freshness, env_boot_us());
+	g_autofree char *age = g_strdup_printf("%" G_GUINT64_FORMAT, age_us / 1000);
+
+	log_event(LOG_STREAM_TAKEN_UP, "request", relay_request_id(request), "route",
+		  relay_route_name(request), "last_event", request->decoded.last_event_id,
+		  "resumes", request->decoded.resumes_id ? request->decoded.resumes_id : "-",
+		  "versions", versions, "view_age_ms", age, NULL);
+}
+
 static void relay_count_admission_refusal(const struct relay_request *request,
 					  enum metric_counter reason)
 {
@@ -759,6 +790,8 @@
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
 	relay_count_for_hedges(request);
+	if (relay_is_generation(request) && request->decoded.last_event_id)
+		relay_log_taken_up(request);
 	relay_place(request);
 }
 
