test_gateway_versions: streams change their version at instances out of step, known red

Cause: nothing tells an instance at which version a stream began that it did not begin itself. It places a request with Last-Event-Id like a new one, at any version that it knows; one that is out of step knows only the old one.

Six scenarios with real processes, where a stream may go on at its own version or be refused with 503:

- frozen: an instance stands still while v2 joins and streams begin there; a request waits for it when it goes on, and others follow.
- cut-off-back, cut-off-silent: an instance is cut off from the store and all others; streams that began at v2 are taken up there, while the store answers again, or stays silent.
With the store back they must go on.
- lagging-begin: an instance that is cut off begins streams at v1 while v2 joins, and is killed; another one is asked.
- chain: a stream is taken up twice, at two further instances, and Resumes names the first request both times.
- new-version-gone: streams began at v2, and its engines leave while no instance runs.

The instances of the first five rely on their keys for a minute, since one that is cut off refuses all requests after bounds.revoke_ms, here 2 s, and the fault would depend on how fast the test gets there.

A first draft of "frozen" passed, as v1 was listed as draining for a moment: the instance learned of that first when it went on, and then knew no upstream.

--- a/test/test_gateway_versions.c
+++ b/test/test_gateway_versions.c
@@ -6,6 +6,7 @@
  */
 #include "raw_caller.h"
 #include "raw_upstream.h"
+#include "soak/proxy.h"
 #include "testbed.h"
 
 #include <glib.h>
@@ -19,14 +20,19 @@
 #define STORE_MS	 300  /* until what is written for a stream has reached the store */
 #define ENGINE_PORT	 8700
 #define ENGINE_HOST	 120
-#define ENGINE_COUNT	 3
-#define GATEWAY_COUNT	 2
+#define ENGINE_COUNT	 4
+#define GATEWAY_COUNT	 2 /* of most scenarios */
+#define MAX_GATEWAYS	 3
+#define STREAM_COUNT	 6 /* of an instance; an unbound one goes on at either version by chance */
+#define PROXY_HOST	 110
 #define STREAM_HEAD                                                                                \
 	"HTTP/1.1 200 OK\r\nX-Flamingolatch-Attempt-Id: %s\r\n"                                    \
 	"X-Flamingolatch-Replica-Signature: s\r\nContent-Type: text/event-stream\r\n"              \
 	"Transfer-Encoding: chunked\r\n\r\n"
 #define FIRST_EVENTS "1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n"
 #define LAST_EVENTS  "1e\r\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n\r\n0\r\n\r\n"
+#define THIRD_EVENT  "f\r\nid: 3\ndata: c\n\n\r\n"
+#define FOURTH_EVENT "f\r\nid: 4\ndata: d\n\n\r\n0\r\n\r\n"
 
 struct engine {
 	struct raw_upstream *raw;
@@ -36,24 +42,35 @@
 	uint32_t begun;	  /* streams, of which it sends the first events only */
 	uint32_t resumed; /* streams that go on after an event; it sends their end */
 	bool breaks;	  /* closes connections instead of beginning a stream */
+	bool pauses;	  /* a stream that goes on after its second event stops at the third */
 };
 
 struct fixture {
 	struct testbed *testbed;
 	struct mock_platform *platform;
-	struct testbed_gateway *gateways[GATEWAY_COUNT];
+	struct testbed_gateway *gateways[MAX_GATEWAYS];
+	uint32_t gateway_count; /* without those that a scenario adds */
+	struct proxy *proxy;	/* between the second gateway and the store, or NULL */
 	struct engine engines[ENGINE_COUNT];
 	uint32_t next_id;
 };
 
+static const char *const stream_ids[STREAM_COUNT] = {
+	"one", "two", "three", "four", "five", "six"
+};
+
 /* engines */
 
 static void engine_on_request(void *ctx, struct raw_conn *conn, const char *id)
 {
 	struct engine *engine = ctx;
-	bool resumes = strstr(raw_conn_request(conn), "\r\nLast-Event-Id: ") != NULL;
+	const char *request = raw_conn_request(conn);
+	bool resumes = strstr(request, "\r\nLast-Event-Id: ") != NULL;
+	const char *rest = strstr(request, "\r\nLast-Event-Id: 3") ? FOURTH_EVENT
+			   : engine->pauses			   ? THIRD_EVENT
+								   : LAST_EVENTS;
 	g_autofree char *answer =
-		g_strdup_printf(STREAM_HEAD "%s", id, resumes ? LAST_EVENTS : FIRST_EVENTS);
+		g_strdup_printf(STREAM_HEAD "%s", id, resumes ? rest : FIRST_EVENTS);
 
 	if (engine->breaks) {
 		raw_conn_close(conn);
@@ -84,18 +101,18 @@
 
 static void start_gateways(struct fixture *f)
 {
-	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+	for (uint32_t i = 0; i < f->gateway_count; i++)
 		testbed_start(f->gateways[i]);
-	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+	for (uint32_t i = 0; i < f->gateway_count; i++)
 		g_assert_true(testbed_wait_ready(f->gateways[i], READY_TIMEOUT_MS));
 }
 
-/* Starts two gateways, which have run before or not, and an engine of version v1. */
-static void fixture_open(struct fixture *f, bool first_start)
-{
-	static const char *const names[GATEWAY_COUNT] = { "gw-1", "gw-2" };
+static const char *const gateway_names[MAX_GATEWAYS] = { "gw-1", "gw-2", "gw-3" };
 
-	*f = (struct fixture){ 0 };
+/* Creates the testbed, and its engines without entries. */
+static void fixture_create(struct fixture *f)
+{
+	*f = (struct fixture){ .gateway_count = GATEWAY_COUNT };
 	f->testbed = testbed_create(7);
 	f->platform = testbed_platform(f->testbed);
 	testbed_configure(f->testbed, NULL, NULL);
@@ -107,16 +124,61 @@
 		engine->raw = raw_upstream_create(testbed_loop(f->testbed), engine->ip, ENGINE_PORT,
 						  engine_on_request, engine);
 	}
+}
+
+/* Starts two gateways, which have run before or not, and an engine of version v1. */
+static void fixture_open(struct fixture *f, bool first_start)
+{
+	fixture_create(f);
 	list_engine(f, 0, "v1", "ready");
 	testbed_set_first_start(f->testbed, first_start);
-	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
-		f->gateways[i] = testbed_gateway(f->testbed, names[i], NULL);
+	for (uint32_t i = 0; i < f->gateway_count; i++)
+		f->gateways[i] = testbed_gateway(f->testbed, gateway_names[i], NULL);
+	start_gateways(f);
+	testbed_run(f->testbed, SETTLE_MS);
+}
+
+/* Has an instance rely on its keys for longer than a scenario lasts: it would refuse all requests
+ * soon after it was cut off, and no stream could go on at another version. */
+static void rely_on_keys(const struct testbed_gateway *gateway)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *bound = g_strdup_printf("revoke_ms: %d\n", TESTBED_REVOKE_MS);
+	g_auto(GStrv) parts = NULL;
+	g_autofree char *changed = NULL;
+
+	g_assert_true(g_file_get_contents(gateway->settings_file, &text, NULL, NULL));
+	parts = g_strsplit(text, bound, -1);
+	g_assert_cmpuint(g_strv_length(parts), ==, 2);
+	changed = g_strjoinv("revoke_ms: 60000\n", parts);
+	g_assert_true(g_file_set_contents(gateway->settings_file, changed, -1, NULL));
+}
+
+/* Starts two gateways that have run before and that go on for a minute without the store, and an
+ * engine of version v1. The second gateway reads the store through a proxy. The third is not
+ * started. */
+static void fixture_open_lagging(struct fixture *f)
+{
+	g_autofree char *ip = NULL;
+
+	fixture_create(f);
+	list_engine(f, 0, "v1", "ready");
+	testbed_set_first_start(f->testbed, false);
+	ip = testbed_ip(f->testbed, PROXY_HOST);
+	f->proxy = proxy_create(testbed_loop(f->testbed), ip, mock_platform_address(f->platform));
+	for (uint32_t i = 0; i < MAX_GATEWAYS; i++) {
+		f->gateways[i] = testbed_gateway(f->testbed, gateway_names[i],
+						 i == 1 ? proxy_address(f->proxy) : NULL);
+		rely_on_keys(f->gateways[i]);
+	}
 	start_gateways(f);
 	testbed_run(f->testbed, SETTLE_MS);
 }
 
 static void fixture_close(struct fixture *f)
 {
+	if (f->proxy)
+		proxy_destroy(f->proxy);
 	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
 		raw_upstream_destroy(f->engines[i].raw);
 		g_free(f->engines[i].id);
@@ -128,13 +190,25 @@
 /* Kills all gateways at once and starts them again. */
 static void restart_gateways(struct fixture *f)
 {
-	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+	for (uint32_t i = 0; i < f->gateway_count; i++)
 		testbed_signal(f->gateways[i], SIGKILL);
-	for (uint32_t i = 0; i < GATEWAY_COUNT; i++)
+	for (uint32_t i = 0; i < f->gateway_count; i++)
 		g_assert_true(testbed_wait_exit(f->gateways[i], READY_TIMEOUT_MS));
 	start_gateways(f);
 }
 
+static void kill_gateway(struct fixture *f, uint32_t gateway)
+{
+	testbed_signal(f->gateways[gateway], SIGKILL);
+	g_assert_true(testbed_wait_exit(f->gateways[gateway], READY_TIMEOUT_MS));
+}
+
+static void start_gateway(struct fixture *f, uint32_t gateway)
+{
+	testbed_start(f->gateways[gateway]);
+	g_assert_true(testbed_wait_ready(f->gateways[gateway], READY_TIMEOUT_MS));
+}
+
 /* Sends a request of the resumable route and reads until a text has come, the answer is whole, or
  * the connection ends. @param more header lines */
 static struct raw_caller send_request(struct fixture *f, uint32_t gateway, const char *id,
@@ -178,14 +252,14 @@
 }
 
 /* Begins a stream at a gateway. Its connection stays open. */
-static struct raw_caller begin_stream(struct fixture *f, const char *id)
+static struct raw_caller begin_stream_at(struct fixture *f, uint32_t gateway, const char *id)
 {
-	struct raw_caller caller = send_request(f, 0, id, "", "id: 2");
+	struct raw_caller caller = send_request(f, gateway, id, "", "id: 2");
 
 	for (uint32_t i = 0; i < 8 && raw_caller_status(&caller) == 503; i++) {
 		raw_caller_close(&caller);
 		testbed_run(f->testbed, 500);
-		caller = send_request(f, 0, id, "", "id: 2");
+		caller = send_request(f, gateway, id, "", "id: 2");
 	}
 	g_assert_cmpuint(raw_caller_status(&caller), ==, 200);
 	g_assert_nonnull(strstr(caller.input->str, "id: 2"));
@@ -193,13 +267,19 @@
 	return caller;
 }
 
-/* Takes a stream up at the other gateway. @return whether it went on to its end */
-static bool take_up(struct fixture *f, const char *resumes)
+/* Begins a stream at the first gateway. */
+static struct raw_caller begin_stream(struct fixture *f, const char *id)
+{
+	return begin_stream_at(f, 0, id);
+}
+
+/* Takes a stream up at a gateway. @return whether it went on to its end */
+static bool take_up_at(struct fixture *f, uint32_t gateway, const char *resumes)
 {
 	g_autofree char *id = g_strdup_printf("again-%u", ++f->next_id);
 	g_autofree char *line = resumes ? g_strdup_printf("Resumes: %s\r\n", resumes) : NULL;
 	g_autofree char *more = g_strdup_printf("Last-Event-Id: 2\r\n%s", line ? line : "");
-	struct raw_caller caller = send_patiently(f, 1, id, more, "id: 4");
+	struct raw_caller caller = send_patiently(f, gateway, id, more, "id: 4");
 	uint16_t status = raw_caller_status(&caller);
 	bool whole = status == 200 && raw_caller_is_whole(&caller) &&
 		     strstr(caller.input->str, "id: 4") != NULL;
@@ -210,6 +290,35 @@
 	return whole;
 }
 
+/* Takes a stream up at the second gateway. */
+static bool take_up(struct fixture *f, const char *resumes)
+{
+	return take_up_at(f, 1, resumes);
+}
+
+/* Lists an engine of version v2, begins streams at a gateway, which all begin there since v1 closes
+ * connections meanwhile, and lists a second engine of each version. */
+static void begin_streams_at_v2(struct fixture *f, uint32_t gateway, struct raw_caller *callers)
+{
+	list_engine(f, 1, "v2", "ready");
+	testbed_run(f->testbed, LIST_MS);
+	f->engines[0].breaks = true;
+	for (uint32_t i = 0; i < STREAM_COUNT; i++)
+		callers[i] = begin_stream_at(f, gateway, stream_ids[i]);
+	g_assert_cmpuint(f->engines[1].begun, >=, STREAM_COUNT);
+	g_assert_cmpuint(f->engines[0].begun, ==, 0);
+	f->engines[0].breaks = false;
+	list_engine(f, 2, "v1", "ready");
+	list_engine(f, 3, "v2", "ready");
+	testbed_run(f->testbed, LIST_MS);
+}
+
+static void close_callers(struct raw_caller *callers)
+{
+	for (uint32_t i = 0; i < STREAM_COUNT; i++)
+		raw_caller_close(&callers[i]);
+}
+
 static uint32_t resumed_at(const struct fixture *f, const char *version)
 {
 	uint32_t count = 0;
@@ -332,6 +441,193 @@
 	fixture_close(&f);
 }
 
+/* An instance stands still while engines of a new version join, streams begin there through the
+ * other instance, and that one is killed. A request that waits when the instance goes on, and those
+ * that follow, do not have the streams go on at the old version. */
+static void test_frozen(void)
+{
+	static const char text[] =
+		"POST /quick/x HTTP/1.1\r\nHost: " TESTBED_HOST "\r\n"
+		"X-Flamingolatch-Attempt-Id: waiting\r\nAuthorization: Bearer " TESTBED_KEY "\r\n"
+		"X-Flamingolatch-Model: m\r\nX-Flamingolatch-Token-Usage: 100,40\r\n"
+		"X-Flamingolatch-Deadline-Ms: 6000\r\nLast-Event-Id: 2\r\nResumes: one\r\n"
+		"Content-Length: 0\r\n\r\n";
+	struct raw_caller callers[STREAM_COUNT];
+	struct raw_caller waiting;
+	struct fixture f;
+
+	fixture_open_lagging(&f);
+	testbed_signal(f.gateways[1], SIGSTOP);
+	begin_streams_at_v2(&f, 0, callers);
+	kill_gateway(&f, 0);
+	waiting = raw_caller_connect(f.gateways[1]);
+	g_assert_true(raw_caller_send_text(&waiting, text));
+	testbed_signal(f.gateways[1], SIGCONT);
+	for (uint32_t i = 0; i < STREAM_COUNT; i++)
+		take_up(&f, stream_ids[i]);
+	g_assert_cmpuint(resumed_at(&f, "v1"), ==, 0);
+	raw_caller_close(&waiting);
+	close_callers(callers);
+	fixture_close(&f);
+}
+
+/* Cuts the second gateway off from the store and from all other instances: the first is killed, and
+ * the third, which starts now, finds no row of it. */
+static void cut_off(struct fixture *f)
+{
+	proxy_set_mode(f->proxy, PROXY_SILENT, 0);
+	kill_gateway(f, 0);
+	mock_store_put(f->platform, "flamingolatch", "gw-2", NULL);
+	mock_store_put(f->platform, "flamingolatch", "gw-1", NULL);
+	start_gateway(f, 2);
+}
+
+/* An instance is cut off while engines of a new version join, and streams begin there through
+ * another instance, which is killed. They do not go on at the old version, and go on at their own
+ * when the store is back. */
+static void play_cut_off(bool back)
+{
+	struct raw_caller callers[STREAM_COUNT];
+	struct fixture f;
+
+	fixture_open_lagging(&f);
+	cut_off(&f);
+	begin_streams_at_v2(&f, 2, callers);
+	kill_gateway(&f, 2);
+	if (back)
+		proxy_set_mode(f.proxy, PROXY_PASS, 0);
+	for (uint32_t i = 0; i < STREAM_COUNT; i++) {
+		bool whole = take_up(&f, stream_ids[i]);
+
+		g_assert_cmpuint(resumed_at(&f, "v1"), ==, 0);
+		g_assert_true(whole == back);
+	}
+	g_assert_cmpuint(resumed_at(&f, "v2"), ==, back ? STREAM_COUNT : 0);
+	close_callers(callers);
+	fixture_close(&f);
+}
+
+static void test_cut_off_back(void)
+{
+	play_cut_off(true);
+}
+
+static void test_cut_off_silent(void)
+{
+	play_cut_off(false);
+}
+
+/* An instance that is cut off begins streams at the only version that it knows, while engines of a
+ * new version join, and is killed. Another instance does not have them go on at the new version,
+ * also when the old one has left. */
+static void test_lagging_begin(void)
+{
+	struct raw_caller callers[STREAM_COUNT];
+	struct fixture f;
+
+	fixture_open_lagging(&f);
+	cut_off(&f);
+	list_engine(&f, 1, "v2", "ready");
+	list_engine(&f, 2, "v2", "ready");
+	testbed_run(f.testbed, LIST_MS);
+	for (uint32_t i = 0; i < STREAM_COUNT; i++)
+		callers[i] = begin_stream_at(&f, 1, stream_ids[i]);
+	g_assert_cmpuint(f.engines[0].begun, >=, STREAM_COUNT);
+	kill_gateway(&f, 1);
+	for (uint32_t i = 0; i < STREAM_COUNT; i++) {
+		if (i == STREAM_COUNT / 2) {
+			list_engine(&f, 0, "v1", NULL);
+			testbed_run(f.testbed, LIST_MS);
+		}
+		take_up_at(&f, 2, stream_ids[i]);
+		g_assert_cmpuint(resumed_at(&f, "v2"), ==, 0);
+	}
+	close_callers(callers);
+	fixture_close(&f);
+}
+
+/* Lists two engines of each version, where the first stream begins at one of them.
+ * @param newer it begins at v2, since v1 is away for a moment */
+static struct raw_caller begin_beside(struct fixture *f, bool newer)
+{
+	struct raw_caller caller;
+
+	list_engine(f, 1, newer ? "v2" : "v1", "ready");
+	testbed_run(f->testbed, LIST_MS);
+	f->engines[0].breaks = newer;
+	caller = begin_stream(f, "first");
+	g_assert_cmpuint(f->engines[0].begun + f->engines[1].begun, ==, 1);
+	f->engines[0].breaks = false;
+	list_engine(f, 2, newer ? "v1" : "v2", "ready");
+	list_engine(f, 3, "v2", "ready");
+	testbed_run(f->testbed, LIST_MS);
+	return caller;
+}
+
+/* Takes a stream up at a gateway, and reads until an event has come. */
+static struct raw_caller go_on(struct fixture *f, uint32_t gateway, const char *id,
+			       const char *more, const char *event)
+{
+	struct raw_caller caller = send_patiently(f, gateway, id, more, event);
+
+	g_assert_cmpuint(raw_caller_status(&caller), ==, 200);
+	g_assert_nonnull(strstr(caller.input->str, event));
+	testbed_run(f->testbed, STORE_MS);
+	return caller;
+}
+
+/* A stream is taken up twice, each time at another instance after the one before was killed. The
+ * caller names the request that brought the first event. It goes on at its version both times. */
+static void test_chain(void)
+{
+	static const char *const versions[] = { "v1", "v2" };
+
+	for (uint32_t v = 0; v < 2; v++) {
+		struct raw_caller callers[3];
+		struct fixture f;
+
+		fixture_open_lagging(&f);
+		start_gateway(&f, 2);
+		callers[0] = begin_beside(&f, v == 1);
+		for (uint32_t i = 0; i < ENGINE_COUNT; i++)
+			f.engines[i].pauses = true;
+		kill_gateway(&f, 0);
+		callers[1] =
+			go_on(&f, 1, "second", "Last-Event-Id: 2\r\nResumes: first\r\n", "id: 3");
+		g_assert_cmpuint(resumed_at(&f, versions[v]), ==, 1);
+		g_assert_cmpuint(resumed_at(&f, versions[!v]), ==, 0);
+		kill_gateway(&f, 1);
+		callers[2] =
+			go_on(&f, 2, "third", "Last-Event-Id: 3\r\nResumes: first\r\n", "id: 4");
+		g_assert_cmpuint(resumed_at(&f, versions[v]), ==, 2);
+		g_assert_cmpuint(resumed_at(&f, versions[!v]), ==, 0);
+		for (uint32_t i = 0; i < G_N_ELEMENTS(callers); i++)
+			raw_caller_close(&callers[i]);
+		fixture_close(&f);
+	}
+}
+
+/* Streams began at a version that joined, and its engines leave while no instance runs. The streams
+ * do not go on at the version that is left. */
+static void test_new_version_gone(void)
+{
+	struct raw_caller callers[STREAM_COUNT];
+	struct fixture f;
+
+	fixture_open(&f, false);
+	begin_streams_at_v2(&f, 0, callers);
+	for (uint32_t i = 0; i < f.gateway_count; i++)
+		kill_gateway(&f, i);
+	list_engine(&f, 1, "v2", NULL);
+	list_engine(&f, 3, "v2", NULL);
+	start_gateways(&f);
+	for (uint32_t i = 0; i < STREAM_COUNT; i++)
+		g_assert_false(take_up(&f, stream_ids[i]));
+	g_assert_cmpuint(resumed_at(&f, "v1"), ==, 0);
+	close_callers(callers);
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -340,5 +636,11 @@
 	g_test_add_func("/gateway-versions/sole", test_sole_version);
 	g_test_add_func("/gateway-versions/unknown-stream", test_unknown_stream);
 	g_test_add_func("/gateway-versions/record-lost", test_record_lost);
+	g_test_add_func("/gateway-versions/frozen", test_frozen);
+	g_test_add_func("/gateway-versions/cut-off-back", test_cut_off_back);
+	g_test_add_func("/gateway-versions/cut-off-silent", test_cut_off_silent);
+	g_test_add_func("/gateway-versions/lagging-begin", test_lagging_begin);
+	g_test_add_func("/gateway-versions/chain", test_chain);
+	g_test_add_func("/gateway-versions/new-version-gone", test_new_version_gone);
 	return g_test_run();
 }
