Mock store: writes are silent, too, in the silent mode

Cause: in MOCK_STORE_SILENT reads and watches got no answer, but writes were carried out and answered. test_gateway_versions "record-lost" needs a store that does not take what is written; with the record of streams the write reached the store, and the stream went on, rightly, at its own version. Change: a write in this mode is neither carried out nor answered; its connection is closed with the mode, as those of reads are. The check of the test stays as it is.

--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -740,7 +740,11 @@
 	} else if (platform->mode == MOCK_STORE_BUSY) {
 		http_req_reply(req, 503, NULL, "", 0);
 	} else if (strcmp(http_req_path(req), "/rows-tx") == 0) {
-		mock_store_on_write(platform, req);
+		/* A write that is not answered is not carried out either. */
+		if (platform->mode == MOCK_STORE_SILENT)
+			mock_store_defer_answer(platform, req, "", 0, false, 0);
+		else
+			mock_store_on_write(platform, req);
 	} else if (!table) {
 		http_req_reply(req, 400, NULL, "", 0);
 	} else if (is_watch && (since < platform->oldest_version || since > platform->version)) {
