test_gateway_versions: streams that stalled before the kill are not taken up

Cause: cut-off-back counted all streams that went on at v2 and awaited six. The instance that is killed later goes on with streams that stall for long, at a second engine of the same version, which is right, and was counted: 8 for 6, beside load. Change: what went on before the instance was killed is subtracted. The check is as strict for the requests that take streams up: each must go on at v2, none at v1.

--- a/test/test_gateway_versions.c
+++ b/test/test_gateway_versions.c
@@ -488,6 +488,7 @@
 static void play_cut_off(bool back)
 {
 	struct raw_caller callers[STREAM_COUNT];
+	uint32_t resumed;
 	struct fixture f;
 
 	fixture_open_lagging(&f);
@@ -496,13 +497,15 @@
 	kill_gateway(&f, 2);
 	if (back)
 		proxy_set_mode(f.proxy, PROXY_PASS, 0);
+	/* The instance that was killed may have resumed streams that stalled. */
+	resumed = resumed_at(&f, "v2");
 	for (uint32_t i = 0; i < STREAM_COUNT; i++) {
 		bool whole = take_up(&f, stream_ids[i]);
 
 		g_assert_cmpuint(resumed_at(&f, "v1"), ==, 0);
 		g_assert_true(whole == back);
 	}
-	g_assert_cmpuint(resumed_at(&f, "v2"), ==, back ? STREAM_COUNT : 0);
+	g_assert_cmpuint(resumed_at(&f, "v2") - resumed, ==, back ? STREAM_COUNT : 0);
 	close_callers(callers);
 	fixture_close(&f);
 }
