Streams are resumed at the software version that began them

Cause: the version at which a stream began was known only to the answer that began it. Another instance placed the request at any version that it listed, and one that was frozen or cut off listed the former version only. Change: a registry of the versions of each service and a record of the open streams of each process, in the store (stream_record.h, stream_version.h). A request with a last event waits for a read of both that is sent after it arrived, unless its instance knows the stream, and goes on at the version that is found, or is refused as not run. A resumable stream begins at registered versions only, so that a sole version is proved by the registry and never by the instance's own list. Why it works: the version was registered before the stream began, the stream began before its caller resumed it, and the read was sent after that.

--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -92,6 +92,8 @@
 	X(LOG_SETTINGS_RELOADED, 650, INFO, "settings-reloaded", "The settings file was loaded again.") \
 	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the previous settings stay in force.") \
 	X(LOG_STREAM_TAKEN_UP, 660, INFO, "stream-taken-up", "A caller takes up a stream that another answer began; versions are those of the upstreams that this instance lists, view_age_ms the age of its configuration.") \
+	X(LOG_VERSION_REGISTERED, 661, INFO, "version-registered", "A software version of a service is in the registry of the store; resumable streams may begin at it.") \
+	X(LOG_STREAM_RECORD_FAILED, 662, WARNING, "stream-record-failed", "The versions of streams or services could not be written to the store; the write is repeated.") \
 	X(LOG_SUPPRESSED, 690, WARNING, "log-suppressed", "Log lines were dropped since the last event of this kind.")
 // clang-format on
 
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -57,6 +57,10 @@
 	X(METRIC_STORE_PEER_READS, "store_peer_reads_total", "Calls to the store that read the rows of the gateway instances.") \
 	X(METRIC_STORE_OWN_ROW_WRITES, "store_own_row_writes_total", "Calls to the store that write or remove the row of this instance.") \
 	X(METRIC_STORE_QUARANTINE_WRITES, "store_quarantine_writes_total", "Calls to the store that write or remove the row of a quarantined prompt part or request.") \
+	X(METRIC_STORE_STREAM_READS, "store_stream_reads_total", "Calls to the store that read the versions of streams.") \
+	X(METRIC_STORE_STREAM_WRITES, "store_stream_writes_total", "Calls to the store that write versions of streams or services, or remove them.") \
+	X(METRIC_STREAM_LOOKUPS, "stream_lookups_total", "Resumed streams whose version was asked of the store.") \
+	X(METRIC_STREAM_LOOKUPS_FAILED, "stream_lookups_failed_total", "Resumed streams refused because their version is not known.") \
 	X(METRIC_STORE_BYTES_RECEIVED, "store_received_bytes_total", "Bytes in the bodies of the store's answers.") \
 	X(METRIC_BUS_MESSAGES_SENT, "bus_sent_total", "Messages sent to peers.") \
 	X(METRIC_BUS_BYTES_SENT, "bus_sent_bytes_total", "Bytes sent to peers.") \
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -579,6 +579,7 @@
 			       uint64_t now_us)
 {
 	return dispatch_is_eligible(up, need, now_us) &&
+	       (!need->ready || need->ready(need->allows_ctx, up)) &&
 	       upstream_limit_allows(fleet_upstream_limit((struct fleet_upstream *)up), now_us) &&
 	       warm_up_allows(fleet_upstream_cold_limit((struct fleet_upstream *)up), now_us) &&
 	       upstream_quiet_allows(fleet_upstream_quiet((struct fleet_upstream *)up),
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -55,7 +55,10 @@
 	/** Tells whether the request may go to an upstream at all. Asked at each selection, since
 	 * the configuration may change while a request is queued. NULL: to any. */
 	bool (*allows)(void *ctx, const struct fleet_upstream *up);
-	void *allows_ctx;
+	/** Tells whether the request may go to an upstream now; one that it may not go to yet
+	 * counts as full. NULL: to any. */
+	bool (*ready)(void *ctx, const struct fleet_upstream *up);
+	void *allows_ctx; /**< of allows() and ready() */
 };
 
 /** Basis of a selection. Zero it before the call, which leaves fields that do not apply
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -3,6 +3,7 @@
 #include "admission_exchange.h"
 #include "crash_guard.h"
 #include "relay_hedge.h"
+#include "stream_version.h"
 
 #define DUMP_MAX_UPSTREAMS 1000
 #define DUMP_MAX_REQUESTS  500
@@ -76,7 +77,7 @@
 
 	return json_pack(
 		"{s:o, s:I, s:I, s:I, s:I, s:b, s:b, s:b, s:I, s:I, s:o, s:i, s:b, s:o, s:o, s:o, "
-		"s:o}",
+		"s:o, s:o}",
 		"settings", gateway_settings_to_json(env->settings), "config_version",
 		(json_int_t)(env->config ? route_config_version(env->config) : 0), "config_era",
 		(json_int_t)config.era, "config_store_version", (json_int_t)config.version,
@@ -89,5 +90,6 @@
 		planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
 		"urgent_demand", admission_exchange_json(env->admission_exchange), "hedges",
 		relay_hedges_json(relay), "quarantined", crash_guard_json(env->crash_guard),
-		"requests", relay_state_json(relay, DUMP_MAX_REQUESTS));
+		"stream_versions", stream_version_json(env->stream_version), "requests",
+		relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
--- a/src/serve/env.h
+++ b/src/serve/env.h
@@ -28,6 +28,7 @@
 struct crash_guard;
 struct limit_exchange;
 struct speed_exchange;
+struct stream_version;
 
 struct env {
 	uv_loop_t *loop;
@@ -42,6 +43,7 @@
 	struct cold_start *cold_start;
 	struct speed_exchange *speed_exchange;	       /**< NULL in tests without it */
 	struct admission_exchange *admission_exchange; /**< NULL in tests without peers */
+	struct stream_version *stream_version;	       /**< NULL in tests without it */
 	struct route_config *config;		       /**< in force; NULL before the first */
 	struct freshness freshness;		       /**< age of the configuration */
 	GHashTable *retry_budgets; /**< name of a service to struct retry_budget */
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -9,6 +9,7 @@
 #include "env.h"
 #include "limit_exchange.h"
 #include "speed_exchange.h"
+#include "stream_version.h"
 #include "store_watch.h"
 #include "peer_exchange.h"
 #include "relay.h"
@@ -161,6 +162,7 @@
 	gateway->env.admission_exchange =
 		admission_exchange_create(&gateway->env, gateway->peer_exchange);
 	gateway->env.speed_exchange = speed_exchange_create(&gateway->env, gateway->peer_exchange);
+	gateway->env.stream_version = stream_version_create(&gateway->env, gateway->peer_exchange);
 	gateway->store_watch = store_watch_create(
 		&gateway->env, &(struct store_watch_callbacks){ .config = gateway_on_config,
 								.config_ctx = gateway,
@@ -188,8 +190,10 @@
 	speed_exchange_destroy(gateway->env.speed_exchange);
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
-	peer_exchange_destroy(gateway->peer_exchange);
+	/* Requests may wait for an answer about their streams. */
 	relay_destroy(gateway->relay);
+	stream_version_destroy(gateway->env.stream_version);
+	peer_exchange_destroy(gateway->peer_exchange);
 	http_server_destroy(gateway->callers);
 	http_server_destroy(gateway->ready);
 	http_server_destroy(gateway->metrics);
@@ -254,6 +258,7 @@
 	gateway->env.config = route_config_ref(config);
 	fleet_set_services(gateway->env.fleet, services, env_now_us());
 	cold_start_on_config(gateway->env.cold_start);
+	stream_version_on_config(gateway->env.stream_version);
 	http_server_set_limits(gateway->callers, &server,
 			       limits->max_body_bytes ? limits->max_body_bytes
 						      : GATEWAY_DEFAULT_BODY_MAX_BYTES);
@@ -271,6 +276,7 @@
 	struct gateway *gateway = ctx;
 
 	peer_exchange_check_rows(gateway->peer_exchange);
+	stream_version_on_restored(gateway->env.stream_version);
 }
 
 static void gateway_on_upstream(void *ctx, struct fleet_upstream *up, enum fleet_upstream_state was)
@@ -278,6 +284,7 @@
 	struct gateway *gateway = ctx;
 
 	cold_start_on_upstream(gateway->env.cold_start, up);
+	stream_version_on_upstream(gateway->env.stream_version, up);
 	log_event(LOG_UPSTREAM_STATE, "upstream", fleet_upstream_id(up), "service",
 		  fleet_upstream_service(up), "address", fleet_upstream_address(up), "zone",
 		  fleet_upstream_zone(up), "version", fleet_upstream_software_version(up), "state",
@@ -423,6 +430,7 @@
 	uint64_t now_ms = uv_now(gateway->env.loop);
 
 	gateway_check_pause(gateway);
+	stream_version_tick(gateway->env.stream_version);
 	relay_tick(gateway->relay);
 	gateway_check_keys(gateway);
 	metric_set(gateway->env.metric, METRIC_OPEN_REQUESTS, relay_open_count(gateway->relay));
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -7,6 +7,7 @@
 #include "relay_hedge.h"
 #include "relay_migrate.h"
 #include "relay_state.h"
+#include "stream_version.h"
 
 #include "flamingolatch/hedge.h"
 #include "flamingolatch/quarantine.h"
@@ -183,17 +184,22 @@
 	return g_strjoinv(",", (char **)versions->pdata);
 }
 
-/* Logs that the caller takes up a stream that another answer began. */
-static void relay_log_taken_up(const struct relay_request *request)
+/* Logs that the caller takes up a stream that another answer began.
+ * @param version that the stream goes on at; NULL: it is not known
+ * @param lookup_us age of what shows it */
+static void relay_log_taken_up(const struct relay_request *request, const char *version,
+			       enum stream_version_source source, uint64_t lookup_us)
 {
 	g_autofree char *versions = relay_dup_listed_versions(request);
 	uint64_t age_us = freshness_age_us(&request->relay->env->freshness, env_boot_us());
 	g_autofree char *age = g_strdup_printf("%" G_GUINT64_FORMAT, age_us / 1000);
+	g_autofree char *lookup = g_strdup_printf("%" G_GUINT64_FORMAT, lookup_us / 1000);
 
 	log_event(LOG_STREAM_TAKEN_UP, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "last_event", request->decoded.last_event_id,
 		  "resumes", request->decoded.resumes_id ? request->decoded.resumes_id : "-",
-		  "versions", versions, "view_age_ms", age, NULL);
+		  "versions", versions, "view_age_ms", age, "version", version ? version : "-",
+		  "source", stream_version_source_name(source), "lookup_ms", lookup, NULL);
 }
 
 static void relay_count_admission_refusal(const struct relay_request *request,
@@ -434,6 +440,46 @@
 	relay_log_placed(request, up, &decision);
 }
 
+/* Goes on with a request that resumes a stream, or refuses it. */
+static void relay_follow_lookup(struct relay_request *request, const char *version,
+				enum stream_version_source source, uint64_t age_us)
+{
+	relay_log_taken_up(request, version, source, age_us);
+	if (!version) {
+		metric_add(request->relay->env->metric, METRIC_STREAM_LOOKUPS_FAILED, 1);
+		relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request),
+				  "stream-version-unknown");
+		return;
+	}
+	request->software_version = g_strdup(version);
+	relay_place(request);
+}
+
+static void relay_on_version(void *ctx, const char *version, enum stream_version_source source,
+			     uint64_t age_us)
+{
+	struct relay_request *request = ctx;
+
+	request->version_query = NULL;
+	relay_follow_lookup(request, version, source, age_us);
+}
+
+/* Finds the software version at which the stream that the caller resumes began. */
+static void relay_look_up_version(struct relay_request *request)
+{
+	struct stream_version *versions = request->relay->env->stream_version;
+	const char *id = request->decoded.resumes_id;
+	const char *version = id ? stream_version_find(versions, request->service_name, id) : NULL;
+
+	if (version) {
+		relay_follow_lookup(request, version, STREAM_VERSION_OWN, 0);
+		return;
+	}
+	request->phase = RELAY_LOOKUP;
+	request->version_query =
+		stream_version_ask(versions, request->service_name, id, relay_on_version, request);
+}
+
 static void relay_on_granted(void *ctx, struct fleet_upstream *up,
 			     const struct dispatch_decision *decision)
 {
@@ -722,6 +768,11 @@
 
 static void relay_check_timers(struct relay_request *request, uint64_t now_us)
 {
+	if (request->phase == RELAY_LOOKUP) {
+		if (now_us >= request->deadline_us)
+			relay_reply_error(request, ERR_NO_UPSTREAM, 0, "stream-version-unknown");
+		return;
+	}
 	if (now_us >= request->deadline_us && request->phase != RELAY_QUEUED) {
 		/* No answer is wanted after the deadline; cancelling stops the work upstream. */
 		if (now_us < request->deadline_us + RELAY_DEADLINE_SLACK_MS * 1000ULL ||
@@ -791,8 +842,9 @@
 				 request->arrived_us);
 	relay_count_for_hedges(request);
 	if (relay_is_generation(request) && request->decoded.last_event_id)
-		relay_log_taken_up(request);
-	relay_place(request);
+		relay_look_up_version(request);
+	else
+		relay_place(request);
 }
 
 void relay_tick(struct relay *relay)
@@ -838,7 +890,7 @@
 		next = item->next;
 		if (!request->caller || request->response_started)
 			continue;
-		if (request->phase == RELAY_QUEUED && !request->may_have_run)
+		if (request->phase <= RELAY_LOOKUP && !request->may_have_run)
 			relay_reply_error(request, ERR_NOT_READY, relay_retry_after_ms(request),
 					  "stopping");
 		else
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -5,6 +5,7 @@
 #include "limit_exchange.h"
 #include "relay_hedge.h"
 #include "speed_exchange.h"
+#include "stream_version.h"
 
 #include "flamingolatch/quarantine.h"
 
@@ -356,6 +357,20 @@
 	return event_stream_is_well_formed(raw, len) && event_stream_may_follow(last_id, id);
 }
 
+/* Binds the stream to the software version of the upstream that sends its first event, or to the
+ * one that it is resumed at, also for requests that resume it later. */
+static void relay_bind_version(struct relay_request *request)
+{
+	const char *stream_id = relay_stream_id(request);
+
+	if (!request->software_version)
+		request->software_version =
+			g_strdup(fleet_upstream_software_version(request->attempt.up));
+	if (stream_id)
+		stream_version_begin(request->relay->env->stream_version, request->service_name,
+				     stream_id, request->software_version, request->deadline_us);
+}
+
 static bool relay_on_event(void *ctx, const char *raw, size_t len, const char *id)
 {
 	struct relay_request *request = ctx;
@@ -397,9 +412,8 @@
 		request->first_event_us = now_us;
 	dispatch_load_prefill_done(&request->attempt);
 	request->comment_bytes = 0;
-	if (!request->software_version)
-		request->software_version =
-			g_strdup(fleet_upstream_software_version(request->attempt.up));
+	if (request->event_count == 0)
+		relay_bind_version(request);
 	request->event_count++;
 	request->attempt_event_count++;
 	relay_update_used(request);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -2,6 +2,7 @@
 
 #include "admission_exchange.h"
 #include "relay_hedge.h"
+#include "stream_version.h"
 
 #include "flamingolatch/length_lognormal.h"
 #include "flamingolatch/reply.h"
@@ -22,8 +23,8 @@
 #define RELAY_LOGGED_PART_COUNT	    8
 #define RELAY_QUIET_LOG_INTERVAL_US (60ULL * 1000 * 1000)
 
-static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "sent", "holding",
-								  "streaming" };
+static const char *const relay_phase_names[RELAY_PHASE_COUNT] = { "waiting", "lookup", "sent",
+								  "holding", "streaming" };
 
 /* An open call that releases a KV copy; the request may have ended. */
 struct relay_release {
@@ -233,6 +234,8 @@
 		http_req_set_callbacks(request->caller, NULL, NULL, NULL);
 	if (request->queued)
 		dispatch_dequeue(relay->dispatch, request->queued);
+	if (request->version_query)
+		stream_version_cancel(request->version_query);
 	relay_cancel_migration(request);
 	relay_cancel_hedge(request, RELAY_HEDGE_ENDED);
 	relay_cancel_attempt(request);
@@ -450,6 +453,17 @@
 	relay_request_free(request);
 }
 
+/* Counts a stream that was passed on to its end. */
+static void relay_note_stream_end(const struct relay_request *request)
+{
+	const struct env *env = request->relay->env;
+	const char *id = relay_stream_id(request);
+
+	metric_add(env->metric, METRIC_GENERATIONS_DONE, 1);
+	if (id)
+		stream_version_end(env->stream_version, request->service_name, id);
+}
+
 void relay_finish_streamed(struct relay_request *request)
 {
 	struct http_req *caller = request->caller;
@@ -463,7 +477,7 @@
 	if (caller)
 		http_req_stream_end(caller);
 	if (request->stream)
-		metric_add(request->relay->env->metric, METRIC_GENERATIONS_DONE, 1);
+		relay_note_stream_end(request);
 	else
 		metric_observe(request->relay->env->metric, METRIC_CALL_US,
 			       env_now_us() - request->arrived_us);
@@ -648,6 +662,22 @@
 	       relay_allows_upstream(request, up);
 }
 
+const char *relay_stream_id(const struct relay_request *request)
+{
+	if (!request->relay->env->stream_version || !request->route->resumable ||
+	    !relay_is_generation(request))
+		return NULL;
+	return request->decoded.last_event_id ? request->decoded.resumes_id : request->decoded.id;
+}
+
+bool relay_may_begin_at(void *ctx, const struct fleet_upstream *up)
+{
+	const struct relay_request *request = ctx;
+
+	return request->software_version || !relay_stream_id(request) ||
+	       stream_version_allows(request->relay->env->stream_version, up);
+}
+
 /* Returns the expected time from the placement of a generation to its first event, in ms. */
 static uint32_t relay_expected_first_event_ms(const struct relay_request *request)
 {
@@ -715,6 +745,7 @@
 		.excluded = request->tried,
 		.software_version = request->software_version,
 		.allows = relay_allows_upstream,
+		.ready = relay_may_begin_at,
 		.allows_ctx = request,
 	};
 }
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -24,10 +24,12 @@
 
 struct relay_request;
 struct relay_hedge;
+struct stream_version_query;
 
 /** Progress of a request. */
 enum relay_phase {
 	RELAY_QUEUED,	 /* waits for an engine, or for upstreams that are left alone */
+	RELAY_LOOKUP,	 /* waits for the version of the stream that it resumes */
 	RELAY_SENT,	 /* sent; no response head yet */
 	RELAY_BUFFERING, /* the response is collected, to be passed on whole */
 	RELAY_STREAMING, /* the response is passed on as it arrives */
@@ -78,12 +80,13 @@
 	/** Hash of the customer, the method, the host, the target and the body: the same for a
 	 * request that comes again under another id. */
 	uint64_t fingerprint;
-	struct dispatch_load attempt;	/* on the upstream that has the request */
-	struct dispatch_load backup;	/* on the engine that keeps the backup */
-	struct dispatch_queued *queued; /* NULL unless the phase is RELAY_QUEUED */
-	struct relay_hedge *hedge;	/* open second call; NULL when there is none */
-	struct http_call *call;		/* of the current attempt; NULL when it ended */
-	struct fetch *migrate_call;	/* open migration call; NULL when there is none */
+	struct dispatch_load attempt;		    /* on the upstream that has the request */
+	struct dispatch_load backup;		    /* on the engine that keeps the backup */
+	struct dispatch_queued *queued;		    /* NULL unless the phase is RELAY_QUEUED */
+	struct stream_version_query *version_query; /* NULL unless the phase is RELAY_LOOKUP */
+	struct relay_hedge *hedge;		    /* open second call; NULL when there is none */
+	struct http_call *call;			    /* of the current attempt; NULL when it ended */
+	struct fetch *migrate_call; /* open migration call; NULL when there is none */
 	struct fleet_upstream
 		*migrate_target;      /* target of the migration, with a reference; or NULL */
 	struct dispatch_load kv_copy; /* on the engine to which the KV cache is copied */
@@ -246,6 +249,12 @@
 /** Tells whether the request may be sent to an upstream now: its region is allowed, its zone not
  * evacuated, and a stream that has begun goes on at the same software version. */
 bool relay_may_send_to(struct relay_request *request, const struct fleet_upstream *up);
+/** Tells whether a stream that may be resumed may begin at an upstream now. @param ctx struct
+ * relay_request */
+bool relay_may_begin_at(void *ctx, const struct fleet_upstream *up);
+/** Returns the id of the request that began the stream, as its caller names it; NULL when the
+ * stream cannot be resumed, or the caller does not name it. */
+const char *relay_stream_id(const struct relay_request *request);
 /** Returns the delay after which a refused caller may retry, in ms: grows with the queue, and is
  * random so that callers do not come back at the same moment. */
 uint32_t relay_retry_after_ms(const struct relay_request *request);
