Streams are resumed at the service that began them

Cause: the record of a stream was looked up under the service that its request was routed to. A route may be split between services by weight, so that a part of the requests that resume a stream asked for a stream of the wrong service: they were refused while several versions were known there, and went on at another service when that one had a single version. Change: records are found by the id of the stream alone and name its service, which the request is then sent to, if its route leads there; otherwise it is refused. A stream without a record is as before.

--- a/bench/stream_record.c
+++ b/bench/stream_record.c
@@ -79,7 +79,7 @@
 		next = item->next;
 		if (begun->ends_us > now_us)
 			continue;
-		stream_record_end(instance->record, SERVICE, begun->id, now_us);
+		stream_record_end(instance->record, begun->id, now_us);
 		g_queue_delete_link(&instance->open, item);
 		begun_free(begun);
 	}
@@ -122,17 +122,17 @@
 	gint64 start_us = g_get_monotonic_time();
 	uint32_t asked = 0;
 	uint32_t found = 0;
-	const char *version;
+	struct stream_origin origin;
 
 	for (GList *item = instances[0].open.head; item; item = item->next, asked++)
-		stream_lookup_add(lookup, SERVICE, ((struct begun *)item->data)->id);
+		stream_lookup_add(lookup, ((struct begun *)item->data)->id);
 	for (uint32_t i = 0; i < count; i++) {
 		if (instances[i].row)
 			stream_lookup_read(lookup, "streams/x", instances[i].row);
 	}
 	for (GList *item = instances[0].open.head; item; item = item->next)
 		found += stream_lookup_result(lookup, SERVICE, ((struct begun *)item->data)->id,
-					      &version) == STREAM_LOOKUP_RECORDED;
+					      &origin) == STREAM_LOOKUP_RECORDED;
 	printf("  a read of the table: %u questions, %u answered by a record, %.1f ms\n", asked,
 	       found, (double)(g_get_monotonic_time() - start_us) / 1000.0);
 	stream_lookup_destroy(lookup);
--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -140,6 +140,8 @@
  * @param draw random number, uniformly distributed
  * @return its name, or NULL if the route has no targets; the first if all weights are 0 */
 const char *route_select_service(const struct route *route, uint32_t draw);
+/** Returns the route's own copy of the name of a service that it sends requests to, or NULL. */
+const char *route_find_target(const struct route *route, const char *service);
 /** Returns whether upstreams of a region may get a request. A restriction of the route and one of
  * the customer both bind.
  * @param customer NULL if the request has none
--- a/include/flamingolatch/stream_record.h
+++ b/include/flamingolatch/stream_record.h
@@ -48,6 +48,12 @@
 /** Streams in a row; the oldest are left out beyond that. */
 #define STREAM_RECORD_MAX_STREAMS 4000
 
+/** Where a stream began. A request that resumes it may be routed to another service. */
+struct stream_origin {
+	const char *service; /**< borrowed */
+	const char *version; /**< software version of the upstream; borrowed */
+};
+
 /** @name What an instance knows
  * @{ */
 struct stream_record;
@@ -96,11 +102,10 @@
 			 const char *version, uint64_t expires_us);
 /** Records that the answer with the stream's end was passed on whole; nothing happens for a stream
  * that is not known. */
-void stream_record_end(struct stream_record *record, const char *service, const char *id,
-		       uint64_t now_us);
-/** Returns the version at which a stream began, or NULL when it is not known here. */
-const char *stream_record_find(const struct stream_record *record, const char *service,
-			       const char *id);
+void stream_record_end(struct stream_record *record, const char *id, uint64_t now_us);
+/** Finds where a stream began. @return false when it is not known here */
+bool stream_record_find(const struct stream_record *record, const char *id,
+			struct stream_origin *origin);
 /** Returns the number of streams that are known here. */
 uint32_t stream_record_count(const struct stream_record *record);
 /** Drops the streams that cannot be resumed any more. */
@@ -146,14 +151,15 @@
 /** Accepts NULL. */
 void stream_lookup_destroy(struct stream_lookup *lookup);
 /** Adds a stream before the rows are read. @param id NULL when the caller does not name it */
-void stream_lookup_add(struct stream_lookup *lookup, const char *service, const char *id);
+void stream_lookup_add(struct stream_lookup *lookup, const char *id);
 /** Reads a row of the table. */
 void stream_lookup_read(struct stream_lookup *lookup, const char *key, const char *text);
 /** Returns what the rows say of a stream. Records that contradict one another say nothing.
- * @param version borrowed from the lookup; NULL with STREAM_LOOKUP_UNKNOWN */
+ * @param service that the request which resumes it is routed to
+ * @param origin borrowed from the lookup and @p service; set unless STREAM_LOOKUP_UNKNOWN */
 enum stream_lookup_result stream_lookup_result(const struct stream_lookup *lookup,
 					       const char *service, const char *id,
-					       const char **version);
+					       struct stream_origin *origin);
 const char *stream_lookup_result_name(enum stream_lookup_result result);
 /** @} */
 
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -293,6 +293,18 @@
 	return NULL;
 }
 
+const char *route_find_target(const struct route *route, const char *service)
+{
+	for (guint i = 0; i < route->targets->len; i++) {
+		const struct route_target *target =
+			&g_array_index(route->targets, struct route_target, i);
+
+		if (strcmp(target->service, service) == 0)
+			return target->service;
+	}
+	return NULL;
+}
+
 const char *route_kind_name(enum route_kind kind)
 {
 	return route_kind_names[kind];
--- a/src/core/stream_record.c
+++ b/src/core/stream_record.c
@@ -93,9 +93,9 @@
 
 /* helpers */
 
-static uint64_t stream_record_hash(const char *service, const char *id)
+static uint64_t stream_record_hash(const char *text)
 {
-	return XXH3_64bits_withSeed(id, strlen(id), XXH3_64bits(service, strlen(service)));
+	return XXH3_64bits(text, strlen(text));
 }
 
 static struct stream_record_service *stream_record_find_service(const struct stream_record *record,
@@ -242,7 +242,7 @@
 void stream_record_begin(struct stream_record *record, const char *service, const char *id,
 			 const char *version, uint64_t expires_us)
 {
-	uint64_t key = stream_record_hash(service, id);
+	uint64_t key = stream_record_hash(id);
 	struct stream_record_stream *stream = g_hash_table_lookup(record->streams, &key);
 
 	if (stream) {
@@ -263,10 +263,9 @@
 	g_queue_push_tail_link(&record->order, &stream->link);
 }
 
-void stream_record_end(struct stream_record *record, const char *service, const char *id,
-		       uint64_t now_us)
+void stream_record_end(struct stream_record *record, const char *id, uint64_t now_us)
 {
-	uint64_t key = stream_record_hash(service, id);
+	uint64_t key = stream_record_hash(id);
 	struct stream_record_stream *stream = g_hash_table_lookup(record->streams, &key);
 
 	if (stream)
@@ -418,13 +417,16 @@
 	return found && now_us > MAX(found->seen_us, found->known_us) + STREAM_RECORD_UNLIST_US;
 }
 
-const char *stream_record_find(const struct stream_record *record, const char *service,
-			       const char *id)
+bool stream_record_find(const struct stream_record *record, const char *id,
+			struct stream_origin *origin)
 {
-	uint64_t key = stream_record_hash(service, id);
+	uint64_t key = stream_record_hash(id);
 	const struct stream_record_stream *stream = g_hash_table_lookup(record->streams, &key);
 
-	return stream ? stream->version : NULL;
+	if (!stream)
+		return false;
+	*origin = (struct stream_origin){ stream->service->name, stream->version };
+	return true;
 }
 
 uint32_t stream_record_count(const struct stream_record *record)
@@ -451,8 +453,9 @@
 char *stream_record_version_key(const char *service, const char *version)
 {
 	/* Names may be longer than a key. */
-	return g_strdup_printf(STREAM_RECORD_VERSION_PREFIX "%016" G_GINT64_MODIFIER "x",
-			       stream_record_hash(service, version));
+	return g_strdup_printf(
+		STREAM_RECORD_VERSION_PREFIX "%016" G_GINT64_MODIFIER "x",
+		XXH3_64bits_withSeed(version, strlen(version), stream_record_hash(service)));
 }
 
 char *stream_record_version_text(const char *service, const char *version)
@@ -504,7 +507,8 @@
 /* What the rows say of a stream. */
 struct stream_lookup_answer {
 	uint64_t key;
-	GRefString *version; /* NULL: no row has the stream */
+	GRefString *service; /* NULL: no row has the stream */
+	GRefString *version;
 	bool contradicted;
 };
 
@@ -517,8 +521,10 @@
 {
 	struct stream_lookup_answer *answer = data;
 
-	if (answer->version)
+	if (answer->service) {
+		g_ref_string_release(answer->service);
 		g_ref_string_release(answer->version);
+	}
 	g_free(answer);
 }
 
@@ -547,14 +553,14 @@
 	g_free(lookup);
 }
 
-void stream_lookup_add(struct stream_lookup *lookup, const char *service, const char *id)
+void stream_lookup_add(struct stream_lookup *lookup, const char *id)
 {
 	struct stream_lookup_answer *answer;
 	uint64_t key;
 
 	if (!id)
 		return;
-	key = stream_record_hash(service, id);
+	key = stream_record_hash(id);
 	if (g_hash_table_contains(lookup->answers, &key))
 		return;
 	answer = g_new0(struct stream_lookup_answer, 1);
@@ -575,8 +581,8 @@
 }
 
 /* Compares the streams of one version with those that are asked for. */
-static void stream_lookup_read_streams(struct stream_lookup *lookup, const char *version,
-				       const char *text)
+static void stream_lookup_read_streams(struct stream_lookup *lookup, const char *service,
+				       const char *version, const char *text)
 {
 	gsize len = 0;
 	g_autofree guchar *bytes = g_base64_decode(text, &len);
@@ -590,10 +596,13 @@
 		answer = g_hash_table_lookup(lookup->answers, &key);
 		if (!answer)
 			continue;
-		if (!answer->version)
+		if (!answer->service) {
+			answer->service = g_ref_string_new_intern(service);
 			answer->version = g_ref_string_new_intern(version);
-		else if (strcmp(answer->version, version) != 0)
+		} else if (strcmp(answer->service, service) != 0 ||
+			   strcmp(answer->version, version) != 0) {
 			answer->contradicted = true;
+		}
 	}
 }
 
@@ -612,38 +621,40 @@
 	lines = g_strsplit(text, "\n", 0);
 	for (uint32_t i = 0; lines[i]; i++) {
 		g_auto(GStrv) words = g_strsplit(lines[i], " ", 0);
-		g_autofree char *name = NULL;
+		g_autofree char *of_service = NULL;
+		g_autofree char *at_version = NULL;
 
 		if (g_strv_length(words) != 3)
 			continue;
-		name = stream_record_unescape(words[1]);
-		if (name)
-			stream_lookup_read_streams(lookup, name, words[2]);
+		of_service = stream_record_unescape(words[0]);
+		at_version = stream_record_unescape(words[1]);
+		if (of_service && at_version)
+			stream_lookup_read_streams(lookup, of_service, at_version, words[2]);
 	}
 }
 
 enum stream_lookup_result stream_lookup_result(const struct stream_lookup *lookup,
 					       const char *service, const char *id,
-					       const char **version)
+					       struct stream_origin *origin)
 {
 	const GPtrArray *versions = g_hash_table_lookup(lookup->services, service);
 	const struct stream_lookup_answer *answer = NULL;
 
-	*version = NULL;
+	*origin = (struct stream_origin){ 0 };
 	if (id) {
-		uint64_t key = stream_record_hash(service, id);
+		uint64_t key = stream_record_hash(id);
 
 		answer = g_hash_table_lookup(lookup->answers, &key);
 	}
 	if (answer && answer->contradicted)
 		return STREAM_LOOKUP_UNKNOWN;
-	if (answer && answer->version) {
-		*version = answer->version;
+	if (answer && answer->service) {
+		*origin = (struct stream_origin){ answer->service, answer->version };
 		return STREAM_LOOKUP_RECORDED;
 	}
 	if (!versions || versions->len != 1)
 		return STREAM_LOOKUP_UNKNOWN;
-	*version = versions->pdata[0];
+	*origin = (struct stream_origin){ service, versions->pdata[0] };
 	return STREAM_LOOKUP_SOLE;
 }
 
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -185,9 +185,10 @@
 }
 
 /* Logs that the caller takes up a stream that another answer began.
- * @param version that the stream goes on at; NULL: it is not known
+ * @param origin where the stream began; NULL: it is not known
  * @param lookup_us age of what shows it */
-static void relay_log_taken_up(const struct relay_request *request, const char *version,
+static void relay_log_taken_up(const struct relay_request *request,
+			       const struct stream_origin *origin,
 			       enum stream_version_source source, uint64_t lookup_us)
 {
 	g_autofree char *versions = relay_dup_listed_versions(request);
@@ -198,7 +199,8 @@
 	log_event(LOG_STREAM_TAKEN_UP, "request", relay_request_id(request), "route",
 		  relay_route_name(request), "last_event", request->decoded.last_event_id,
 		  "resumes", request->decoded.resumes_id ? request->decoded.resumes_id : "-",
-		  "versions", versions, "view_age_ms", age, "version", version ? version : "-",
+		  "versions", versions, "view_age_ms", age, "service",
+		  origin ? origin->service : "-", "version", origin ? origin->version : "-",
 		  "source", stream_version_source_name(source), "lookup_ms", lookup, NULL);
 }
 
@@ -440,28 +442,41 @@
 	relay_log_placed(request, up, &decision);
 }
 
+/* Sends a request that resumes a stream to the service at which it began. @return false when its
+ * route no longer does so */
+static bool relay_bind_service(struct relay_request *request, const char *service)
+{
+	const char *name = route_find_target(request->route, service);
+
+	if (!name)
+		return false;
+	request->service_name = name;
+	request->service = route_config_find_service(request->config, name);
+	return request->service != NULL;
+}
+
 /* Goes on with a request that resumes a stream, or refuses it. */
-static void relay_follow_lookup(struct relay_request *request, const char *version,
+static void relay_follow_lookup(struct relay_request *request, const struct stream_origin *origin,
 				enum stream_version_source source, uint64_t age_us)
 {
-	relay_log_taken_up(request, version, source, age_us);
-	if (!version) {
+	relay_log_taken_up(request, origin, source, age_us);
+	if (!origin || !relay_bind_service(request, origin->service)) {
 		metric_add(request->relay->env->metric, METRIC_STREAM_LOOKUPS_FAILED, 1);
 		relay_reply_error(request, ERR_NO_UPSTREAM, relay_retry_after_ms(request),
 				  "stream-version-unknown");
 		return;
 	}
-	request->software_version = g_strdup(version);
+	request->software_version = g_strdup(origin->version);
 	relay_place(request);
 }
 
-static void relay_on_version(void *ctx, const char *version, enum stream_version_source source,
-			     uint64_t age_us)
+static void relay_on_version(void *ctx, const struct stream_origin *origin,
+			     enum stream_version_source source, uint64_t age_us)
 {
 	struct relay_request *request = ctx;
 
 	request->version_query = NULL;
-	relay_follow_lookup(request, version, source, age_us);
+	relay_follow_lookup(request, origin, source, age_us);
 }
 
 /* Finds the software version at which the stream that the caller resumes began. */
@@ -469,10 +484,10 @@
 {
 	struct stream_version *versions = request->relay->env->stream_version;
 	const char *id = request->decoded.resumes_id;
-	const char *version = id ? stream_version_find(versions, request->service_name, id) : NULL;
+	struct stream_origin origin;
 
-	if (version) {
-		relay_follow_lookup(request, version, STREAM_VERSION_OWN, 0);
+	if (id && stream_version_find(versions, id, &origin)) {
+		relay_follow_lookup(request, &origin, STREAM_VERSION_OWN, 0);
 		return;
 	}
 	request->phase = RELAY_LOOKUP;
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -461,7 +461,7 @@
 
 	metric_add(env->metric, METRIC_GENERATIONS_DONE, 1);
 	if (id)
-		stream_version_end(env->stream_version, request->service_name, id);
+		stream_version_end(env->stream_version, id);
 }
 
 void relay_finish_streamed(struct relay_request *request)
--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -260,15 +260,15 @@
 	stream_version_check_calls(versions, env_now_us());
 }
 
-void stream_version_end(struct stream_version *versions, const char *service, const char *id)
+void stream_version_end(struct stream_version *versions, const char *id)
 {
-	stream_record_end(versions->record, service, id, env_now_us());
+	stream_record_end(versions->record, id, env_now_us());
 }
 
-const char *stream_version_find(const struct stream_version *versions, const char *service,
-				const char *id)
+bool stream_version_find(const struct stream_version *versions, const char *id,
+			 struct stream_origin *origin)
 {
-	return stream_record_find(versions->record, service, id);
+	return stream_record_find(versions->record, id, origin);
 }
 
 struct stream_version_query *stream_version_ask(struct stream_version *versions,
@@ -290,23 +290,31 @@
 	return query;
 }
 
-void stream_version_cancel(struct stream_version_query *query)
+static void stream_version_query_free(struct stream_version_query *query)
 {
-	g_queue_unlink(&query->versions->queries, &query->link);
 	g_free(query->service);
 	g_free(query->id);
 	g_free(query);
 }
 
+void stream_version_cancel(struct stream_version_query *query)
+{
+	g_queue_unlink(&query->versions->queries, &query->link);
+	stream_version_query_free(query);
+}
+
 /* Answers a question and frees it. */
-static void stream_version_reply(struct stream_version_query *query, const char *version,
+static void stream_version_reply(struct stream_version_query *query,
+				 const struct stream_origin *origin,
 				 enum stream_version_source source, uint64_t age_us)
 {
 	stream_version_cb cb = query->cb;
 	void *ctx = query->ctx;
 
-	stream_version_cancel(query);
-	cb(ctx, version, source, age_us);
+	/* The origin may refer to the service of the question. */
+	g_queue_unlink(&query->versions->queries, &query->link);
+	cb(ctx, origin, source, age_us);
+	stream_version_query_free(query);
 }
 
 /* helpers: reads */
@@ -321,18 +329,18 @@
 		[STREAM_LOOKUP_UNKNOWN] = STREAM_VERSION_UNKNOWN,
 	};
 	struct stream_version *versions = query->versions;
-	const char *version = NULL;
+	struct stream_origin origin;
 	enum stream_lookup_result result =
-		stream_lookup_result(lookup, query->service, query->id, &version);
+		stream_lookup_result(lookup, query->service, query->id, &origin);
 
 	/* Another version that is listed here may not be in the registry yet. */
 	if (result == STREAM_LOOKUP_SOLE &&
 	    (now_us < versions->restored_us ||
 	     stream_record_is_needed(versions->record, query->service))) {
 		result = STREAM_LOOKUP_UNKNOWN;
-		version = NULL;
 	}
-	stream_version_reply(query, version, sources[result], now_us - sent_us);
+	stream_version_reply(query, result == STREAM_LOOKUP_UNKNOWN ? NULL : &origin,
+			     sources[result], now_us - sent_us);
 }
 
 /* Plans the removal of a row that is out of date. */
@@ -389,7 +397,7 @@
 	for (GList *item = versions->queries.head; item; item = item->next) {
 		const struct stream_version_query *query = item->data;
 
-		stream_lookup_add(lookup, query->service, query->id);
+		stream_lookup_add(lookup, query->id);
 	}
 	for (guint i = 0; i < answer->changes->len; i++) {
 		const struct store_change *change = answer->changes->pdata[i];
--- a/src/serve/stream_version.h
+++ b/src/serve/stream_version.h
@@ -38,10 +38,10 @@
 };
 
 /** Called once with the answer to a question, after stream_version_ask() has returned.
- * @param version NULL when it is not known; valid during the call
+ * @param origin NULL when it is not known; valid during the call
  * @param age_us time since the read of the store was sent that shows it */
-typedef void (*stream_version_cb)(void *ctx, const char *version, enum stream_version_source source,
-				  uint64_t age_us);
+typedef void (*stream_version_cb)(void *ctx, const struct stream_origin *origin,
+				  enum stream_version_source source, uint64_t age_us);
 
 /** @p env and @p exchange are borrowed and must outlive the result. */
 struct stream_version *stream_version_create(struct env *env, struct peer_exchange *exchange);
@@ -66,12 +66,13 @@
 void stream_version_begin(struct stream_version *versions, const char *service, const char *id,
 			  const char *version, uint64_t deadline_us);
 /** Records that a stream was passed on to its end. */
-void stream_version_end(struct stream_version *versions, const char *service, const char *id);
+void stream_version_end(struct stream_version *versions, const char *id);
 
-/** Returns the version of a stream that this process knows itself, or NULL. */
-const char *stream_version_find(const struct stream_version *versions, const char *service,
-				const char *id);
-/** Asks the store for the version of a stream.
+/** Finds where a stream began that this process knows itself. @return false for others */
+bool stream_version_find(const struct stream_version *versions, const char *id,
+			 struct stream_origin *origin);
+/** Asks the store where a stream began.
+ * @param service that the request is routed to; it counts for a stream without a record
  * @param id NULL when the caller does not name the stream
  * @return the question, valid until @p cb is called or stream_version_cancel() */
 struct stream_version_query *stream_version_ask(struct stream_version *versions,
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -59,6 +59,8 @@
 		second_count += g_str_equal(route_select_service(route, draw), "two");
 	g_assert_cmpuint(second_count, ==, 100);
 	g_assert_null(route_select_service(route_config_match(config, "b.example", "/"), 3));
+	g_assert_cmpstr(route_find_target(route, "two"), ==, "two");
+	g_assert_null(route_find_target(route, "three"));
 	route_config_unref(config);
 }
 
