--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -15,6 +15,7 @@
 	GPtrArray *conns;
 	enum proxy_mode mode;
 	uint32_t delay_ms;
+	bool refuse_new;
 };
 
 struct proxy_conn;
@@ -135,6 +136,11 @@
 		conn_close(proxy->conns->pdata[0], true);
 }
 
+void proxy_set_refuse_new(struct proxy *proxy, bool refuse)
+{
+	proxy->refuse_new = refuse;
+}
+
 const char *proxy_address(const struct proxy *proxy)
 {
 	return proxy->address;
@@ -287,7 +293,7 @@
 	side_init(&conn->server, conn, &conn->client, false);
 	g_ptr_array_add(proxy->conns, conn);
 	if (uv_accept(listener, (uv_stream_t *)&conn->client.tcp) != 0 ||
-	    proxy->mode == PROXY_RESET) {
+	    proxy->mode == PROXY_RESET || proxy->refuse_new) {
 		conn_close(conn, true);
 		return;
 	}
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -9,6 +9,7 @@
 #ifndef FLAMINGOLATCH_TEST_PROXY_H
 #define FLAMINGOLATCH_TEST_PROXY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <uv.h>
 
@@ -40,6 +41,8 @@
  * @param delay_ms delay in the modes PROXY_SLOW and PROXY_TWICE, ignored in others
  */
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode, uint32_t delay_ms);
+/** Sets whether new connections are reset, whatever the mode; open ones go on. */
+void proxy_set_refuse_new(struct proxy *proxy, bool refuse);
 /** Returns the "IP:port" that the proxy listens on. */
 const char *proxy_address(const struct proxy *proxy);
 const char *proxy_mode_name(enum proxy_mode mode);
