Name the suspension of all upstreams as the reason of a refusal

A request that is refused since all its upstreams are suspended was logged as no-allowed-upstream, as if the operator's rules forbade them. The reason is all-suspended now; no decision changes.

--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -876,6 +876,23 @@
 	return false;
 }
 
+bool dispatch_all_suspended(struct dispatch *dispatch, const struct dispatch_need *need)
+{
+	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
+	uint64_t now_us = env_now_us();
+	bool suspended = false;
+
+	for (guint i = 0; i < ups->len; i++) {
+		if (fleet_upstream_state(ups->pdata[i]) > FLEET_UPSTREAM_LAPSED ||
+		    !dispatch_is_permitted(ups->pdata[i], need))
+			continue;
+		if (!fleet_upstream_suspended(ups->pdata[i], now_us))
+			return false;
+		suspended = true;
+	}
+	return suspended;
+}
+
 bool dispatch_is_evacuated(struct dispatch *dispatch, const struct dispatch_need *need)
 {
 	const GPtrArray *ups = fleet_service_upstreams(dispatch->env->fleet, need->service);
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -116,6 +116,10 @@
  * is one. */
 bool dispatch_is_evacuated(struct dispatch *dispatch, const struct dispatch_need *need);
 
+/** Tells whether all upstreams that a request may go to are suspended, and there is one. Those that
+ * are excluded count too. */
+bool dispatch_all_suspended(struct dispatch *dispatch, const struct dispatch_need *need);
+
 /** Adds a request's load to an upstream and takes a reference to it. */
 void dispatch_load_add(struct dispatch_load *load, struct fleet_upstream *up, uint64_t kv_tokens,
 		       uint64_t prefill_tokens);
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -376,8 +376,11 @@
 /* Returns why a request has no upstream, for the log. */
 static const char *relay_no_upstream_reason(struct relay_request *request)
 {
-	struct dispatch_need need = { .service = request->service_name };
+	struct dispatch_need need = relay_dispatch_need(request);
 
+	if (dispatch_all_suspended(request->relay->dispatch, &need))
+		return "all-suspended";
+	need = (struct dispatch_need){ .service = request->service_name };
 	if (!dispatch_has_upstream(request->relay->dispatch, &need))
 		return "no-upstream";
 	need.software_version = request->software_version;
