Pass requests on to other instances while no upstream can be reached

Cause: each failure counts against one upstream or the request; with all upstreams suspended there was nothing else to try, and no instance knew that it was the one that is cut off.

Change: an instance whose attempts at several upstreams were not sent, broke or are silent, with nothing heard from any, counts its paths as lost. From then on, and for a request that got no connection to two upstreams or whose upstreams are all suspended, it sends the request as its caller sent it to the callers' port of a live peer: one of its zone, then in other zones, at most three. A mark keeps the peer from passing it on again. A refusal of the peer without an upstream's signature means that nothing ran; a peer that breaks off or is silent may have run it, so attempt.h decides. Single requests try the own path, on new connections; the first thing heard ends the loss and all suspensions.

The tests reset and cut-peers refuse new connections now, as the incident did, instead of accepting and resetting them.

--- a/include/flamingolatch/detour.h
+++ b/include/flamingolatch/detour.h
@@ -53,6 +53,9 @@
 /** Tells whether a request is sent by the own path while that is lost, and counts it.
  * @param may_repeat the request may run more than once */
 bool detour_may_try(struct detour *detour, bool may_repeat, uint64_t now_us);
+/** Records that a request which tried the path was sent on a new connection and got no answer:
+ * those that may run only once try it rarely from then on, until an upstream is heard. */
+void detour_record_try_lost(struct detour *detour);
 /** Returns the number of upstreams with evidence against the path. */
 uint32_t detour_failed_count(const struct detour *detour);
 /** @} */
--- a/include/flamingolatch/fleet.h
+++ b/include/flamingolatch/fleet.h
@@ -234,6 +234,8 @@
  * @param answered the upstream sent an answer, which may be an error */
 void fleet_upstream_record_outcome(struct fleet_upstream *up, bool succeeded, bool answered,
 				   uint64_t now_us);
+/** Ends all suspensions: the failures were those of the path of this instance. */
+void fleet_end_suspensions(struct fleet *fleet);
 /** Returns the share of recent requests that failed, 0 to 1. */
 double fleet_upstream_failure_share(const struct fleet_upstream *up);
 /** Returns whether it is suspended (circuit open), because several requests in a row got no answer.
--- a/include/flamingolatch/metric.h
+++ b/include/flamingolatch/metric.h
@@ -46,6 +46,12 @@
 	X(METRIC_HEDGES_WITHHELD_LOSING, "hedges_withheld_losing_total", "Calls not hedged when due since hedged requests rarely win.") \
 	X(METRIC_HEDGES_WITHHELD_UPSTREAM, "hedges_withheld_upstream_total", "Calls not hedged when due since no other upstream was sound, quick and free.") \
 	X(METRIC_HEDGES_WITHHELD_OTHER, "hedges_withheld_other_total", "Calls not hedged when due since the instance stops, too little time or no attempt is left, or the request is suspect.") \
+	X(METRIC_PATH_LOST, "path_lost_total", "Times that the paths to all upstreams were found to be lost.") \
+	X(METRIC_PASSED_ON, "passed_on_total", "Requests sent to another instance, as no upstream can be reached from here; each sending counts.") \
+	X(METRIC_PASSED_ON_REFUSED, "passed_on_refused_total", "Requests that another instance did not run, or that could not be sent to it.") \
+	X(METRIC_PASSED_ON_FAILED, "passed_on_failed_total", "Requests that got no whole answer from another instance and may have run.") \
+	X(METRIC_TAKEN_OVER, "taken_over_total", "Requests that other instances sent here, as they can reach no upstream.") \
+	X(METRIC_TAKEN_OVER_REFUSED, "taken_over_refused_total", "Requests of other instances refused, as no upstream can be reached from here either.") \
 	X(METRIC_REFUSED, "refused_total", "Requests refused with ran=not_run.") \
 	X(METRIC_TABLE_READS, "table_reads_total", "Reads sent to the table.") \
 	X(METRIC_TABLE_WRITES, "table_writes_total", "Conditional writes sent to the table.") \
@@ -102,6 +108,7 @@
 	X(METRIC_CONFIG_REVISION, "config_revision", "Configuration revision in force here.") \
 	X(METRIC_CONFIG_CONFIRMED_AGE_MS, "config_confirmed_age_ms", "Time since the revision was last confirmed as the newest.") \
 	X(METRIC_OTHER_FILL, "other_fill_permille", "Share of each KV cache that other than urgent generations may fill, in thousandths; 0 without urgent routes.") \
+	X(METRIC_PATH_IS_LOST, "path_lost", "1 while the paths to all upstreams count as lost.") \
 	X(METRIC_TABLE_REACHABLE, "table_reachable", "1 when the last table call was answered.")
 #define METRIC_HISTOGRAMS(X) \
 	X(METRIC_FIRST_TOKEN_US, "first_token_us", "Time from request to first token.") \
--- a/include/flamingolatch/protocol.h
+++ b/include/flamingolatch/protocol.h
@@ -22,6 +22,8 @@
 	/** Id of the request that brought the first event of the stream that is resumed, or NULL */
 	char *resumes_id;
 	uint64_t wait_ms; /**< time until the caller's deadline; 0 when it sent none */
+	bool passed_on;	  /**< by another instance, which has no path to the upstreams */
+	uint32_t runs;	  /**< attempts there that may have run it; 0 unless passed_on */
 	uint64_t prompt_tokens;
 	uint64_t max_output_tokens;
 	uint64_t hinted_output_tokens; /**< the caller's hint of the output length; 0 for none */
@@ -79,6 +81,16 @@
 	/** Returns the header lines of a request to an upstream as a new string. */
 	char *(*encode)(const struct protocol_request *request,
 			const struct protocol_attempt *attempt);
+	/** Returns the header lines of a request that is passed on to another instance as a new
+	 * string: those of the caller, and that it was passed on.
+	 * @param left_ms time left until the deadline; 0 for no deadline
+	 * @param runs attempts that may have run it */
+	char *(*encode_passed_on)(const struct protocol_request *request, uint64_t left_ms,
+				  uint32_t runs);
+	/** Marks the answer to a request: this instance has no path to the upstreams either. */
+	void (*mark_no_path)(struct http_req *req);
+	/** Returns true when an instance states that it has no path to the upstreams. */
+	bool (*decode_no_path)(const struct http_response_head *head);
 	/** Returns true unless the answer names a request other than @p id; NULL matches any. */
 	bool (*owns)(const struct http_response_head *head, const char *id);
 	/** Returns true when the answer names a request. */
--- a/src/core/detour.c
+++ b/src/core/detour.c
@@ -7,12 +7,14 @@
 #define DETOUR_FAILED_COUNT	3
 #define DETOUR_FAILED_MIN_COUNT 2
 /* Failures of this long are evidence together. */
-#define DETOUR_WINDOW_US (3ULL * 1000 * 1000)
+#define DETOUR_WINDOW_US (10ULL * 1000 * 1000)
 /* Nothing is heard for as long before the path counts as lost. */
 #define DETOUR_UNHEARD_US (100ULL * 1000)
 /* Between two requests that try the lost path; one that may run only once may be lost there. */
 #define DETOUR_TRY_US	   (250ULL * 1000)
 #define DETOUR_TRY_ONCE_US (1000ULL * 1000)
+/* The same where requests that are sent are lost. */
+#define DETOUR_TRY_LOST_US (10ULL * 1000 * 1000)
 /* A peer that could not serve is left out for this long. */
 #define DETOUR_LEFT_OUT_US (1000ULL * 1000)
 
@@ -24,6 +26,7 @@
 	uint64_t heard_us;
 	uint64_t tried_us; /* when a request last tried the lost path */
 	bool lost;
+	bool tries_lost; /* a request that tried it was sent and not answered */
 };
 
 /* lifetime */
@@ -65,6 +68,7 @@
 
 	detour->heard_us = now_us;
 	detour->lost = false;
+	detour->tries_lost = false;
 	if (g_hash_table_size(detour->failed) > 0)
 		g_hash_table_remove_all(detour->failed);
 	return was_lost;
@@ -107,12 +111,19 @@
 
 bool detour_may_try(struct detour *detour, bool may_repeat, uint64_t now_us)
 {
-	if (now_us < detour->tried_us + (may_repeat ? DETOUR_TRY_US : DETOUR_TRY_ONCE_US))
+	uint64_t once_us = detour->tries_lost ? DETOUR_TRY_LOST_US : DETOUR_TRY_ONCE_US;
+
+	if (now_us < detour->tried_us + (may_repeat ? DETOUR_TRY_US : once_us))
 		return false;
 	detour->tried_us = now_us;
 	return true;
 }
 
+void detour_record_try_lost(struct detour *detour)
+{
+	detour->tries_lost = true;
+}
+
 uint32_t detour_failed_count(const struct detour *detour)
 {
 	return g_hash_table_size(detour->failed);
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -733,6 +733,19 @@
 	up->suspended_until_us = now_us + up->suspension_us;
 }
 
+static void fleet_end_suspension(void *ctx, struct fleet_upstream *up)
+{
+	(void)ctx;
+	up->consecutive_unanswered = 0;
+	up->suspension_us = 0;
+	up->suspended_until_us = 0;
+}
+
+void fleet_end_suspensions(struct fleet *fleet)
+{
+	fleet_foreach(fleet, fleet_end_suspension, NULL);
+}
+
 void fleet_upstream_mark_active(struct fleet_upstream *up)
 {
 	if (up->state != FLEET_UPSTREAM_GONE)
--- a/src/serve/dispatch.c
+++ b/src/serve/dispatch.c
@@ -93,7 +93,8 @@
 				 uint64_t now_us)
 {
 	if (fleet_upstream_state(up) > FLEET_UPSTREAM_LAPSED || up == need->avoid ||
-	    fleet_upstream_suspended(up, now_us) || !dispatch_is_permitted(up, need))
+	    (!need->ignore_suspended && fleet_upstream_suspended(up, now_us)) ||
+	    !dispatch_is_permitted(up, need))
 		return false;
 	return !need->excluded || !g_ptr_array_find((GPtrArray *)need->excluded, up, NULL);
 }
--- a/src/serve/dispatch.h
+++ b/src/serve/dispatch.h
@@ -41,6 +41,7 @@
 					  * not apply; then the others are unset */
 	bool run_once; /**< may run only once: avoids upstreams that might lose it, if possible */
 	bool queued;   /**< a call that waited, see call_queue_allows() */
+	bool ignore_suspended; /**< suspended upstreams count as others do */
 	/** Only an upstream of a plain service that is not suspect, answers as usual and has a free
 	 * slot. */
 	bool sound;
--- a/src/serve/dump.c
+++ b/src/serve/dump.c
@@ -2,6 +2,7 @@
 
 #include "admission_exchange.h"
 #include "crash_guard.h"
+#include "relay_detour.h"
 #include "relay_hedge.h"
 #include "stream_version.h"
 
@@ -90,6 +91,6 @@
 		planned_stop_has_begun(&env->stop), "upstreams", dump_upstreams(env),
 		"urgent_demand", admission_exchange_json(env->admission_exchange), "hedges",
 		relay_hedges_json(relay), "quarantined", crash_guard_json(env->crash_guard),
-		"stream_versions", stream_version_json(env->stream_version), "requests",
-		relay_state_json(relay, DUMP_MAX_REQUESTS));
+		"stream_versions", stream_version_json(env->stream_version), "path",
+		relay_detours_json(relay), "requests", relay_state_json(relay, DUMP_MAX_REQUESTS));
 }
--- a/src/serve/gateway.c
+++ b/src/serve/gateway.c
@@ -155,6 +155,7 @@
 		gateway_destroy(gateway);
 		return NULL;
 	}
+	relay_set_peers(gateway->relay, gateway->peer_exchange);
 	gateway->env.crash_guard = crash_guard_create(&gateway->env, gateway->peer_exchange);
 	crash_guard_set_quarantined_cb(gateway->env.crash_guard, gateway_on_quarantined, gateway);
 	gateway->env.limit_exchange = limit_exchange_create(&gateway->env, gateway->peer_exchange);
@@ -190,6 +191,7 @@
 	speed_exchange_destroy(gateway->env.speed_exchange);
 	limit_exchange_destroy(gateway->env.limit_exchange);
 	crash_guard_destroy(gateway->env.crash_guard);
+	relay_set_peers(gateway->relay, NULL);
 	/* Requests may wait for an answer about their streams. */
 	relay_destroy(gateway->relay);
 	stream_version_destroy(gateway->env.stream_version);
--- a/src/serve/peer_exchange.c
+++ b/src/serve/peer_exchange.c
@@ -648,6 +648,28 @@
 	}
 }
 
+void peer_exchange_each_live_peer(struct peer_exchange *exchange,
+				  void (*each)(void *ctx, const char *address, const char *zone,
+					       uint32_t distance),
+				  void *ctx)
+{
+	uint64_t now_us = env_now_us();
+	GHashTableIter iter;
+	const struct peer_exchange_peer *peer;
+
+	g_hash_table_iter_init(&iter, exchange->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		const struct peer_exchange_zone *zone =
+			peer->zone ? g_hash_table_lookup(exchange->zones, peer->zone) : NULL;
+		bool reports = peer->last_report_us &&
+			       now_us - peer->last_report_us < PEER_EXCHANGE_LIVE_US;
+
+		if (peer->zone && (reports || (peer->distance != FLEET_SAME_ZONE && zone &&
+					       now_us < zone->expires_us)))
+			each(ctx, peer->address, peer->zone, peer->distance);
+	}
+}
+
 GPtrArray *peer_exchange_group(struct peer_exchange *exchange, bool region)
 {
 	GPtrArray *group = g_ptr_array_new();
--- a/src/serve/peer_exchange.h
+++ b/src/serve/peer_exchange.h
@@ -104,6 +104,12 @@
 void peer_exchange_each_live(struct peer_exchange *exchange,
 			     void (*member)(void *ctx, const char *address),
 			     void (*zone)(void *ctx, const char *name), void *ctx);
+/** Calls @p each for each other instance that may be alive: of this zone those that reported
+ * lately, elsewhere those of zones that did. @param distance enum fleet_upstream_distance */
+void peer_exchange_each_live_peer(struct peer_exchange *exchange,
+				  void (*each)(void *ctx, const char *address, const char *zone,
+					       uint32_t distance),
+				  void *ctx);
 /** Returns true once the rows of the instances were read. */
 bool peer_exchange_has_read(const struct peer_exchange *exchange);
 /** Records that all rows of the instances were read, here or by a delegate that passed them on. */
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -4,6 +4,7 @@
 #include "crash_guard.h"
 #include "limit_exchange.h"
 #include "relay_attempt.h"
+#include "relay_detour.h"
 #include "relay_hedge.h"
 #include "relay_migrate.h"
 #include "relay_state.h"
@@ -54,6 +55,7 @@
 	g_queue_init(&relay->requests);
 	relay->length_estimates = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	relay->hedges = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, relay_destroy_hedge);
+	relay->detours = relay_detours_create();
 	return relay;
 }
 
@@ -66,6 +68,7 @@
 	relay_cancel_releases(relay);
 	g_hash_table_destroy(relay->length_estimates);
 	g_hash_table_destroy(relay->hedges);
+	relay_detours_destroy(relay->detours);
 	g_free(relay);
 }
 
@@ -402,8 +405,9 @@
 		return;
 	}
 	if (relay_refuse_if_stopping(request) || relay_refuse_if_barred(request) ||
-	    relay_refuse_if_evacuated(request))
+	    relay_refuse_if_evacuated(request) || relay_detour_send(request))
 		return;
+	need.ignore_suspended = request->tries_path;
 	if (quiet_us && relay_is_generation(request) && !request->may_have_run &&
 	    !relay_outlasts_quiet(request, quiet_us)) {
 		relay_refuse_quiet(request, quiet_us);
@@ -414,6 +418,8 @@
 		up = dispatch_has_queued_before(dispatch, &need)
 			     ? NULL
 			     : dispatch_select_engine(dispatch, &need, &decision);
+		if (!up && relay_detour_end_try(request))
+			return;
 		if (!up && dispatch_has_upstream(dispatch, &need)) {
 			relay_enqueue(request, &need, decision.late_ms);
 			return;
@@ -424,6 +430,8 @@
 				     !request->may_have_run
 			     ? NULL
 			     : dispatch_select_plain(dispatch, &need, &decision);
+		if (!up && relay_detour_end_try(request))
+			return;
 		if (!up && relay_waits_for_quiet(request, &need)) {
 			relay_enqueue_call(request, &need);
 			return;
@@ -671,6 +679,8 @@
 		available = relay_waits_for_quiet(request, &need) &&
 			    dispatch_call_fits(request->relay->dispatch, &need,
 					       relay_priority(request), request->deadline_us);
+	available = relay_detour_is_due(request, outcome == ATTEMPT_NOT_SENT && !available) ||
+		    available;
 	summary = relay_summarize(request, outcome, available);
 	action = attempt_decide(&summary);
 	if (action == ATTEMPT_ACTION_RETRY && outcome != ATTEMPT_NOT_SENT) {
@@ -686,6 +696,7 @@
 static void relay_abandon_attempt(struct relay_request *request, uint64_t now_us)
 {
 	relay_learn_response(request, now_us);
+	relay_detour_on_silent(request);
 	fleet_upstream_record_outcome(request->attempt.up, false, false, now_us);
 	relay_cancel_attempt(request);
 	request->attempt_count++;
@@ -703,7 +714,8 @@
 				 ? !dispatch_has_queued_before(dispatch, &need) &&
 					   dispatch_select_engine(dispatch, &need, &decision)
 				 : dispatch_select_plain(dispatch, &need, &decision) != NULL;
-	struct attempt_summary summary = relay_summarize(request, ATTEMPT_SILENT, available);
+	struct attempt_summary summary = relay_summarize(
+		request, ATTEMPT_SILENT, available || relay_detour_is_due(request, false));
 	enum attempt_action action;
 
 	request->stall_checked_us = now_us;
@@ -725,6 +737,24 @@
 	relay_follow_attempt(request, ATTEMPT_SILENT, action);
 }
 
+/* Gives up an attempt that has no connection yet if the request can go on elsewhere now. */
+static void relay_abandon_unconnected(struct relay_request *request, uint64_t now_us)
+{
+	struct dispatch *dispatch = request->relay->dispatch;
+	struct dispatch_need need = relay_dispatch_need(request);
+	struct dispatch_decision decision = { 0 };
+
+	request->stall_checked_us = now_us;
+	if (!relay_detour_is_due(request, false) &&
+	    !(relay_is_generation(request) ? dispatch_select_engine(dispatch, &need, &decision)
+					   : dispatch_select_plain(dispatch, &need, &decision)))
+		return;
+	fleet_upstream_record_outcome(request->attempt.up, false, false, now_us);
+	relay_cancel_attempt(request);
+	request->unsent_count++;
+	relay_on_attempt_end(request, ATTEMPT_NOT_SENT);
+}
+
 /* helpers: callers and timers */
 
 static void relay_on_caller_gone(void *ctx)
@@ -758,7 +788,7 @@
 	const struct gateway_load_settings *load = &request->relay->env->settings->load;
 	uint64_t silent_ms = (now_us - request->last_progress_us) / 1000;
 
-	if (!request->call || request->stop.asked ||
+	if (!request->call || request->stop.asked || request->passed_on ||
 	    now_us < request->stall_checked_us + RELAY_STALL_CHECK_MS * 1000)
 		return false;
 	if (request->phase == RELAY_STREAMING && request->event_count > 0)
@@ -772,7 +802,7 @@
 		       fleet_upstream_silent_us(request->attempt.up, now_us) >
 			       load->stall_ms * 1000;
 	if (request->phase == RELAY_SENT && request->route->kind == ROUTE_IDEMPOTENT)
-		return silent_ms > load->answer_ms &&
+		return silent_ms > relay_detour_answer_ms(request, load->answer_ms) &&
 		       request->attempt_count + 1 < request->route->max_attempts;
 	return false;
 }
@@ -798,12 +828,17 @@
 			return;
 		relay_cancel_migration(request);
 		relay_cancel_hedge(request, RELAY_HEDGE_DEADLINE);
+		if (!relay_is_generation(request))
+			relay_detour_on_silent(request);
 		relay_cancel_attempt(request);
 		request->attempt_count++;
 		relay_on_attempt_end(request, ATTEMPT_SILENT);
 	} else if (request->phase == RELAY_QUEUED &&
-		   (relay_refuse_if_stopping(request) || relay_refuse_if_evacuated(request))) {
+		   (relay_refuse_if_stopping(request) || relay_refuse_if_evacuated(request) ||
+		    relay_detour_send_queued(request))) {
 		return;
+	} else if (relay_detour_check(request, now_us)) {
+		relay_abandon_unconnected(request, now_us);
 	} else if (request->phase == RELAY_QUEUED && now_us >= request->queue_deadline_us) {
 		if (request->may_have_run)
 			relay_reply_error(request, ERR_OUTCOME_UNKNOWN, 0, "waited");
@@ -831,6 +866,10 @@
 		request->decoded.wait_ms ? request->decoded.wait_ms : RELAY_DEFAULT_DEADLINE_MS;
 
 	metric_add(relay->env->metric, METRIC_REQUESTS, 1);
+	if (request->decoded.passed_on) {
+		metric_add(relay->env->metric, METRIC_TAKEN_OVER, 1);
+		request->attempt_count = request->decoded.runs;
+	}
 	if (!request->decoded.id) {
 		relay_reply_error(request, ERR_BAD_REQUEST, 0, "no-id");
 		return;
@@ -870,6 +909,7 @@
 	uint64_t now_us = env_now_us();
 	GList *next;
 
+	relay_detours_tick(relay, now_us);
 	for (GList *item = relay->requests.head; item; item = next) {
 		next = item->next;
 		relay_check_timers(item->data, now_us);
@@ -939,7 +979,7 @@
 
 		json_array_append_new(
 			out,
-			json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b, s:b}", "id",
+			json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:i, s:b, s:b, s:b}", "id",
 				  relay_request_id(request), "route", relay_route_name(request),
 				  "class", admission_class_name(request->admission), "upstream",
 				  relay_upstream_id(request), "phase",
@@ -947,7 +987,8 @@
 				  (json_int_t)relay_age_ms(request), "events",
 				  (json_int_t)request->event_count, "runs",
 				  (int)request->attempt_count, "moving",
-				  request->migrate_call != NULL, "hedged", request->hedge != NULL));
+				  request->migrate_call != NULL, "hedged", request->hedge != NULL,
+				  "passed_on", request->passed_on));
 	}
 	return out;
 }
--- a/src/serve/relay.h
+++ b/src/serve/relay.h
@@ -13,6 +13,7 @@
 
 #include "dispatch.h"
 #include "env.h"
+#include "peer_exchange.h"
 
 #include <jansson.h>
 
@@ -22,6 +23,9 @@
 struct relay *relay_create(struct env *env, struct dispatch *dispatch);
 /** Frees the relay and all its requests, without answering them. Accepts NULL. */
 void relay_destroy(struct relay *relay);
+/** Sets where the peers are found to which requests are passed on; NULL: to none. @p exchange is
+ * borrowed. */
+void relay_set_peers(struct relay *relay, struct peer_exchange *exchange);
 /** Handles a new request; an http_server_handler() whose @p ctx is the struct relay. */
 void relay_handle(void *ctx, struct http_req *req);
 /** Enforces deadlines and queue timeouts, detects stalled attempts, starts migrations, and grants
--- a/src/serve/relay_attempt.c
+++ b/src/serve/relay_attempt.c
@@ -3,6 +3,7 @@
 #include "cold_start.h"
 #include "crash_guard.h"
 #include "limit_exchange.h"
+#include "relay_detour.h"
 #include "relay_hedge.h"
 #include "speed_exchange.h"
 #include "stream_version.h"
@@ -120,6 +121,7 @@
 		.body = body,
 		.body_len = body_len,
 		.timeout_ms = left_ms + RELAY_DEADLINE_SLACK_MS,
+		.new_connection = request->tries_path,
 		.id = request->decoded.id,
 	};
 	g_autofree char *headers = NULL;
@@ -183,6 +185,8 @@
 	request->discarded_bytes = 0;
 	request->invalid_response = false;
 	request->withheld = false;
+	request->connected = false;
+	request->passed_on = false;
 	request->not_run = false;
 	request->stream = false;
 	request->unframed = false;
@@ -238,6 +242,7 @@
 {
 	struct relay_request *request = ctx;
 
+	request->connected = true;
 	/* The key may have been withdrawn, the zone evacuated or the regions changed while the
 	 * connection was opened or the process paused. */
 	request->withheld = !relay_may_begin(request, request->attempt.up);
@@ -281,6 +286,7 @@
 	struct env *env = request->relay->env;
 	enum protocol_answer_class verdict = env->protocol->classify_answer(head);
 
+	relay_detour_on_heard(request->relay);
 	fleet_upstream_record_progress(up, env_now_us());
 	crash_guard_on_alive(env->crash_guard, up);
 	/* A late copy of it could not be told from the answer to the next call. */
@@ -488,7 +494,10 @@
 
 static void relay_on_data(void *ctx, const char *buf, size_t len)
 {
-	relay_process_data(ctx, buf, len);
+	struct relay_request *request = ctx;
+
+	relay_detour_on_heard(request->relay);
+	relay_process_data(request, buf, len);
 }
 
 void relay_process_data(struct relay_request *request, const char *buf, size_t len)
@@ -582,6 +591,7 @@
 		relay_refuse_key(request);
 		return;
 	}
+	relay_detour_on_end(request, result, sent);
 	if (!request->withheld)
 		fleet_upstream_record_outcome(
 			up, complete && (request->not_run || !relay_is_server_error(request)),
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -1,6 +1,7 @@
 #include "relay_state.h"
 
 #include "admission_exchange.h"
+#include "relay_detour.h"
 #include "relay_hedge.h"
 #include "stream_version.h"
 
@@ -239,6 +240,7 @@
 	relay_cancel_migration(request);
 	relay_cancel_hedge(request, RELAY_HEDGE_ENDED);
 	relay_cancel_attempt(request);
+	relay_detour_free(request);
 	dispatch_load_remove(&request->backup);
 	relay_set_buffered(request, 0);
 	g_queue_unlink(&relay->requests, &request->link);
@@ -742,6 +744,7 @@
 			   .resumes = request->resumed },
 		.admission = relay_admission_item(request),
 		.run_once = !route_allows_rerun(request->route),
+		.ignore_suspended = request->tries_path,
 		.excluded = request->tried,
 		.software_version = request->software_version,
 		.allows = relay_allows_upstream,
--- a/src/serve/relay_state.h
+++ b/src/serve/relay_state.h
@@ -25,6 +25,8 @@
 struct relay_request;
 struct relay_hedge;
 struct stream_version_query;
+struct relay_detour;
+struct relay_detours;
 
 /** Progress of a request. */
 enum relay_phase {
@@ -55,6 +57,7 @@
 	/** Decides what follows an attempt that ended without completing the request; may free
 	 * the request. */
 	void (*on_attempt_end)(struct relay_request *request, enum attempt_outcome outcome);
+	struct relay_detours *detours;
 	bool request_freed;	      /* since engines were last granted to queued generations */
 	GHashTable *length_estimates; /* name of a route to struct length_lognormal */
 	GHashTable *hedges;	      /* name of a plain service to struct hedge */
@@ -85,8 +88,9 @@
 	struct dispatch_queued *queued;		    /* NULL unless the phase is RELAY_QUEUED */
 	struct stream_version_query *version_query; /* NULL unless the phase is RELAY_LOOKUP */
 	struct relay_hedge *hedge;		    /* open second call; NULL when there is none */
-	struct http_call *call;			    /* of the current attempt; NULL when it ended */
-	struct fetch *migrate_call; /* open migration call; NULL when there is none */
+	struct relay_detour *detour; /* peers that were tried; NULL before the first */
+	struct http_call *call;	     /* of the current attempt; NULL when it ended */
+	struct fetch *migrate_call;  /* open migration call; NULL when there is none */
 	struct fleet_upstream
 		*migrate_target;      /* target of the migration, with a reference; or NULL */
 	struct dispatch_load kv_copy; /* on the engine to which the KV cache is copied */
@@ -123,6 +127,7 @@
 	uint32_t longest_pause_ms;     /* between two events */
 	uint64_t expected_output_tokens;
 	uint32_t attempt_count; /* attempts that ended and may have run */
+	uint32_t unsent_count;	/* attempts for which no connection was opened */
 	uint16_t status;	/* HTTP status of the current response; 0 before */
 	uint16_t stop_status;	/* of the answer to the call that stops the generation; 0: none */
 	enum relay_phase phase;
@@ -143,6 +148,9 @@
 	bool first_attempt;	 /* the current attempt is no retry and no hedged request */
 	bool hedge_sent;	 /* a hedged request was sent */
 	bool hedge_withheld;	 /* a hedged request was due and not sent */
+	bool connected;		 /* the current attempt has a connection */
+	bool tries_path;	 /* the current attempt tries a path that counts as lost */
+	bool passed_on;		 /* the current call is to a peer, not to an upstream */
 	bool not_run;		 /* the upstream states that it did not run the request */
 };
 
--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -9,7 +9,8 @@
 
 struct proxy {
 	uv_loop_t *loop;
-	uv_tcp_t listener;
+	uv_tcp_t *listener;
+	struct sockaddr_in own;
 	char *address;
 	struct sockaddr_in target;
 	GPtrArray *conns;
@@ -57,25 +58,34 @@
 
 static void proxy_on_connection(uv_stream_t *listener, int status);
 
+static void proxy_on_listener_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void proxy_listen(struct proxy *proxy)
+{
+	proxy->listener = g_new0(uv_tcp_t, 1);
+	uv_tcp_init(proxy->loop, proxy->listener);
+	proxy->listener->data = proxy;
+	g_assert_cmpint(uv_tcp_bind(proxy->listener, (struct sockaddr *)&proxy->own, 0), ==, 0);
+	g_assert_cmpint(uv_listen((uv_stream_t *)proxy->listener, 128, proxy_on_connection), ==, 0);
+}
+
 struct proxy *proxy_create(uv_loop_t *loop, const char *address, const char *target)
 {
 	struct proxy *proxy = g_new0(struct proxy, 1);
 	const char *colon = strrchr(target, ':');
 	g_autofree char *host = g_strndup(target, (gsize)(colon - target));
-	struct sockaddr_in addr;
-	int len = sizeof(addr);
+	int len = sizeof(proxy->own);
 
 	proxy->loop = loop;
 	proxy->conns = g_ptr_array_new();
 	uv_ip4_addr(host, atoi(colon + 1), &proxy->target);
-	uv_ip4_addr(address, 0, &addr);
-	uv_tcp_init(loop, &proxy->listener);
-	proxy->listener.data = proxy;
-	g_assert_cmpint(uv_tcp_bind(&proxy->listener, (struct sockaddr *)&addr, 0), ==, 0);
-	g_assert_cmpint(uv_listen((uv_stream_t *)&proxy->listener, 128, proxy_on_connection), ==,
-			0);
-	uv_tcp_getsockname(&proxy->listener, (struct sockaddr *)&addr, &len);
-	proxy->address = g_strdup_printf("%s:%u", address, ntohs(addr.sin_port));
+	uv_ip4_addr(address, 0, &proxy->own);
+	proxy_listen(proxy);
+	uv_tcp_getsockname(proxy->listener, (struct sockaddr *)&proxy->own, &len);
+	proxy->address = g_strdup_printf("%s:%u", address, ntohs(proxy->own.sin_port));
 	return proxy;
 }
 
@@ -112,20 +122,27 @@
 	}
 }
 
-static void proxy_on_closed(uv_handle_t *handle)
+static void proxy_free(struct proxy *proxy)
 {
-	struct proxy *proxy = handle->data;
-
 	g_ptr_array_free(proxy->conns, TRUE);
 	g_free(proxy->address);
 	g_free(proxy);
 }
 
+static void proxy_on_closed(uv_handle_t *handle)
+{
+	proxy_free(handle->data);
+	g_free(handle);
+}
+
 void proxy_destroy(struct proxy *proxy)
 {
 	while (proxy->conns->len)
 		conn_close(proxy->conns->pdata[0], true);
-	uv_close((uv_handle_t *)&proxy->listener, proxy_on_closed);
+	if (proxy->refuse_new)
+		proxy_free(proxy);
+	else
+		uv_close((uv_handle_t *)proxy->listener, proxy_on_closed);
 }
 
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode, uint32_t delay_ms)
@@ -138,7 +155,13 @@
 
 void proxy_set_refuse_new(struct proxy *proxy, bool refuse)
 {
+	if (proxy->refuse_new == refuse)
+		return;
 	proxy->refuse_new = refuse;
+	if (refuse)
+		uv_close((uv_handle_t *)proxy->listener, proxy_on_listener_closed);
+	else
+		proxy_listen(proxy);
 }
 
 const char *proxy_address(const struct proxy *proxy)
@@ -293,7 +316,7 @@
 	side_init(&conn->server, conn, &conn->client, false);
 	g_ptr_array_add(proxy->conns, conn);
 	if (uv_accept(listener, (uv_stream_t *)&conn->client.tcp) != 0 ||
-	    proxy->mode == PROXY_RESET || proxy->refuse_new) {
+	    proxy->mode == PROXY_RESET) {
 		conn_close(conn, true);
 		return;
 	}
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -41,7 +41,7 @@
  * @param delay_ms delay in the modes PROXY_SLOW and PROXY_TWICE, ignored in others
  */
 void proxy_set_mode(struct proxy *proxy, enum proxy_mode mode, uint32_t delay_ms);
-/** Sets whether new connections are reset, whatever the mode; open ones go on. */
+/** Sets whether new connections are refused, as nobody listens; open ones go on. */
 void proxy_set_refuse_new(struct proxy *proxy, bool refuse);
 /** Returns the "IP:port" that the proxy listens on. */
 const char *proxy_address(const struct proxy *proxy);
--- a/test/test_detour.c
+++ b/test/test_detour.c
@@ -97,7 +97,7 @@
 	struct detour *detour = detour_create();
 
 	for (uint32_t up = 1; up <= 6; up++) {
-		uint64_t now_us = START_US + up * 4000 * MS;
+		uint64_t now_us = START_US + up * 6000 * MS;
 
 		detour_record_failure(detour, up, now_us, now_us);
 		g_assert_false(detour_update(detour, FLEET, now_us));
--- a/test/test_gateway_path.c
+++ b/test/test_gateway_path.c
@@ -132,9 +132,9 @@
 static void set_cut(struct fixture *f, enum cut cut, bool on)
 {
 	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
-		if (cut == CUT_REFUSE_NEW)
+		if (cut != CUT_SILENT)
 			proxy_set_refuse_new(f->proxies[i], on);
-		else
+		if (cut != CUT_REFUSE_NEW)
 			proxy_set_mode(f->proxies[i],
 				       !on		  ? PROXY_PASS
 				       : cut == CUT_RESET ? PROXY_RESET
@@ -158,6 +158,12 @@
 	g_test_message("%s at %s: status %u, broken %d, executions %u, %" G_GUINT64_FORMAT " ms",
 		       request->path, gateway->name, answer.status, answer.broken,
 		       record.executions, answer.ended_ms - answer.sent_ms);
+	for (uint32_t i = 0; !served && i <= f->cut_count; i++) {
+		struct testbed_gateway *from = i < f->cut_count ? f->cut[i] : f->sound;
+		g_autofree char *lines = testbed_log_lines(from, answer.id);
+
+		g_test_message("%s", lines);
+	}
 	if (request != &safe)
 		g_assert_cmpuint(record.executions, <=, 1);
 	if (answer.status == 503 || answer.status == 429)
@@ -192,6 +198,11 @@
 			served += ask(f, f->cut[i % f->cut_count], requests[kind]);
 			testbed_run(f->testbed, BETWEEN_MS);
 		}
+		for (uint32_t i = 0; served < CALL_COUNT && i < f->cut_count; i++) {
+			g_autofree char *lines = testbed_log_lines(f->cut[i], "\"path-");
+
+			g_test_message("%s", lines);
+		}
 		g_test_message("%s: %u of %u served", requests[kind]->path, served, CALL_COUNT);
 		g_assert_cmpfloat(served, >=, SERVED_IN_ALL * CALL_COUNT);
 	}
