Tests of requests that are passed on: a peer that dies, a caller that leaves, a forged mark

A call whose peer dies after it was sent ends as 502 or 504, a stream looks incomplete, a caller that leaves ends the work at the upstream, and a caller that sends the mark is served or refused as any other. A forged mark no longer waives the check of late first events: only attempts of this instance do.

--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -612,7 +612,7 @@
 	bool returned = request->decoded.wait_ms + RELAY_RETURNED_MARGIN_MS <
 			request->route->queue_timeout_ms;
 
-	if (returned || request->event_count > 0 || request->attempt_count > 0)
+	if (returned || request->event_count > 0 || request->attempt_count > request->decoded.runs)
 		return 0;
 	return spent_ms < wanted_ms ? (uint32_t)(wanted_ms - spent_ms) : 1;
 }
--- a/test/test_gateway_path.c
+++ b/test/test_gateway_path.c
@@ -6,6 +6,7 @@
  * The cut gateways read the instance list from a store of their own, in which each
  * upstream has the address of a proxy in front of it.
  */
+#include "raw_caller.h"
 #include "soak/proxy.h"
 #include "testbed.h"
 
@@ -249,6 +250,121 @@
 	play(CUT_RESET, CUT_COUNT);
 }
 
+/* Cuts off the only gateway that is asked, and waits until it passes requests on. */
+static void open_cut(struct fixture *f)
+{
+	fixture_open(f, 1);
+	set_cut(f, CUT_RESET, true);
+	ask_for(f, CONTACT_MS);
+	g_assert_true(ask(f, f->cut[0], &once));
+}
+
+static void set_work(struct fixture *f, bool engine, uint32_t work_ms)
+{
+	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++) {
+		if ((i % 2 == 0) == engine)
+			mock_upstream_configure(f->upstreams[i],
+						&(struct mock_upstream_conf){ .engine = engine,
+									      .work_ms = work_ms,
+									      .pace_ms = 20 });
+	}
+}
+
+static uint32_t open_at_upstreams(const struct fixture *f)
+{
+	uint32_t open = 0;
+
+	for (uint32_t i = 0; i < UPSTREAM_COUNT; i++)
+		open += mock_upstream_open_count(f->upstreams[i]);
+	return open;
+}
+
+/* An instance dies with a call that another passed on to it: the call may have run. */
+static void test_peer_dies(void)
+{
+	struct testbed_answer answer;
+	struct fixture f;
+
+	open_cut(&f);
+	set_work(&f, false, 800);
+	testbed_begin(f.cut[0], &once, &answer);
+	testbed_run(f.testbed, 300);
+	g_assert_cmpuint(open_at_upstreams(&f), ==, 1);
+	testbed_signal(f.sound, SIGKILL);
+	g_assert_true(testbed_wait(f.testbed, &answer, 2 * WAIT_MS));
+	g_test_message("status %u", answer.status);
+	g_assert_true(answer.status == 502 || answer.status == 504);
+	testbed_answer_clear(&answer);
+	fixture_close(&f);
+}
+
+/* A stream whose peer dies in the middle does not look complete. */
+static void test_peer_dies_in_stream(void)
+{
+	struct testbed_request slow = stream;
+	struct testbed_answer answer;
+	struct fixture f;
+
+	slow.output_tokens = 400;
+	open_cut(&f);
+	set_work(&f, true, 20);
+	testbed_begin(f.cut[0], &slow, &answer);
+	testbed_run(f.testbed, 500);
+	g_assert_cmpuint(answer.body->len, >, 0);
+	testbed_signal(f.sound, SIGKILL);
+	g_assert_true(testbed_wait(f.testbed, &answer, STREAM_WAIT));
+	g_assert_true(answer.broken);
+	g_assert_true(testbed_is_prefix(&answer, slow.output_tokens));
+	testbed_answer_clear(&answer);
+	fixture_close(&f);
+}
+
+/* A caller that leaves ends the work on a stream that was passed on. */
+static void test_caller_leaves(void)
+{
+	struct testbed_request slow = stream;
+	struct testbed_answer answer;
+	struct testbed_call *call;
+	struct fixture f;
+
+	slow.output_tokens = 400;
+	open_cut(&f);
+	set_work(&f, true, 20);
+	call = testbed_begin(f.cut[0], &slow, &answer);
+	testbed_run(f.testbed, 400);
+	g_assert_cmpuint(open_at_upstreams(&f), ==, 1);
+	testbed_disconnect(call);
+	testbed_run(f.testbed, 300);
+	g_assert_cmpuint(open_at_upstreams(&f), ==, 0);
+	testbed_answer_clear(&answer);
+	fixture_close(&f);
+}
+
+/* A caller that sends the mark itself is not passed on, and is served by an instance with a path.
+ */
+static void test_forged_mark(void)
+{
+	static const char head[] =
+		"GET /safe/x HTTP/1.1\r\nHost: " TESTBED_HOST
+		"\r\nAuthorization: Bearer " TESTBED_KEY "\r\nX-Flamingolatch-Attempt-Id: f%u\r\n"
+		"X-Flamingolatch-Passed-On: 0\r\n\r\n";
+	static const uint16_t statuses[] = { 503, 200 };
+	struct fixture f;
+
+	open_cut(&f);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		struct raw_caller caller = raw_caller_connect(i == 0 ? f.cut[0] : f.sound);
+		g_autofree char *text = g_strdup_printf(head, i);
+
+		g_assert_true(raw_caller_send_text(&caller, text));
+		testbed_run(f.testbed, 500);
+		raw_caller_read(&caller, 4096);
+		g_assert_cmpuint(raw_caller_status(&caller), ==, statuses[i]);
+		raw_caller_close(&caller);
+	}
+	fixture_close(&f);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -256,5 +372,9 @@
 	g_test_add_func("/gateway-path/silent", test_silent);
 	g_test_add_func("/gateway-path/refuse-new", test_refuse_new);
 	g_test_add_func("/gateway-path/cut-peers", test_cut_peers);
+	g_test_add_func("/gateway-path/peer-dies", test_peer_dies);
+	g_test_add_func("/gateway-path/peer-dies-in-stream", test_peer_dies_in_stream);
+	g_test_add_func("/gateway-path/caller-leaves", test_caller_leaves);
+	g_test_add_func("/gateway-path/forged-mark", test_forged_mark);
 	return g_test_run();
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -484,6 +484,44 @@
 	}
 }
 
+/* A request that is passed on has what its caller sent and the mark, which no upstream gets. */
+static void test_passed_on(void)
+{
+	static const struct {
+		const char *value;
+		uint32_t runs;
+	} marks[] = { { "0", 0 }, { "2", 2 }, { "99999999999", 100 }, { "x", 0 }, { "", 0 } };
+	const struct protocol_attempt attempt = { .upstream_id = "i-1", .priority = -1 };
+	const struct protocol_ops *ops = platform_protocol();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(marks); i++) {
+		g_autofree char *headers = g_strdup_printf(
+			"X-Flamingolatch-Attempt-Id: abc\r\nAuthorization: Bearer k1\r\n"
+			"Last-Event-Id: 7\r\nResumes: first\r\nX-Flamingolatch-Tenant: forged\r\n"
+			"X-Flamingolatch-No-Path: 1\r\nX-Flamingolatch-Passed-On: %s\r\n",
+			marks[i].value);
+		g_autofree char *to_upstream = NULL;
+		g_autofree char *to_peer = NULL;
+		struct decoded decoded;
+
+		decode_headers(&decoded, headers);
+		g_assert_true(decoded.request.passed_on);
+		g_assert_cmpuint(decoded.request.runs, ==, marks[i].runs);
+		to_upstream = ops->encode(&decoded.request, &attempt);
+		g_assert_null(strstr(to_upstream, "passed-on"));
+		g_assert_null(strstr(to_upstream, "no-path"));
+		to_peer = ops->encode_passed_on(&decoded.request, 900, 3);
+		g_assert_nonnull(strstr(to_peer, "x-flamingolatch-attempt-id: abc\r\n"));
+		g_assert_nonnull(strstr(to_peer, "Authorization: Bearer k1\r\n"));
+		g_assert_nonnull(strstr(to_peer, "Last-Event-Id: 7\r\n"));
+		g_assert_nonnull(strstr(to_peer, "resumes: first\r\n"));
+		g_assert_nonnull(strstr(to_peer, "X-Flamingolatch-Deadline-Ms: 900\r\n"));
+		g_assert_nonnull(strstr(to_peer, "x-flamingolatch-passed-on: 3\r\n"));
+		g_assert_null(strstr(to_peer, "tenant"));
+		protocol_request_clear(&decoded.request);
+	}
+}
+
 static void test_migration(void)
 {
 	const struct protocol_ops *ops = platform_protocol();
@@ -564,6 +602,7 @@
 	g_test_add_func("/platform/rows-version", test_rows_version);
 	g_test_add_func("/platform/request", test_request);
 	g_test_add_func("/platform/forged", test_reserved_headers);
+	g_test_add_func("/platform/passed-on", test_passed_on);
 	g_test_add_func("/platform/move", test_migration);
 	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/limit", test_limit);
