Registry: a version is relied on only while its row was written since it is listed

Cause: an instance relied for 60 s on a row that it had only read, also of a version that was not listed. Another instance removes the row of a version that was not listed for 180 s; if the version came back just then, the first one began streams there without a row, and a stream without a record was taken for one of the version that was left (ORDER). Also, after stream_record_forget_registry() a version waited since a time to come. Change: reads only tell which versions there are (stream_record_read_version()). A version is relied on after a write by the instance or a peer. A row is removed only when its row version has been the same for 180 s. Conclusion: an instance that starts writes the rows of the versions that it lists, unless a peer has just done so: one call to the store more at a start.

--- a/include/flamingolatch/stream_record.h
+++ b/include/flamingolatch/stream_record.h
@@ -19,9 +19,15 @@
  * an instance knew before proves nothing, as the instance may have stood still or may
  * have been cut off. Otherwise the version is unknown.
  *
+ * A version's row is removed some time after its upstreams have left, perhaps just as
+ * they come back. So an instance relies on a row that it or a peer has written since
+ * the version is listed, not on one that it has read; and a row is only removed that
+ * was not written again for a while.
+ *
  * struct stream_record holds what an instance knows: stream_record_create();
  * stream_record_see() for the listed upstreams, stream_record_set_registered() after
- * a row was written or read, stream_record_begin() and stream_record_end() for
+ * a row was written, stream_record_read_version() for each row that was read and
+ * stream_record_end_read() after the last, stream_record_begin() and stream_record_end() for
  * streams, stream_record_tick() periodically, stream_record_encode() for the row;
  * stream_record_destroy(). struct stream_lookup answers questions from one read of
  * the table: stream_lookup_create(), stream_lookup_add() for each stream,
@@ -39,8 +45,7 @@
 
 /** How long an ended stream can be resumed, as its last events may not have arrived, in us. */
 #define STREAM_RECORD_ENDED_US (5ULL * 1000 * 1000)
-/** An instance relies on the registration of a version that it does not list for this long, in
- * us. */
+/** An instance that does not list a version relies on its registration for this long, in us. */
 #define STREAM_RECORD_RELY_US (60ULL * 1000 * 1000)
 /** A registered version that nobody lists is removed after this time, in us: longer than an
  * instance relies on it, and than streams that began at it are resumed. */
@@ -66,11 +71,16 @@
  * registered */
 bool stream_record_see(struct stream_record *record, const char *service, const char *version,
 		       uint64_t now_us);
-/** Records that the registry has a version. */
+/** Records that the row of a version was written, by this instance or a peer. */
 void stream_record_set_registered(struct stream_record *record, const char *service,
 				  const char *version, uint64_t now_us);
-/** Records that the registry has no other versions than those set since @p since_us. */
-void stream_record_forget_before(struct stream_record *record, uint64_t since_us);
+/** Records that a read of the table had the row of a version.
+ * @param row_version of the last write of the row */
+void stream_record_read_version(struct stream_record *record, const char *service,
+				const char *version, uint64_t row_version, uint64_t now_us);
+/** Records the end of a read of the whole table: rows that it did not have, and that were not
+ * written since, do not exist. @param since_us when the read was sent */
+void stream_record_end_read(struct stream_record *record, uint64_t since_us);
 /** Records that nothing is known of the registry any more. */
 void stream_record_forget_registry(struct stream_record *record, uint64_t now_us);
 /** Tells whether a version may be relied on to be registered. */
@@ -86,7 +96,8 @@
 				     void (*each)(void *ctx, const char *service,
 						  const char *version),
 				     void *ctx);
-/** Tells whether a registered version was not listed for STREAM_RECORD_UNLIST_US. */
+/** Tells whether a version was not listed for STREAM_RECORD_UNLIST_US, and its row was not written
+ * again in that time. */
 bool stream_record_is_unlisted(const struct stream_record *record, const char *service,
 			       const char *version, uint64_t now_us);
 /** Tells whether the streams of a service have to be recorded in the store: several of its versions
--- a/src/core/stream_record.c
+++ b/src/core/stream_record.c
@@ -13,9 +13,11 @@
 /* A version of a service. */
 struct stream_record_version {
 	GRefString *name;
-	uint64_t known_us;	/* when it was first listed or read */
+	uint64_t row_version;	/* of its row, as it was last read */
+	uint64_t row_us;	/* when a row of this row version was first read */
+	uint64_t read_us;	/* when its row was last read; 0: never */
 	uint64_t seen_us;	/* when it was last listed; 0: never */
-	uint64_t registered_us; /* when its row was last known to exist; 0: it is not known to */
+	uint64_t registered_us; /* when its row was last written; 0: it is not known to exist */
 	uint64_t waiting_us;	/* since when it is listed without a row */
 };
 
@@ -136,7 +138,7 @@
 
 static struct stream_record_version *stream_record_ensure_version(struct stream_record *record,
 								  const char *service_name,
-								  const char *name, uint64_t now_us)
+								  const char *name)
 {
 	struct stream_record_version *version =
 		stream_record_find_version(record, service_name, name);
@@ -145,7 +147,6 @@
 		return version;
 	version = g_new0(struct stream_record_version, 1);
 	version->name = g_ref_string_new_intern(name);
-	version->known_us = now_us;
 	g_ptr_array_add(stream_record_ensure_service(record, service_name)->versions, version);
 	return version;
 }
@@ -163,8 +164,7 @@
 bool stream_record_see(struct stream_record *record, const char *service, const char *version,
 		       uint64_t now_us)
 {
-	struct stream_record_version *seen =
-		stream_record_ensure_version(record, service, version, now_us);
+	struct stream_record_version *seen = stream_record_ensure_version(record, service, version);
 	bool relied = stream_record_relies_on(seen, now_us);
 
 	if (!relied) {
@@ -179,16 +179,27 @@
 void stream_record_set_registered(struct stream_record *record, const char *service,
 				  const char *version, uint64_t now_us)
 {
-	stream_record_ensure_version(record, service, version, now_us)->registered_us = now_us;
+	stream_record_ensure_version(record, service, version)->registered_us = now_us;
+}
+
+void stream_record_read_version(struct stream_record *record, const char *service,
+				const char *version, uint64_t row_version, uint64_t now_us)
+{
+	struct stream_record_version *row = stream_record_ensure_version(record, service, version);
+
+	if (row->read_us == 0 || row->row_version != row_version)
+		row->row_us = now_us;
+	row->row_version = row_version;
+	row->read_us = now_us;
 }
 
-/* Drops a version that is neither registered nor listed. */
-static void stream_record_forget_version(struct stream_record_service *service, guint index,
-					 uint64_t since_us)
+/* Drops a version that is neither in the registry nor listed. */
+static void stream_record_check_version(struct stream_record_service *service, guint index,
+					uint64_t since_us)
 {
 	struct stream_record_version *version = service->versions->pdata[index];
 
-	if (version->registered_us >= since_us)
+	if (MAX(version->registered_us, version->read_us) >= since_us)
 		return;
 	if (version->seen_us == 0 || since_us > version->seen_us + STREAM_RECORD_RELY_US) {
 		g_ptr_array_remove_index_fast(service->versions, index);
@@ -197,9 +208,10 @@
 	if (version->registered_us > 0)
 		version->waiting_us = since_us;
 	version->registered_us = 0;
+	version->read_us = 0;
 }
 
-void stream_record_forget_before(struct stream_record *record, uint64_t since_us)
+void stream_record_end_read(struct stream_record *record, uint64_t since_us)
 {
 	GHashTableIter iter;
 	struct stream_record_service *service;
@@ -207,7 +219,7 @@
 	g_hash_table_iter_init(&iter, record->services);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
 		for (guint i = service->versions->len; i > 0; i--)
-			stream_record_forget_version(service, i - 1, since_us);
+			stream_record_check_version(service, i - 1, since_us);
 	}
 	record->complete = true;
 }
@@ -233,7 +245,20 @@
 
 void stream_record_forget_registry(struct stream_record *record, uint64_t now_us)
 {
-	stream_record_forget_before(record, now_us + 1);
+	GHashTableIter iter;
+	struct stream_record_service *service;
+
+	g_hash_table_iter_init(&iter, record->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
+		for (guint i = 0; i < service->versions->len; i++) {
+			struct stream_record_version *version = service->versions->pdata[i];
+
+			if (version->registered_us > 0)
+				version->waiting_us = now_us;
+			version->registered_us = 0;
+			version->read_us = 0;
+		}
+	}
 	record->complete = false;
 }
 
@@ -247,6 +272,7 @@
 
 	if (stream) {
 		stream->expires_us = MAX(stream->expires_us, expires_us);
+
 		return;
 	}
 	while (record->order.length >= STREAM_RECORD_MAX_STREAMS)
@@ -414,7 +440,8 @@
 	const struct stream_record_version *found =
 		stream_record_find_version(record, service, version);
 
-	return found && now_us > MAX(found->seen_us, found->known_us) + STREAM_RECORD_UNLIST_US;
+	return found && found->read_us > 0 &&
+	       now_us > MAX(found->seen_us, found->row_us) + STREAM_RECORD_UNLIST_US;
 }
 
 bool stream_record_find(const struct stream_record *record, const char *id,
--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -6,6 +6,7 @@
 #define STREAM_VERSION_MSG 14 /* type of the message on the bus */
 /* Service and version that were registered, and the era of the store. */
 #define STREAM_VERSION_NOTICE_TYPE "(sst)"
+
 /* Calls a second of all instances together. The store takes 200 transactions a second for one part
  * of a table, and several times as many reads. */
 #define STREAM_VERSION_WRITES_PER_S 120
@@ -66,9 +67,11 @@
 	struct stream_record *record;
 	char *process_key;
 	uint64_t created_us;
-	GQueue queries;	      /* struct stream_version_query */
-	GPtrArray *names;     /* struct stream_version_name, in the open write */
-	GArray *removals;     /* struct stream_version_removal, due */
+
+	GQueue queries;	  /* struct stream_version_query */
+	GPtrArray *names; /* struct stream_version_name, in the open write */
+	GArray *removals; /* struct stream_version_removal, due */
+
 	uint64_t ticked_us;   /* time of the last tick */
 	uint64_t seen_us;     /* when the listed versions were last noted */
 	uint64_t restored_us; /* end of the time after a restoration; 0: none */
@@ -125,6 +128,7 @@
 	versions->removals = g_array_new(FALSE, FALSE, sizeof(struct stream_version_removal));
 	g_array_set_clear_func(versions->removals, stream_version_clear_removal);
 	versions->read.wanted = true;
+
 	g_queue_init(&versions->queries);
 	peer_exchange_set_message_cb(exchange, STREAM_VERSION_MSG, stream_version_on_message,
 				     versions);
@@ -143,6 +147,7 @@
 	if (versions->write.call)
 		client->ops->cancel(versions->write.call);
 	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG, NULL, NULL);
+
 	stream_record_destroy(versions->record);
 	g_ptr_array_unref(versions->names);
 	g_array_unref(versions->removals);
@@ -222,6 +227,7 @@
 	if (!versions)
 		return;
 	versions->seen_us = env_now_us();
+
 	fleet_foreach(versions->env->fleet, stream_version_see, versions);
 }
 
@@ -363,7 +369,8 @@
 	if (strcmp(change->id, versions->process_key) == 0) {
 		versions->write.row_version = change->row_version;
 	} else if (stream_record_decode_version(change->id, change->text, &service, &version)) {
-		stream_record_set_registered(versions->record, service, version, now_us);
+		stream_record_read_version(versions->record, service, version, change->row_version,
+					   now_us);
 		if (stream_record_is_unlisted(versions->record, service, version, now_us) &&
 		    env_keys_fresh(versions->env) && stream_version_takes_turn(versions))
 			stream_version_plan_removal(versions, change);
@@ -377,6 +384,7 @@
 static void stream_version_on_table(void *arg, const struct store_answer *answer)
 {
 	struct stream_version *versions = arg;
+	uint64_t sent_us = versions->read.sent_us;
 	uint64_t now_us = env_now_us();
 	struct stream_lookup *lookup;
 	GList *next;
@@ -407,14 +415,14 @@
 		stream_lookup_read(lookup, change->id, change->text);
 		stream_version_read_row(versions, change, now_us);
 	}
-	stream_record_forget_before(versions->record, versions->read.sent_us);
+	stream_record_end_read(versions->record, sent_us);
 	for (GList *item = versions->queries.head; item; item = next) {
 		struct stream_version_query *query = item->data;
 
 		next = item->next;
 		/* What was read before the request arrived may be older than its stream. */
-		if (query->asked_us <= versions->read.sent_us)
-			stream_version_answer(query, lookup, versions->read.sent_us, now_us);
+		if (query->asked_us <= sent_us)
+			stream_version_answer(query, lookup, sent_us, now_us);
 	}
 	stream_lookup_destroy(lookup);
 }
@@ -637,6 +645,7 @@
 
 static void stream_version_check_queries(struct stream_version *versions, uint64_t now_us)
 {
+
 	GList *next;
 
 	for (GList *item = versions->queries.head; item; item = next) {
@@ -676,10 +685,12 @@
 	if (now_us - versions->seen_us > STREAM_VERSION_SEE_US) {
 		stream_version_on_config(versions);
 		stream_record_tick(versions->record, now_us);
+
 		versions->read.wanted |= stream_record_has_several(versions->record) &&
 					 now_us - versions->read.sent_us > STREAM_VERSION_REREAD_US;
 	}
 	stream_version_check_queries(versions, now_us);
+
 	stream_version_check_read(versions, now_us);
 	stream_version_check_calls(versions, now_us);
 }
