Record of streams: nothing is known of an id that began two streams

Cause: when an id came again for a stream at another version, the record of the first was kept, and the second one, resumed here, was sent on at the version of the first. Found by a reviewer. Callers should not repeat ids. Change: such an id is known no more, here and in the row that is written. Evidence: /stream-record/repeated-id failed before (v1 was found) and passes.

--- a/include/flamingolatch/stream_record.h
+++ b/include/flamingolatch/stream_record.h
@@ -106,7 +106,8 @@
 /** Tells whether several versions of any service are registered or listed. */
 bool stream_record_has_several(const struct stream_record *record);
 
-/** Records that a stream began at a version here, or goes on here.
+/** Records that a stream began at a version here, or goes on here. Nothing is known any more of
+ * streams that began at two versions under one id.
  * @param id of the request that began it
  * @param expires_us when its caller gives up */
 void stream_record_begin(struct stream_record *record, const char *service, const char *id,
--- a/src/core/stream_record.c
+++ b/src/core/stream_record.c
@@ -34,6 +34,7 @@
 	struct stream_record_service *service;
 	GRefString *version;
 	uint64_t expires_us;
+	bool contradicted; /* streams of one id began at different versions */
 };
 
 struct stream_record {
@@ -272,7 +273,11 @@
 
 	if (stream) {
 		stream->expires_us = MAX(stream->expires_us, expires_us);
-
+		if (strcmp(stream->service->name, service) != 0 ||
+		    strcmp(stream->version, version) != 0) {
+			stream->contradicted = true;
+			stream->service->dirty = true;
+		}
 		return;
 	}
 	while (record->order.length >= STREAM_RECORD_MAX_STREAMS)
@@ -346,7 +351,8 @@
 		const struct stream_record_stream *stream = item->data;
 		uint64_t key = GUINT64_TO_LE(stream->key);
 
-		if (stream->service == service && strcmp(stream->version, version) == 0)
+		if (stream->service == service && !stream->contradicted &&
+		    strcmp(stream->version, version) == 0)
 			g_byte_array_append(keys, (const guint8 *)&key, sizeof(key));
 	}
 	if (keys->len == 0)
@@ -450,7 +456,7 @@
 	uint64_t key = stream_record_hash(id);
 	const struct stream_record_stream *stream = g_hash_table_lookup(record->streams, &key);
 
-	if (!stream)
+	if (!stream || stream->contradicted)
 		return false;
 	*origin = (struct stream_origin){ stream->service->name, stream->version };
 	return true;
--- a/test/test_stream_record.c
+++ b/test/test_stream_record.c
@@ -245,6 +245,28 @@
 	stream_record_destroy(record);
 }
 
+/* An id comes again for a stream that began at another version: nothing tells which of the two a
+ * caller resumes. */
+static void test_repeated_id(void)
+{
+	struct stream_record *record = create_with_two();
+	struct stream_lookup *lookup = stream_lookup_create();
+	struct stream_origin origin;
+	g_autofree char *row = NULL;
+
+	stream_record_begin(record, "s", "id", "v1", START_US + 40 * SECOND_US);
+	stream_record_begin(record, "s", "id", "v2", START_US + 50 * SECOND_US);
+	g_assert_false(stream_record_find(record, "id", &origin));
+	g_assert_true(stream_record_is_dirty(record));
+	row = stream_record_encode(record, START_US, 1);
+	stream_lookup_add(lookup, "id");
+	stream_lookup_read(lookup, "streams/x", row);
+	g_assert_cmpint(stream_lookup_result(lookup, "s", "id", &origin), ==,
+			STREAM_LOOKUP_UNKNOWN);
+	stream_lookup_destroy(lookup);
+	stream_record_destroy(record);
+}
+
 /* questions */
 
 static void test_decisions(void)
@@ -1269,6 +1291,7 @@
 	g_test_add_func("/stream-record/registration", test_registration);
 	g_test_add_func("/stream-record/read-only", test_read_only);
 	g_test_add_func("/stream-record/end-read", test_end_read);
+	g_test_add_func("/stream-record/repeated-id", test_repeated_id);
 	g_test_add_func("/stream-record/forget-registry", test_forget_registry);
 	g_test_add_func("/stream-record/unlisted", test_unlisted);
 	g_test_add_func("/stream-record/decisions", test_decisions);
