Record of streams: an ended stream is kept for as long as callers wait for its end

Cause: a stream that was passed on whole was forgotten after 5 s. Its caller may lack the last events and gives up after four times the objective of the route, 6 s with an objective of 1.5 s. Found by a reviewer. Change: 10 s. Evidence: /stream-record/ended-kept failed before and passes.

--- a/include/flamingolatch/stream_record.h
+++ b/include/flamingolatch/stream_record.h
@@ -44,7 +44,7 @@
 #include <stdint.h>
 
 /** How long an ended stream can be resumed, as its last events may not have arrived, in us. */
-#define STREAM_RECORD_ENDED_US (5ULL * 1000 * 1000)
+#define STREAM_RECORD_ENDED_US (10ULL * 1000 * 1000)
 /** An instance that does not list a version relies on its registration for this long, in us. */
 #define STREAM_RECORD_RELY_US (60ULL * 1000 * 1000)
 /** A registered version that nobody lists is removed after this time, in us: longer than an
--- a/test/test_stream_record.c
+++ b/test/test_stream_record.c
@@ -267,6 +267,21 @@
 	stream_record_destroy(record);
 }
 
+/* The caller of a stream that was passed on to its end may lack its last events, and gives up after
+ * four times the objective of 1.5 s. */
+static void test_ended_kept(void)
+{
+	struct stream_record *record = stream_record_create();
+	struct stream_origin origin;
+
+	stream_record_begin(record, "s", "id", "v1", START_US + 40 * SECOND_US);
+	stream_record_end(record, "id", START_US);
+	stream_record_tick(record, START_US + 6 * SECOND_US);
+	g_assert_true(stream_record_find(record, "id", &origin));
+	g_assert_cmpstr(origin.version, ==, "v1");
+	stream_record_destroy(record);
+}
+
 /* questions */
 
 static void test_decisions(void)
@@ -1292,6 +1307,7 @@
 	g_test_add_func("/stream-record/read-only", test_read_only);
 	g_test_add_func("/stream-record/end-read", test_end_read);
 	g_test_add_func("/stream-record/repeated-id", test_repeated_id);
+	g_test_add_func("/stream-record/ended-kept", test_ended_kept);
 	g_test_add_func("/stream-record/forget-registry", test_forget_registry);
 	g_test_add_func("/stream-record/unlisted", test_unlisted);
 	g_test_add_func("/stream-record/decisions", test_decisions);
