Registry: no resumable stream begins at a version that is not registered

Cause: a version that could not be registered for 2 s was used all the same. If the store failed just then, streams began at a version that the registry lacked, and an instance with an old list took the only registered version for theirs (ORDER). Change: such a version counts as full for resumable streams for as long as it is not registered. An instance that starts while the store is down asks a few peers twice a second for the registered versions, so that it need not wait for the store. A version that waits for more than 2 s is logged. Conclusion: while the store is down right after a version joined, and no other version is left, resumable streams are refused; others are served. The question to peers has no test with processes.

--- a/include/flamingolatch/stream_record.h
+++ b/include/flamingolatch/stream_record.h
@@ -96,6 +96,11 @@
 				     void (*each)(void *ctx, const char *service,
 						  const char *version),
 				     void *ctx);
+/** Calls @p each for every version that may be relied on to be registered. */
+void stream_record_each_registered(struct stream_record *record, uint64_t now_us,
+				   void (*each)(void *ctx, const char *service,
+						const char *version),
+				   void *ctx);
 /** Tells whether a version was not listed for STREAM_RECORD_UNLIST_US, and its row was not written
  * again in that time. */
 bool stream_record_is_unlisted(const struct stream_record *record, const char *service,
--- a/src/core/stream_record.c
+++ b/src/core/stream_record.c
@@ -244,6 +244,25 @@
 	}
 }
 
+void stream_record_each_registered(struct stream_record *record, uint64_t now_us,
+				   void (*each)(void *ctx, const char *service,
+						const char *version),
+				   void *ctx)
+{
+	GHashTableIter iter;
+	struct stream_record_service *service;
+
+	g_hash_table_iter_init(&iter, record->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
+		for (guint i = 0; i < service->versions->len; i++) {
+			const struct stream_record_version *version = service->versions->pdata[i];
+
+			if (stream_record_relies_on(version, now_us))
+				each(ctx, service->name, version->name);
+		}
+	}
+}
+
 void stream_record_forget_registry(struct stream_record *record, uint64_t now_us)
 {
 	GHashTableIter iter;
--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -3,10 +3,16 @@
 #include <stdio.h>
 #include <string.h>
 
-#define STREAM_VERSION_MSG 14 /* type of the message on the bus */
-/* Service and version that were registered, and the era of the store. */
+/* Types of the messages on the bus: a version is registered, and a question for those that are. */
+#define STREAM_VERSION_MSG_NOTICE   14
+#define STREAM_VERSION_MSG_QUESTION 15
+/* Service, version, and the era of the store. */
 #define STREAM_VERSION_NOTICE_TYPE "(sst)"
-
+/* Bus address of the instance that asks. */
+#define STREAM_VERSION_QUESTION_TYPE "(s)"
+/* While the store does not answer, a few peers are asked for registered versions this often. */
+#define STREAM_VERSION_QUESTION_US    (500ULL * 1000)
+#define STREAM_VERSION_QUESTION_PEERS 3
 /* Calls a second of all instances together. The store takes 200 transactions a second for one part
  * of a table, and several times as many reads. */
 #define STREAM_VERSION_WRITES_PER_S 120
@@ -15,8 +21,7 @@
 #define STREAM_VERSION_REGISTER_SPREAD_US (10ULL * 1000)
 /* After this time without a first read of the table, versions are registered without it. */
 #define STREAM_VERSION_FIRST_READ_US (500ULL * 1000)
-/* A version that could not be registered for this long is used all the same, so that streams can
- * begin while the store is down. */
+/* A version that could not be registered for this long is logged. */
 #define STREAM_VERSION_REGISTER_MAX_US (2000ULL * 1000)
 #define STREAM_VERSION_QUERY_MAX_US    (1200ULL * 1000)
 /* A read without an answer is sent again after this time while questions wait for it. */
@@ -68,10 +73,10 @@
 	char *process_key;
 	uint64_t created_us;
 
-	GQueue queries;	  /* struct stream_version_query */
-	GPtrArray *names; /* struct stream_version_name, in the open write */
-	GArray *removals; /* struct stream_version_removal, due */
-
+	GQueue queries;	      /* struct stream_version_query */
+	GPtrArray *names;     /* struct stream_version_name, in the open write */
+	GArray *removals;     /* struct stream_version_removal, due */
+	uint64_t question_us; /* when peers were last asked */
 	uint64_t ticked_us;   /* time of the last tick */
 	uint64_t seen_us;     /* when the listed versions were last noted */
 	uint64_t restored_us; /* end of the time after a restoration; 0: none */
@@ -96,7 +101,8 @@
 };
 
 static void stream_version_check_calls(struct stream_version *versions, uint64_t now_us);
-static void stream_version_on_message(void *ctx, uint8_t type, const void *buf, size_t len);
+static void stream_version_on_notice(void *ctx, uint8_t type, const void *buf, size_t len);
+static void stream_version_on_question(void *ctx, uint8_t type, const void *buf, size_t len);
 
 /* lifetime */
 
@@ -130,8 +136,10 @@
 	versions->read.wanted = true;
 
 	g_queue_init(&versions->queries);
-	peer_exchange_set_message_cb(exchange, STREAM_VERSION_MSG, stream_version_on_message,
+	peer_exchange_set_message_cb(exchange, STREAM_VERSION_MSG_NOTICE, stream_version_on_notice,
 				     versions);
+	peer_exchange_set_message_cb(exchange, STREAM_VERSION_MSG_QUESTION,
+				     stream_version_on_question, versions);
 	return versions;
 }
 
@@ -146,7 +154,8 @@
 		client->ops->cancel(versions->read.call);
 	if (versions->write.call)
 		client->ops->cancel(versions->write.call);
-	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG, NULL, NULL);
+	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG_NOTICE, NULL, NULL);
+	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG_QUESTION, NULL, NULL);
 
 	stream_record_destroy(versions->record);
 	g_ptr_array_unref(versions->names);
@@ -247,14 +256,9 @@
 {
 	const char *service = fleet_upstream_service(up);
 	const char *version = fleet_upstream_software_version(up);
-	/* A selection asks for each upstream of a service. */
-	uint64_t now_us = versions->ticked_us;
-	uint64_t since_us;
 
-	if (stream_record_is_registered(versions->record, service, version, now_us))
-		return true;
-	since_us = stream_record_unregistered_since_us(versions->record, service, version, now_us);
-	return since_us && now_us > since_us + STREAM_VERSION_REGISTER_MAX_US;
+	/* A selection asks for each upstream of a service, so the clock is not read here. */
+	return stream_record_is_registered(versions->record, service, version, versions->ticked_us);
 }
 
 /* commands: streams */
@@ -443,19 +447,24 @@
 
 /* helpers: writes */
 
-/* Tells the peers that versions were registered, so that they need not do it. */
-static void stream_version_notify(struct stream_version *versions,
-				  const struct stream_version_name *name)
+/* Tells a peer, or all of them, that a version is registered, so that they need not do it.
+ * @param address NULL for all */
+static void stream_version_notify(struct stream_version *versions, const char *address,
+				  const char *service, const char *version)
 {
-	g_autoptr(GVariant) root = g_variant_ref_sink(g_variant_new(
-		STREAM_VERSION_NOTICE_TYPE, name->service, name->version, versions->era));
+	g_autoptr(GVariant) root = g_variant_ref_sink(
+		g_variant_new(STREAM_VERSION_NOTICE_TYPE, service, version, versions->era));
 	g_autoptr(GByteArray) bytes = g_byte_array_new();
 
 	g_byte_array_append(bytes, g_variant_get_data(root), (guint)g_variant_get_size(root));
-	peer_exchange_send_to_all(versions->exchange, STREAM_VERSION_MSG, bytes, false);
+	if (address)
+		peer_exchange_send(versions->exchange, address, STREAM_VERSION_MSG_NOTICE, bytes);
+	else
+		peer_exchange_send_to_all(versions->exchange, STREAM_VERSION_MSG_NOTICE, bytes,
+					  false);
 }
 
-static void stream_version_on_message(void *ctx, uint8_t type, const void *buf, size_t len)
+static void stream_version_on_notice(void *ctx, uint8_t type, const void *buf, size_t len)
 {
 	struct stream_version *versions = ctx;
 	g_autoptr(GBytes) bytes = g_bytes_new(buf, len);
@@ -485,8 +494,73 @@
 		stream_record_set_registered(versions->record, name->service, name->version,
 					     env_now_us());
 		stream_version_log_registered(name->service, name->version, "store");
-		stream_version_notify(versions, name);
+		stream_version_notify(versions, NULL, name->service, name->version);
+	}
+}
+
+/* A peer that asked for the registered versions. */
+struct stream_version_asker {
+	struct stream_version *versions;
+	const char *address;
+};
+
+static void stream_version_notify_asker(void *ctx, const char *service, const char *version)
+{
+	const struct stream_version_asker *asker = ctx;
+
+	stream_version_notify(asker->versions, asker->address, service, version);
+}
+
+static void stream_version_on_question(void *ctx, uint8_t type, const void *buf, size_t len)
+{
+	struct stream_version *versions = ctx;
+	g_autoptr(GBytes) bytes = g_bytes_new(buf, len);
+	g_autoptr(GVariant) root = g_variant_ref_sink(g_variant_new_from_bytes(
+		G_VARIANT_TYPE(STREAM_VERSION_QUESTION_TYPE), bytes, FALSE));
+	struct stream_version_asker asker = { .versions = versions };
+
+	(void)type;
+	if (!g_variant_is_normal_form(root)) {
+		metric_add(versions->env->metric, METRIC_BUS_MESSAGES_INVALID, 1);
+		return;
 	}
+	g_variant_get(root, "(&s)", &asker.address);
+	stream_record_each_registered(versions->record, env_now_us(), stream_version_notify_asker,
+				      &asker);
+}
+
+static void stream_version_log_waiting(void *ctx, const char *service, const char *version)
+{
+	struct stream_version *versions = ctx;
+	uint64_t now_us = env_now_us();
+	uint64_t since_us =
+		stream_record_unregistered_since_us(versions->record, service, version, now_us);
+	g_autofree char *waited = NULL;
+
+	if (!since_us || now_us < since_us + STREAM_VERSION_REGISTER_MAX_US)
+		return;
+	waited = g_strdup_printf("%" G_GUINT64_FORMAT, (now_us - since_us) / 1000);
+	log_event(LOG_VERSION_UNREGISTERED, "service", service, "version", version, "waited_ms",
+		  waited, NULL);
+}
+
+/* Asks a few peers for registered versions while the store does not answer. */
+static void stream_version_check_question(struct stream_version *versions, uint64_t now_us)
+{
+	g_autoptr(GVariant) root = NULL;
+	g_autoptr(GByteArray) bytes = NULL;
+
+	if (!versions->write.register_us ||
+	    versions->write.failures + versions->read.failures == 0 ||
+	    now_us < versions->question_us + STREAM_VERSION_QUESTION_US)
+		return;
+	versions->question_us = now_us;
+	root = g_variant_ref_sink(g_variant_new(STREAM_VERSION_QUESTION_TYPE,
+						peer_exchange_address(versions->exchange)));
+	bytes = g_byte_array_new();
+	g_byte_array_append(bytes, g_variant_get_data(root), (guint)g_variant_get_size(root));
+	peer_exchange_send_to_some(versions->exchange, STREAM_VERSION_MSG_QUESTION, bytes,
+				   STREAM_VERSION_QUESTION_PEERS);
 }
 
 /* Notes the version of the row of this process that the store has. */
@@ -685,12 +759,13 @@
 	if (now_us - versions->seen_us > STREAM_VERSION_SEE_US) {
 		stream_version_on_config(versions);
 		stream_record_tick(versions->record, now_us);
-
+		stream_record_each_unregistered(versions->record, now_us,
+						stream_version_log_waiting, versions);
 		versions->read.wanted |= stream_record_has_several(versions->record) &&
 					 now_us - versions->read.sent_us > STREAM_VERSION_REREAD_US;
 	}
 	stream_version_check_queries(versions, now_us);
-
+	stream_version_check_question(versions, now_us);
 	stream_version_check_read(versions, now_us);
 	stream_version_check_calls(versions, now_us);
 }
--- a/src/serve/stream_version.h
+++ b/src/serve/stream_version.h
@@ -57,8 +57,7 @@
 /** Sends the calls that are due, and ends questions that the store does not answer. */
 void stream_version_tick(struct stream_version *versions);
 
-/** Tells whether a resumable stream may begin at an upstream: its version is registered, or could
- * not be for long. */
+/** Tells whether a resumable stream may begin at an upstream: its version is registered. */
 bool stream_version_allows(struct stream_version *versions, const struct fleet_upstream *up);
 /** Records that a stream began at a version, or goes on at it.
  * @param id of the request that began it
