Registry: the first read of a restored store proves no sole version

Cause: a read of a later era than the last was taken for proof, although the copy may lack what was registered since; the restoration was noted only when the watch of the store saw it, up to seconds later. A peer's notice of the former era was accepted after that as well.

--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -327,6 +327,15 @@
 	stream_version_query_free(query);
 }
 
+/* Notes the era of an answer. In the first of a later one, what was registered since the copy is
+ * missing. */
+static void stream_version_note_era(struct stream_version *versions, uint64_t era)
+{
+	if (versions->read.done && era > versions->era)
+		stream_version_on_restored(versions);
+	versions->era = era;
+}
+
 /* helpers: reads */
 
 static void stream_version_answer(struct stream_version_query *query,
@@ -402,8 +411,8 @@
 		return;
 	}
 	versions->read.failures = 0;
+	stream_version_note_era(versions, answer->position.era);
 	versions->read.done = true;
-	versions->era = answer->position.era;
 	g_array_set_size(versions->removals, 0);
 	lookup = stream_lookup_create();
 	for (GList *item = versions->queries.head; item; item = item->next) {
@@ -480,7 +489,9 @@
 		return;
 	}
 	g_variant_get(root, "(&s&st)", &service, &version, &era);
-	if (era < versions->era)
+	/* What was registered before a restoration may be lost. */
+	if (era < versions->era ||
+	    (era == versions->era && env_now_us() < versions->restored_us && versions->read.wanted))
 		return;
 	stream_record_set_registered(versions->record, service, version, env_now_us());
 	stream_version_log_registered(service, version, "peer");
@@ -586,7 +597,7 @@
 	versions->write.kind = STREAM_VERSION_WRITE_NONE;
 	if (answer->result == STORE_OK) {
 		versions->write.failures = 0;
-		versions->era = answer->position.era;
+		stream_version_note_era(versions, answer->position.era);
 		if (kind == STREAM_VERSION_WRITE_VERSIONS)
 			stream_version_on_versions_written(versions);
 		else if (kind == STREAM_VERSION_WRITE_STREAMS)
