Streams are resumed while the store is slow

Cause: a read of the table without an answer was sent again after 0.6 s, so that with a store that takes longer none ever ended, and callers waited 1.2 s at most. Resumed streams were refused, also those of a service with one version. Change: a read is given up after 1 s. Callers wait for 2.5 s, or 1.2 s after a read has failed. Conclusion: mended up to 1 s for an answer.

--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -23,9 +23,11 @@
 #define STREAM_VERSION_FIRST_READ_US (500ULL * 1000)
 /* A version that could not be registered for this long is logged. */
 #define STREAM_VERSION_REGISTER_MAX_US (2000ULL * 1000)
-#define STREAM_VERSION_QUERY_MAX_US    (1200ULL * 1000)
+/* How long a caller waits for the store, and when the last call to it failed. */
+#define STREAM_VERSION_QUERY_MAX_US    (2500ULL * 1000)
+#define STREAM_VERSION_QUERY_FAILED_US (1200ULL * 1000)
 /* A read without an answer is sent again after this time while questions wait for it. */
-#define STREAM_VERSION_READ_MAX_US  (600ULL * 1000)
+#define STREAM_VERSION_READ_MAX_US  (1000ULL * 1000)
 #define STREAM_VERSION_SEE_US	    (5000ULL * 1000)
 #define STREAM_VERSION_RETRY_MIN_US (100ULL * 1000)
 #define STREAM_VERSION_RETRY_MAX_US (2000ULL * 1000)
@@ -730,14 +732,15 @@
 
 static void stream_version_check_queries(struct stream_version *versions, uint64_t now_us)
 {
-
+	uint64_t limit_us = versions->read.failures > 0 ? STREAM_VERSION_QUERY_FAILED_US
+							: STREAM_VERSION_QUERY_MAX_US;
 	GList *next;
 
 	for (GList *item = versions->queries.head; item; item = next) {
 		struct stream_version_query *query = item->data;
 
 		next = item->next;
-		if (now_us - query->asked_us > STREAM_VERSION_QUERY_MAX_US)
+		if (now_us - query->asked_us > limit_us)
 			stream_version_reply(query, NULL, STREAM_VERSION_NO_STORE, 0);
 	}
 }
@@ -750,6 +753,7 @@
 		return;
 	versions->env->store_client->ops->cancel(versions->read.call);
 	versions->read.call = NULL;
+	versions->read.failures++;
 	versions->read.wanted |= !versions->read.done;
 }
 
