Streams of services without engines are resumed at their version, too

Cause: registry, record and look-up applied to services with engines only. Change: they apply to the services of all resumable routes. Evidence: /gateway-versions/plain-service and plain-service-own failed before (6 of 6 streams at v2) and pass. Conclusion: mended. A request with a last event on a route that is not resumable is placed like any other, as before the record.

--- a/include/flamingolatch/route.h
+++ b/include/flamingolatch/route.h
@@ -142,6 +142,9 @@
 const char *route_select_service(const struct route *route, uint32_t draw);
 /** Returns the route's own copy of the name of a service that it sends requests to, or NULL. */
 const char *route_find_target(const struct route *route, const char *service);
+/** Calls @p each for each service of each route whose streams may be resumed. */
+void route_config_foreach_resumable(const struct route_config *config,
+				    void (*each)(void *ctx, const char *service), void *ctx);
 /** Returns whether upstreams of a region may get a request. A restriction of the route and one of
  * the customer both bind.
  * @param customer NULL if the request has none
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -228,12 +228,7 @@
 
 static bool route_has_target(const struct route *route, const char *service)
 {
-	for (guint i = 0; i < route->targets->len; i++) {
-		if (strcmp(g_array_index(route->targets, struct route_target, i).service,
-			   service) == 0)
-			return true;
-	}
-	return false;
+	return route_find_target(route, service) != NULL;
 }
 
 void route_config_stream_objectives(const struct route_config *config, const char *service,
@@ -305,6 +300,19 @@
 	return NULL;
 }
 
+void route_config_foreach_resumable(const struct route_config *config,
+				    void (*each)(void *ctx, const char *service), void *ctx)
+{
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct route *route = config->routes->pdata[i];
+
+		if (!route->resumable)
+			continue;
+		for (guint j = 0; j < route->targets->len; j++)
+			each(ctx, g_array_index(route->targets, struct route_target, j).service);
+	}
+}
+
 const char *route_kind_name(enum route_kind kind)
 {
 	return route_kind_names[kind];
--- a/src/serve/relay.c
+++ b/src/serve/relay.c
@@ -898,7 +898,7 @@
 	retry_budget_add_request(env_retry_budget(relay->env, request->service_name),
 				 request->arrived_us);
 	relay_count_for_hedges(request);
-	if (relay_is_generation(request) && request->decoded.last_event_id)
+	if (request->route->resumable && request->decoded.last_event_id)
 		relay_look_up_version(request);
 	else
 		relay_place(request);
--- a/src/serve/relay_state.c
+++ b/src/serve/relay_state.c
@@ -666,8 +666,7 @@
 
 const char *relay_stream_id(const struct relay_request *request)
 {
-	if (!request->relay->env->stream_version || !request->route->resumable ||
-	    !relay_is_generation(request))
+	if (!request->relay->env->stream_version || !request->route->resumable)
 		return NULL;
 	return request->decoded.last_event_id ? request->decoded.resumes_id : request->decoded.id;
 }
--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -74,15 +74,16 @@
 	struct stream_record *record;
 	char *process_key;
 	uint64_t created_us;
-
-	GQueue queries;	      /* struct stream_version_query */
-	GPtrArray *names;     /* struct stream_version_name, in the open write */
-	GArray *removals;     /* struct stream_version_removal, due */
-	uint64_t question_us; /* when peers were last asked */
-	uint64_t ticked_us;   /* time of the last tick */
-	uint64_t seen_us;     /* when the listed versions were last noted */
-	uint64_t restored_us; /* end of the time after a restoration; 0: none */
-	uint64_t era;	      /* of the store, by its last answer */
+	GHashTable *services;	 /* names of services of resumable routes, once configured */
+	uint64_t config_version; /* that they were last taken from */
+	GQueue queries;		 /* struct stream_version_query */
+	GPtrArray *names;	 /* struct stream_version_name, in the open write */
+	GArray *removals;	 /* struct stream_version_removal, due */
+	uint64_t question_us;	 /* when peers were last asked */
+	uint64_t ticked_us;	 /* time of the last tick */
+	uint64_t seen_us;	 /* when the listed versions were last noted */
+	uint64_t restored_us;	 /* end of the time after a restoration; 0: none */
+	uint64_t era;		 /* of the store, by its last answer */
 	struct {
 		struct store_call *call;
 		uint64_t sent_us;
@@ -136,7 +137,7 @@
 	versions->removals = g_array_new(FALSE, FALSE, sizeof(struct stream_version_removal));
 	g_array_set_clear_func(versions->removals, stream_version_clear_removal);
 	versions->read.wanted = true;
-
+	versions->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&versions->queries);
 	peer_exchange_set_message_cb(exchange, STREAM_VERSION_MSG_NOTICE, stream_version_on_notice,
 				     versions);
@@ -158,7 +159,7 @@
 		client->ops->cancel(versions->write.call);
 	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG_NOTICE, NULL, NULL);
 	peer_exchange_set_message_cb(versions->exchange, STREAM_VERSION_MSG_QUESTION, NULL, NULL);
-
+	g_hash_table_destroy(versions->services);
 	stream_record_destroy(versions->record);
 	g_ptr_array_unref(versions->names);
 	g_array_unref(versions->removals);
@@ -191,15 +192,6 @@
 					  (gint32)versions->env->live_instances) == 0;
 }
 
-static bool stream_version_has_engines(const struct stream_version *versions, const char *name)
-{
-	const struct route_service *service =
-		versions->env->config ? route_config_find_service(versions->env->config, name)
-				      : NULL;
-
-	return service && service->has_engines;
-}
-
 static void stream_version_log_registered(const char *service, const char *version,
 					  const char *source)
 {
@@ -214,7 +206,7 @@
 	uint64_t now_us = env_now_us();
 
 	if (!versions || fleet_upstream_state(up) > FLEET_UPSTREAM_LEAVING ||
-	    !stream_version_has_engines(versions, fleet_upstream_service(up)))
+	    !g_hash_table_contains(versions->services, fleet_upstream_service(up)))
 		return;
 	if (stream_record_see(versions->record, fleet_upstream_service(up),
 			      fleet_upstream_software_version(up), now_us) &&
@@ -233,12 +225,29 @@
 	stream_version_on_upstream(ctx, up);
 }
 
+static void stream_version_add_service(void *ctx, const char *service)
+{
+	g_hash_table_add(ctx, g_strdup(service));
+}
+
+/* Notes the services of a new configuration. Those of earlier ones are kept: streams that began
+ * there may be resumed. */
+static void stream_version_update_services(struct stream_version *versions)
+{
+	const struct route_config *config = versions->env->config;
+
+	if (!config || route_config_version(config) == versions->config_version)
+		return;
+	versions->config_version = route_config_version(config);
+	route_config_foreach_resumable(config, stream_version_add_service, versions->services);
+}
+
 void stream_version_on_config(struct stream_version *versions)
 {
 	if (!versions)
 		return;
 	versions->seen_us = env_now_us();
-
+	stream_version_update_services(versions);
 	fleet_foreach(versions->env->fleet, stream_version_see, versions);
 }
 
