Registry: an old list does not keep a version relied on

Cause: an instance noted its listed versions every 5 s, however old its list was. One that was cut off from the store and its peers for over three minutes went on relying on a row that others may have removed meanwhile. It refuses requests with API keys then, but not those of public routes. Change: versions are noted only while the configuration, which comes the same way as the list, was confirmed in the last 60 s. Evidence: by reading; no test. test_stream_record, whose model has lists that are up to 100 s old, and five scenarios of test_gateway_versions pass as before. Conclusion: reliance ends 120 s after the last confirmation, before any row is removed.

--- a/src/serve/stream_version.c
+++ b/src/serve/stream_version.c
@@ -775,13 +775,21 @@
 	stream_version_check_writes(versions, now_us);
 }
 
+/* Notes the listed versions, unless the list may be long out of date. */
+static void stream_version_see_listed(struct stream_version *versions, uint64_t now_us)
+{
+	versions->seen_us = now_us;
+	if (freshness_age_us(&versions->env->freshness, env_boot_us()) < STREAM_RECORD_RELY_US)
+		stream_version_on_config(versions);
+}
+
 void stream_version_tick(struct stream_version *versions)
 {
 	uint64_t now_us = env_now_us();
 
 	versions->ticked_us = now_us;
 	if (now_us - versions->seen_us > STREAM_VERSION_SEE_US) {
-		stream_version_on_config(versions);
+		stream_version_see_listed(versions, now_us);
 		stream_record_tick(versions->record, now_us);
 		stream_record_each_unregistered(versions->record, now_us,
 						stream_version_log_waiting, versions);
