--- a/include/flamingolatch/log.h
+++ b/include/flamingolatch/log.h
@@ -93,8 +93,8 @@
 	X(LOG_SETTINGS_REJECTED, 651, ERROR, "settings-rejected", "The settings file is not valid; the previous settings stay in force.") \
 	X(LOG_STREAM_TAKEN_UP, 660, INFO, "stream-taken-up", "A caller takes up a stream that another answer began; versions are those of the upstreams that this instance lists, view_age_ms the age of its configuration.") \
 	X(LOG_VERSION_REGISTERED, 661, INFO, "version-registered", "A software version of a service is in the registry of the store; resumable streams may begin at it.") \
-	X(LOG_VERSION_UNREGISTERED, 663, WARNING, "version-unregistered", "A listed software version could not be registered for some time; no resumable streams begin at it meanwhile.") \
 	X(LOG_STREAM_RECORD_FAILED, 662, WARNING, "stream-record-failed", "The versions of streams or services could not be written to the store; the write is repeated.") \
+	X(LOG_VERSION_UNREGISTERED, 663, WARNING, "version-unregistered", "A listed software version could not be registered for some time; no resumable streams begin at it meanwhile.") \
 	X(LOG_PATH_LOST, 670, WARNING, "path-lost", "Nothing is heard from any upstream and attempts at several failed: requests are passed on to other instances.") \
 	X(LOG_PATH_BACK, 671, INFO, "path-back", "An upstream was heard again: requests are sent to upstreams from here.") \
 	X(LOG_PASSED_ON, 672, INFO, "passed-on", "A request was sent to another instance, as no upstream can be reached from here.") \
