--- a/test/testbed/mock_platform.c
+++ b/test/testbed/mock_platform.c
@@ -392,6 +392,17 @@
 	return row ? row->text : NULL;
 }
 
+void mock_store_each_row(const struct mock_platform *platform, const char *table,
+			 void (*each)(void *ctx, const char *key, const char *text), void *ctx)
+{
+	for (guint i = 0; i < platform->rows->len; i++) {
+		const struct mock_row *row = platform->rows->pdata[i];
+
+		if (row->text && strcmp(row->table, table) == 0 && strcmp(row->part, "") == 0)
+			each(ctx, row->key, row->text);
+	}
+}
+
 void mock_store_lose_pages(struct mock_platform *platform, uint32_t count)
 {
 	platform->pages_to_lose = count;
--- a/test/testbed/mock_platform.h
+++ b/test/testbed/mock_platform.h
@@ -105,6 +105,10 @@
 void mock_store_rewrite(struct mock_platform *platform);
 /** Returns the text of a row of the empty part, borrowed; NULL when there is none. */
 const char *mock_store_text(struct mock_platform *platform, const char *table, const char *key);
+/** Calls @p each for every row of the empty part of a table. @p each must not write to this store.
+ */
+void mock_store_each_row(const struct mock_platform *platform, const char *table,
+			 void (*each)(void *ctx, const char *key, const char *text), void *ctx);
 /** Returns the number of rows of a table, over all parts. */
 uint32_t mock_store_row_count(const struct mock_platform *platform, const char *table);
 /** Leaves the next @p count requests for pages of the instance list unanswered; first pages do not
