--- a/review/stand-ins-3/common.c
+++ b/review/stand-ins-3/common.c
@@ -62,7 +62,7 @@
 	exit(common_close(run, COMMON_COULD_NOT_RUN));
 }
 
-void common_configure(struct common *run, uint32_t version)
+void common_configure(struct common *run, uint32_t version, bool other_key)
 {
 	static const char text[] =
 		"{\"version\":%u,\"routes\":["
@@ -88,8 +88,9 @@
 		"\"moves\":true,\"backups\":true,\"stride\":4,\"kv_handle_s\":5}}],"
 		"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
 		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"" TESTBED_KEY "\"]}]}";
-	g_autofree char *config = g_strdup_printf(text, version);
+		"\"tenants\":[{\"name\":\"one\",\"api_keys\":[\"" TESTBED_KEY "\"%s]}]}";
+	g_autofree char *config =
+		g_strdup_printf(text, version, other_key ? ",\"" TESTBED_OTHER_KEY "\"" : "");
 
 	mock_store_put(run->platform, "op", "config", config);
 }
@@ -100,7 +101,7 @@
 	struct testbed_gateway *gateway = testbed_gateway_in_zone(run->testbed, name, zone, store);
 	g_autofree char *host = g_strndup(gateway->address, strcspn(gateway->address, ":"));
 	g_autofree char *text = g_strdup_printf(
-		"instance: \"%s\"\nzone: \"%s\"\nregion: \"r1\"\nzones:\n"
+		"instance: \"%s\"\nzone: \"%s\"\nregion: \"%s\"\nzones:\n"
 		"  - { name: \"z1\", region: \"r1\" }\n  - { name: \"z2\", region: \"r1\" }\n"
 		"  - { name: \"z3\", region: \"r2\" }\n"
 		"callers: \"%s\"\nready: \"%s\"\nmetrics: \"%s\"\nbus: \"%s:8750\"\n"
@@ -108,14 +109,34 @@
 		"bounds:\n  revoke_ms: 5000\n  grace_s: 8\n  retry_ratio: 0.2\n"
 		"  retry_slack: 52\n  retry_window_s: 10\n"
 		"load:\n  backups: false\n  speed_spread: 2.0\n",
-		name, zone, gateway->address, gateway->ready_address, gateway->metrics_address,
-		host, gateway->store_address);
+		name, zone, strcmp(zone, "z3") == 0 ? "r2" : "r1", gateway->address,
+		gateway->ready_address, gateway->metrics_address, host, gateway->store_address);
 
 	if (!g_file_set_contents(gateway->settings_file, text, -1, NULL))
 		exit(COMMON_COULD_NOT_RUN);
 	return gateway;
 }
 
+void common_restart(struct testbed_gateway *gateway)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *changed = NULL;
+	char *at;
+
+	if (!g_file_get_contents(gateway->settings_file, &text, NULL, NULL))
+		exit(COMMON_COULD_NOT_RUN);
+	at = strstr(text, "first_start: true\n");
+	if (at) {
+		g_autofree char *rest = g_strdup(at + strlen("first_start: true\n"));
+
+		*at = '\0';
+		changed = g_strdup_printf("%sfirst_start: false\n%s", text, rest);
+	}
+	if (!changed || !g_file_set_contents(gateway->settings_file, changed, -1, NULL))
+		exit(COMMON_COULD_NOT_RUN);
+	testbed_start(gateway);
+}
+
 void common_start(struct common *run, struct testbed_gateway *gateway)
 {
 	testbed_start(gateway);
--- a/review/stand-ins-3/common.h
+++ b/review/stand-ins-3/common.h
@@ -43,15 +43,18 @@
 void common_need(struct common *run, bool condition, const char *what);
 
 /**
- * Writes a configuration with the limits of the site file, and the routes of the testbed:
- * /once/ (unsafe), /safe/ (safe), /long/ (streaming, not resumable), /quick/ (streaming,
- * resumable).
+ * Writes a configuration with the limits of the site file, and the routes of the testbed: /once/
+ * (unsafe), /safe/ (safe), /long/ (streaming, not resumable), /quick/ (streaming, resumable).
+ * @param other_key whether the customer has TESTBED_OTHER_KEY beside TESTBED_KEY
  */
-void common_configure(struct common *run, uint32_t version);
+void common_configure(struct common *run, uint32_t version, bool other_key);
 /** Creates the settings of a gateway like those that deploy/settings.yaml gives.
  * @param store address of the store for it; NULL: the store itself */
 struct testbed_gateway *common_gateway(struct common *run, const char *name, const char *zone,
 				       const char *store);
+/** Starts a gateway again: its settings say then, as the platform's do, that it is not the first
+ * start of the whole system. */
+void common_restart(struct testbed_gateway *gateway);
 /** Starts a gateway and waits until it is ready. */
 void common_start(struct common *run, struct testbed_gateway *gateway);
 /** Starts an upstream in a zone, with an entry. @param number tells addresses apart, 0 to 90 */
--- a/review/stand-ins-3/large_bodies.c
+++ b/review/stand-ins-3/large_bodies.c
@@ -151,7 +151,7 @@
 	common_open(&run, argc, argv);
 	body = g_malloc(LARGE_BYTES);
 	memset(body, 'b', LARGE_BYTES);
-	common_configure(&run, 1);
+	common_configure(&run, 1, false);
 	for (uint32_t i = 0; i < 3; i++) {
 		g_autofree char *id = g_strdup_printf("shop-%u", i);
 
--- a/review/stand-ins-3/odd_id.c
+++ b/review/stand-ins-3/odd_id.c
@@ -29,7 +29,7 @@
 	bool drained = false;
 
 	common_open(&run, argc, argv);
-	common_configure(&run, 1);
+	common_configure(&run, 1, false);
 	for (uint32_t i = 0; i < ENGINE_COUNT; i++) {
 		g_autofree char *id = g_strdup_printf("engine-%u", i);
 
--- a/review/stand-ins-3/silent_bus.c
+++ b/review/stand-ins-3/silent_bus.c
@@ -144,7 +144,7 @@
 
 	common_open(&state.run, argc, argv);
 	state.requests = g_new0(struct request, MAX_REQUESTS);
-	common_configure(&state.run, 1);
+	common_configure(&state.run, 1, false);
 	translator = translator_create(state.run.testbed, INSTANCES);
 	for (uint32_t i = 0; i < ENGINES; i++)
 		start_engine(&state, i);
--- a/review/stand-ins-3/stale_version.c
+++ b/review/stand-ins-3/stale_version.c
@@ -225,7 +225,7 @@
 	bool stopped[ENGINES] = { false };
 
 	common_open(&run, argc, argv);
-	common_configure(&run, 1);
+	common_configure(&run, 1, false);
 	for (uint32_t i = 0; i < ENGINES; i++) {
 		engines[i].run = &run;
 		engines[i].id = g_strdup_printf("replica-%c", 'x' + (int)i);
